--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Pinned versions of the tools that .ci/run uses.
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+GO_FILES := $(shell git ls-files '*.go' | grep -vE '\.(pb|twirp)\.go$$')
+
+.PHONY: all build format lint test check long generate
+
+all: check
+
+build:
+	go build -o bin/ ./cmd/...
+
+format:
+	go run $(GOFUMPT) -w $(GO_FILES)
+
+lint:
+	@out=$$(go run $(GOFUMPT) -l $(GO_FILES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	go vet ./...
+	go run $(STATICCHECK) ./...
+
+test:
+	go test -race -timeout 9m ./...
+
+# The whole verdict: format, lint, build, tests.
+check: lint build test
+
+# The long form of each proof; see docs/measurements.md.
+long:
+	GERANIUMBEAM_LONG=1 go test -count=1 -timeout 80m -v ./test/...
+
+# Needs buf, protoc-gen-go and protoc-gen-twirp; the build does not.
+generate:
+	buf generate
--- /dev/null
+++ b/cmd/geraniumbeam-dev/main.go
@@ -0,0 +1,4 @@
+// Command geraniumbeam-dev is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/geraniumbeam-load/main.go
@@ -0,0 +1,4 @@
+// Command geraniumbeam-load is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/geraniumbeam-report/main.go
@@ -0,0 +1,4 @@
+// Command geraniumbeam-report is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/geraniumbeam-standin/main.go
@@ -0,0 +1,4 @@
+// Command geraniumbeam-standin is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/geraniumbeamctl/main.go
@@ -0,0 +1,4 @@
+// Command geraniumbeamctl is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/geraniumbeamd/main.go
@@ -0,0 +1,4 @@
+// Command geraniumbeamd is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,232 @@
+// Package catalog holds the objects that operators edit: services and classes
+// of work. It parses them strictly, checks them and gives read-only snapshots.
+//
+// Invariants: a Snapshot never changes after it was made, and it contains only
+// valid objects.
+package catalog
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rank orders classes under strain.
+type Rank string
+
+// Ranks, most urgent first.
+const (
+	RankUrgent     Rank = "urgent"
+	RankNormal     Rank = "normal"
+	RankBackground Rank = "background"
+)
+
+// Ranks lists the ranks, most urgent first.
+var Ranks = []Rank{RankUrgent, RankNormal, RankBackground}
+
+// Index returns 0 for the most urgent rank; an unknown rank sorts last.
+func (r Rank) Index() int {
+	if i := slices.Index(Ranks, r); i >= 0 {
+		return i
+	}
+	return len(Ranks) - 1
+}
+
+// Duration is a time.Duration that reads and writes as text such as 1.5s.
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("duration %q is not valid: want a number with a unit, such as 200ms or 5s", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Service names the database groups that hold a service's data.
+type Service struct {
+	Name        string   `yaml:"name" json:"name" validate:"required,max=63"`
+	Description string   `yaml:"description,omitempty" json:"description,omitempty"`
+	Groups      []string `yaml:"groups" json:"groups" validate:"required,min=1,dive,required"`
+	// MaxAnswer bounds an answer in bytes; 0 means DefaultMaxAnswer.
+	MaxAnswer int64 `yaml:"max_answer,omitempty" json:"max_answer,omitempty" validate:"gte=0,lte=1073741824"`
+}
+
+// DefaultMaxAnswer is the largest answer in bytes unless a service says otherwise.
+const DefaultMaxAnswer = 16 << 20
+
+// AnswerLimit returns the largest answer in bytes.
+func (s Service) AnswerLimit() int64 {
+	if s.MaxAnswer > 0 {
+		return s.MaxAnswer
+	}
+	return DefaultMaxAnswer
+}
+
+// Reads says what a class's reads must see.
+type Reads struct {
+	// MaxAge allows reads of data up to this age. Zero means that a read sees
+	// the session's own writes and no age is promised.
+	MaxAge Duration `yaml:"max_age,omitempty" json:"max_age,omitempty" validate:"gte=0"`
+	// WhenStale says what happens when the age cannot be proved: refuse or mark.
+	WhenStale string `yaml:"when_stale,omitempty" json:"when_stale,omitempty" validate:"omitempty,oneof=refuse mark"`
+}
+
+// Values of Reads.WhenStale; empty means WhenStaleRefuse.
+const (
+	WhenStaleRefuse = "refuse"
+	WhenStaleMark   = "mark"
+)
+
+// Class is a class of work and its targets.
+type Class struct {
+	Name        string   `yaml:"name" json:"name" validate:"required,max=63"`
+	Service     string   `yaml:"service" json:"service" validate:"required"`
+	Description string   `yaml:"description,omitempty" json:"description,omitempty"`
+	Rank        Rank     `yaml:"rank" json:"rank" validate:"required,oneof=urgent normal background"`
+	ServedIn    Duration `yaml:"served_within" json:"served_within" validate:"gt=0"`
+	Reads       Reads    `yaml:"reads,omitempty" json:"reads,omitempty"`
+	// Repeatable allows the proxy to run a request again after its outcome
+	// became unknown.
+	Repeatable bool `yaml:"repeatable,omitempty" json:"repeatable,omitempty"`
+	// KeyLifetime is how long a request key finds the first outcome; 0 means
+	// DefaultKeyLifetime.
+	KeyLifetime Duration `yaml:"key_lifetime,omitempty" json:"key_lifetime,omitempty" validate:"gte=0"`
+	// Objective is the share of requests to be served within ServedIn; 0
+	// means DefaultObjective.
+	Objective float64 `yaml:"objective,omitempty" json:"objective,omitempty" validate:"gte=0,lt=1"`
+}
+
+// Defaults of a Class.
+const (
+	DefaultKeyLifetime = 24 * time.Hour
+	DefaultObjective   = 0.99
+)
+
+// ObjectiveShare returns the objective as a share of requests.
+func (c Class) ObjectiveShare() float64 {
+	if c.Objective > 0 {
+		return c.Objective
+	}
+	return DefaultObjective
+}
+
+// DefaultClass is the class of requests that name none, if the service has it.
+const DefaultClass = "default"
+
+// Snapshot is an immutable set of services and classes.
+type Snapshot struct {
+	services map[string]Service
+	classes  map[classKey]Class
+}
+
+type classKey struct{ service, name string }
+
+// NewSnapshot builds a snapshot. Objects must be valid.
+func NewSnapshot(services []Service, classes []Class) *Snapshot {
+	s := &Snapshot{services: make(map[string]Service), classes: make(map[classKey]Class)}
+	for _, v := range services {
+		s.services[v.Name] = v
+	}
+	for _, c := range classes {
+		s.classes[classKey{c.Service, c.Name}] = c
+	}
+	return s
+}
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
+
+// Services returns all services, sorted by name.
+func (s *Snapshot) Services() []Service {
+	out := make([]Service, 0, len(s.services))
+	for _, v := range s.services {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Class returns a class of a service.
+func (s *Snapshot) Class(service, name string) (Class, bool) {
+	c, ok := s.classes[classKey{service, name}]
+	return c, ok
+}
+
+// Classes returns a service's classes, sorted by name; an empty service means
+// all services.
+func (s *Snapshot) Classes(service string) []Class {
+	var out []Class
+	for k, c := range s.classes {
+		if service == "" || k.service == service {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b Class) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// Default returns the class of requests that name none: the one called
+// DefaultClass, or the only one of the service.
+func (s *Snapshot) Default(service string) (Class, bool) {
+	if c, ok := s.Class(service, DefaultClass); ok {
+		return c, true
+	}
+	if cs := s.Classes(service); len(cs) == 1 {
+		return cs[0], true
+	}
+	return Class{}, false
+}
+
+// ObjectName returns the platform object name of a class.
+func (c Class) ObjectName() string { return c.Service + "." + c.Name }
+
+// DecodeService reads the JSON value of a service object.
+func DecodeService(data []byte) (Service, error) {
+	var v Service
+	if err := json.Unmarshal(data, &v); err != nil {
+		return v, fmt.Errorf("service object: %w", err)
+	}
+	return v, Validate(v)
+}
+
+// DecodeClass reads the JSON value of a class object.
+func DecodeClass(data []byte) (Class, error) {
+	var v Class
+	if err := json.Unmarshal(data, &v); err != nil {
+		return v, fmt.Errorf("class object: %w", err)
+	}
+	return v, Validate(v)
+}
+
+func quoteList(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+// ClassNames lists the names of a service's classes for error messages.
+func (s *Snapshot) ClassNames(service string) string {
+	var names []string
+	for _, c := range s.Classes(service) {
+		names = append(names, c.Name)
+	}
+	return quoteList(names)
+}
--- /dev/null
+++ b/internal/catalog/validate.go
@@ -0,0 +1,133 @@
+package catalog
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+
+	"geraniumbeam/internal/result"
+)
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		return name
+	})
+	return v
+}
+
+// Validate checks a Service, a Class or a settings struct by its validate tags.
+// The error carries result.Invalid and names field, value and what is allowed.
+func Validate(v any) error {
+	err := validate.Struct(v)
+	if err == nil {
+		return nil
+	}
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return result.Errorf(result.Invalid, "%w", err)
+	}
+	msgs := make([]string, 0, len(fields))
+	for _, f := range fields {
+		msgs = append(msgs, fieldMessage(f))
+	}
+	return result.Errorf(result.Invalid, "%s", strings.Join(msgs, "; "))
+}
+
+func fieldMessage(f validator.FieldError) string {
+	path := f.Namespace()
+	if _, rest, ok := strings.Cut(path, "."); ok {
+		path = rest
+	}
+	return fmt.Sprintf("field %s has value %q: %s", path, fmt.Sprint(f.Value()), allowed(f))
+}
+
+func allowed(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required":
+		return "a value is required"
+	case "oneof":
+		return "want one of " + strings.Join(strings.Fields(f.Param()), ", ")
+	case "gt":
+		return "want more than " + f.Param()
+	case "gte":
+		return "want at least " + f.Param()
+	case "lt":
+		return "want less than " + f.Param()
+	case "lte":
+		return "want at most " + f.Param()
+	case "min":
+		return "want at least " + f.Param() + " entries"
+	case "max":
+		return "want at most " + f.Param() + " characters"
+	case "hostname_port":
+		return "want HOST:PORT"
+	default:
+		return "want " + f.Tag() + " " + f.Param()
+	}
+}
+
+// Manifest is an operators' file: services and classes.
+type Manifest struct {
+	Services []Service `yaml:"services,omitempty" json:"services,omitempty" validate:"dive"`
+	Classes  []Class   `yaml:"classes,omitempty" json:"classes,omitempty" validate:"dive"`
+}
+
+// DecodeStrict reads YAML into out and refuses unknown fields. Errors name line
+// and column.
+func DecodeStrict(data []byte, out any) error {
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
+	err := dec.Decode(out)
+	if errors.Is(err, io.EOF) {
+		return result.Errorf(result.Invalid, "the file is empty")
+	}
+	if err != nil {
+		return result.Errorf(result.Invalid, "%s", yaml.FormatError(err, false, true))
+	}
+	return nil
+}
+
+// ParseManifest reads an operators' file strictly and checks each object and
+// the references between them. known holds the services that exist already.
+func ParseManifest(data []byte, known *Snapshot) (Manifest, error) {
+	var m Manifest
+	if err := DecodeStrict(data, &m); err != nil {
+		return m, err
+	}
+	if err := Validate(m); err != nil {
+		return m, err
+	}
+	services := make(map[string]bool)
+	for _, s := range m.Services {
+		if services[s.Name] {
+			return m, result.Errorf(result.Invalid, "service %q is defined twice", s.Name)
+		}
+		services[s.Name] = true
+	}
+	classes := make(map[string]bool)
+	for _, c := range m.Classes {
+		if classes[c.ObjectName()] {
+			return m, result.Errorf(result.Invalid, "class %q of service %q is defined twice", c.Name, c.Service)
+		}
+		classes[c.ObjectName()] = true
+		if services[c.Service] {
+			continue
+		}
+		if known != nil {
+			if _, ok := known.Service(c.Service); ok {
+				continue
+			}
+		}
+		return m, result.Errorf(result.Invalid, "class %q: service %q does not exist", c.Name, c.Service)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,82 @@
+// Package ownership decides which instances hold the connections of a
+// database: the first two of the rendezvous order over the live instances of
+// its data centre, or of another data centre when its own has none.
+//
+// Ownership is a hint. Two instances that disagree stay within the connection
+// limit, because active and standby each use at most half of it.
+package ownership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owners is how many instances may hold connections of one database: the
+// active one and the standby.
+const Owners = 2
+
+// Instance is a candidate owner.
+type Instance struct {
+	Name       string
+	Address    string // host:port of the internal protocol
+	DataCentre string
+}
+
+// Order returns instances by descending rendezvous weight for key.
+func Order(key string, instances []Instance) []Instance {
+	type weighted struct {
+		Instance
+		weight uint64
+	}
+	ws := make([]weighted, len(instances))
+	for i, in := range instances {
+		ws[i] = weighted{in, weight(key, in.Name)}
+	}
+	slices.SortFunc(ws, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
+	})
+	out := make([]Instance, len(ws))
+	for i, w := range ws {
+		out[i] = w.Instance
+	}
+	return out
+}
+
+// For returns the owners of a database, active first. Instances of the
+// database's data centre are preferred; remote reports that none of them is
+// live and instances of other data centres stand in.
+func For(database, dataCentre string, live []Instance) (owners []Instance, remote bool) {
+	var local []Instance
+	for _, in := range live {
+		if in.DataCentre == dataCentre {
+			local = append(local, in)
+		}
+	}
+	if len(local) == 0 {
+		local, remote = live, len(live) > 0
+	}
+	order := Order(database, local)
+	return order[:min(Owners, len(order))], remote
+}
+
+// Pick returns the index of the element of names with the highest rendezvous
+// weight for key, or -1 if names is empty.
+func Pick(key string, names []string) int {
+	best, bestWeight := -1, uint64(0)
+	for i, n := range names {
+		if w := weight(key, n); best < 0 || w > bestWeight || (w == bestWeight && n < names[best]) {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
+func weight(key, name string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,99 @@
+// Package wire is the internal protocol between instances: messages and
+// services generated from inner.proto, conversions, limits and transport.
+//
+// Invariants: a message above MaxMessage is refused before it is decoded. An
+// answer that arrives for another request, transaction or sequence number is
+// discarded (see Matches).
+package wire
+
+import (
+	"time"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/result"
+)
+
+// MaxMessage is the largest internal message in bytes. It exceeds the largest
+// answer a service may configure (1 GiB is refused earlier by max_answer).
+const MaxMessage = 64 << 20
+
+// PositionOf converts a wire position; nil is the zero position.
+func PositionOf(p *LogPosition) backend.Position {
+	return backend.Position{Term: p.GetTerm(), Offset: p.GetOffset()}
+}
+
+// NewPosition converts a position to the wire.
+func NewPosition(p backend.Position) *LogPosition {
+	return &LogPosition{Term: p.Term, Offset: p.Offset}
+}
+
+// NewFailure converts an error to the wire; nil stays nil.
+func NewFailure(err error) *Failure {
+	e := result.From(err)
+	if e == nil {
+		return nil
+	}
+	return &Failure{
+		Code:         uint32(e.Code),
+		Message:      e.Message,
+		Ran:          Ran(e.Ran),
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+}
+
+// Err converts a failure to an error; nil stays nil. A code that this version
+// does not know is reported as Internal with the original message.
+func (f *Failure) Err() error {
+	if f == nil {
+		return nil
+	}
+	return &result.Error{
+		Code:       result.Code(f.GetCode()),
+		Message:    f.GetMessage(),
+		Ran:        result.Ran(f.GetRan()),
+		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+var roles = map[backend.Role]Role{
+	backend.RolePrimary: Role_ROLE_PRIMARY,
+	backend.RoleReplica: Role_ROLE_REPLICA,
+	backend.RoleFenced:  Role_ROLE_FENCED,
+}
+
+// NewStatus converts a database status to the wire.
+func NewStatus(database string, s backend.Status) *DatabaseStatus {
+	return &DatabaseStatus{
+		Database:     database,
+		Term:         s.Term,
+		Role:         roles[s.Role],
+		Last:         NewPosition(s.Last),
+		PrimaryAgeMs: s.PrimaryAge.Milliseconds(),
+		Leaving:      s.Leaving,
+		Reachable:    true,
+	}
+}
+
+// StatusOf converts a wire status.
+func StatusOf(s *DatabaseStatus) backend.Status {
+	out := backend.Status{
+		Term:       s.GetTerm(),
+		Last:       PositionOf(s.GetLast()),
+		PrimaryAge: time.Duration(s.GetPrimaryAgeMs()) * time.Millisecond,
+		Leaving:    s.GetLeaving(),
+	}
+	for role, w := range roles {
+		if w == s.GetRole() {
+			out.Role = role
+		}
+	}
+	return out
+}
+
+// Matches reports whether resp answers req. Duplicated and late answers of
+// another request, transaction or sequence number do not match.
+func Matches(req *ExecuteRequest, resp *ExecuteResponse) bool {
+	return resp.GetRequestId() == req.GetRequestId() &&
+		resp.GetSequence() == req.GetSequence() &&
+		(req.GetTransactionId() == "" || resp.GetTransactionId() == req.GetTransactionId())
+}
