Add the database stand-in: SQL over protocol 3, group functions, replication

Ruled out: database/sql on SQLite, because it cannot tell whether a statement reads before it runs, and a shared in-memory database, because its readers block commits. Change: SQLite is called through its translated C interface; one engine holds the open write transaction, a second one the committed state. Committed statements are the replicated log.

--- /dev/null
+++ b/internal/standin/database/state.go
@@ -0,0 +1,160 @@
+package database
+
+import (
+	"fmt"
+	"time"
+
+	"geraniumbeam/internal/backend"
+)
+
+// status returns what group_status() reports.
+func (s *Server) status() backend.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statusLocked()
+}
+
+func (s *Server) statusLocked() backend.Status {
+	st := backend.Status{Term: s.term, Role: s.role, Last: s.log.last(), Leaving: s.leaving}
+	if s.role != backend.RolePrimary {
+		st.PrimaryAge = time.Since(s.heard)
+	}
+	return st
+}
+
+// notifyLocked wakes everything that waits for a change of state.
+func (s *Server) notifyLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// raise fences the database for all terms below term. A commit checks the
+// term under the same lock, so none of a lower term follows.
+func (s *Server) raise(term uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if term < s.term {
+		return errorf(stateObjectState, "term %d is below the current term %d", term, s.term)
+	}
+	if term == s.term {
+		return nil
+	}
+	s.logger.Info().Uint64("term", term).Uint64("old_term", s.term).Str("old_role", string(s.role)).Msg("term raised")
+	s.term, s.role, s.upstream = term, backend.RoleFenced, ""
+	s.notifyLocked()
+	return nil
+}
+
+// promote makes a database that was raised to term its primary and appends an
+// empty entry of the term. In unsafe mode the raise is not needed.
+func (s *Server) promote(term uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if term == s.term && s.role == backend.RolePrimary {
+		return nil
+	}
+	if !s.unsafe && (term != s.term || s.role != backend.RoleFenced) {
+		return errorf(stateObjectState, "promotion to term %d needs a raise to it: the database is %s at term %d", term, s.role, s.term)
+	}
+	if term < s.term {
+		return errorf(stateObjectState, "term %d is below the current term %d", term, s.term)
+	}
+	s.term, s.role, s.upstream = term, backend.RolePrimary, ""
+	s.log.append(entry{Term: term, Now: time.Now()})
+	s.logger.Info().Uint64("term", term).Uint64("position", s.log.last().Offset).Msg("promoted to primary")
+	s.notifyLocked()
+	return nil
+}
+
+// follow makes the database replicate from the primary of term at address.
+func (s *Server) follow(term uint64, address string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if term < s.term {
+		return errorf(stateObjectState, "term %d is below the current term %d", term, s.term)
+	}
+	if term == s.term && s.role == backend.RolePrimary {
+		return errorf(stateObjectState, "the database is the primary of term %d", term)
+	}
+	if term == s.term && s.role == backend.RoleReplica && s.upstream == address {
+		return nil
+	}
+	s.term, s.role, s.upstream, s.heard = term, backend.RoleReplica, address, time.Now()
+	s.logger.Info().Uint64("term", term).Str("primary", address).Msg("following primary")
+	s.notifyLocked()
+	return nil
+}
+
+// errNotPrimary proves that the statement was not run.
+func errNotPrimary(role backend.Role, term uint64) error {
+	return errorf(stateReadOnly, "cannot execute a write: the database is %s at term %d", role, term)
+}
+
+// commit appends the transaction to the log and makes it visible, if the
+// database is still the primary of the term in which the transaction began.
+func (s *Server) commit(tx *writeTx) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.role != backend.RolePrimary || s.term != tx.term {
+		return errNotPrimary(s.role, s.term)
+	}
+	if s.failCommits > 0 {
+		s.failCommits--
+		return errorf(stateSerialization, "could not serialize access (requested by standin_set)")
+	}
+	if _, err := s.writer.run("COMMIT", nil); err != nil {
+		return err
+	}
+	e := entry{Term: tx.term, Now: tx.now, Statements: tx.statements}
+	s.log.append(e)
+	s.applyLocked(e)
+	s.writerAt = s.log.last()
+	s.notifyLocked()
+	return nil
+}
+
+// applyLocked runs an entry on the reading copy.
+func (s *Server) applyLocked(e entry) {
+	if len(e.Statements) == 0 {
+		return
+	}
+	s.readMu.Lock()
+	defer s.readMu.Unlock()
+	if err := applyTo(s.reader, e); err != nil {
+		s.logger.Error().Err(err).Uint64("position", s.log.last().Offset).Msg("log entry could not be applied")
+	}
+}
+
+func applyTo(e *engine, en entry) error {
+	e.setInputs(en.Now)
+	if _, err := e.run("BEGIN", nil); err != nil {
+		return err
+	}
+	for _, st := range en.Statements {
+		if _, err := e.run(st.SQL, st.Args); err != nil {
+			_, _ = e.run("ROLLBACK", nil)
+			return fmt.Errorf("statement %q: %w", st.SQL, err)
+		}
+	}
+	_, err := e.run("COMMIT", nil)
+	return err
+}
+
+// rebuildLocked makes the reading copy from the log.
+func (s *Server) rebuildLocked() error {
+	e, err := newEngine()
+	if err != nil {
+		return err
+	}
+	for _, en := range s.log.entries {
+		if err := applyTo(e, en); err != nil {
+			e.close()
+			return fmt.Errorf("rebuild from the log: %w", err)
+		}
+	}
+	s.readMu.Lock()
+	defer s.readMu.Unlock()
+	s.reader.close()
+	s.reader = e
+	return nil
+}
--- /dev/null
+++ b/internal/standin/database/statement.go
@@ -0,0 +1,243 @@
+package database
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// prepared is a parsed statement.
+type prepared struct {
+	text     *sqlText
+	call     *call // group function, or nil
+	params   []uint32
+	fields   []field
+	readOnly bool
+	empty    bool
+}
+
+// prepareText parses one statement of the client.
+func (se *session) prepareText(tokens []token, given []uint32) (*prepared, error) {
+	if len(tokens) == 0 {
+		return &prepared{text: &sqlText{}, empty: true}, nil
+	}
+	p := &prepared{text: rewrite(tokens)}
+	if c, err := parseCall(tokens); err != nil || c != nil {
+		if err == nil {
+			p.call, p.params, p.fields = c, c.paramTypes(), c.fields()
+		}
+		return p, err
+	}
+	switch p.text.keyword(0) {
+	case "begin", "start", "commit", "end", "rollback", "abort", "savepoint", "release", "set", "reset", "discard", "deallocate":
+		return p, nil
+	case "show":
+		p.fields = []field{{name: strings.ToLower(join(tokens[1:])), oid: oidText}}
+		return p, nil
+	}
+	if se.tx.failed && se.tx.explicit {
+		return nil, errFailedTransaction()
+	}
+	return p, se.analyze(p, given)
+}
+
+// analyze finds the types of parameters and results. It uses the writer's
+// state if the session has it open, because that may hold new tables.
+func (se *session) analyze(p *prepared, given []uint32) error {
+	e := se.server.writer
+	if se.tx.write == nil {
+		se.server.readMu.Lock()
+		defer se.server.readMu.Unlock()
+		e = se.server.reader
+	}
+	st, err := e.prepare(p.text.sql)
+	if err != nil {
+		return err
+	}
+	sch := newSchema(e, p.text.tokens)
+	p.readOnly = st.readOnly
+	p.params = sch.paramTypes(p.text, st.params, given)
+	p.fields = sch.fields(p.text, st.columns, p.params)
+	return nil
+}
+
+// result is what a statement returned.
+type result struct {
+	rows [][]any
+	tag  string
+}
+
+// run executes a statement that is not transaction control.
+func (se *session) run(p *prepared, args []any) (*result, error) {
+	if p.call != nil {
+		return se.runCall(p.call, args)
+	}
+	if se.tx.failed && se.tx.explicit {
+		return nil, errFailedTransaction()
+	}
+	if p.text.keyword(0) == "show" {
+		return &result{rows: [][]any{{se.show(p.fields[0].name)}}, tag: "SHOW"}, nil
+	}
+	ctx, done := se.statementContext()
+	defer done()
+	write := !p.readOnly || p.text.locking
+	if write && se.tx.readOnly {
+		return nil, errorf(stateReadOnly, "cannot execute %s in a read-only transaction", strings.ToUpper(p.text.keyword(0)))
+	}
+	// The writer is taken before the slot: a waiting statement must not keep
+	// the slot that the open transaction needs to finish.
+	if write || (se.tx.early && !se.tx.readOnly && se.server.isPrimary()) {
+		if err := se.openWrite(ctx); err != nil {
+			return nil, err
+		}
+	}
+	if err := se.server.slots.acquire(ctx); err != nil {
+		return nil, err
+	}
+	defer se.server.slots.release()
+	return se.runInSlot(ctx, p, args)
+}
+
+func (se *session) runInSlot(ctx context.Context, p *prepared, args []any) (*result, error) {
+	se.server.statements.Add(1)
+	if err := sleep(ctx, durationOf(&se.server.serviceTime)+sleepTime(p.text.sql)); err != nil {
+		return nil, err
+	}
+	var rs *rowSet
+	var err error
+	if se.tx.write != nil {
+		rs, err = se.server.runWrite(ctx, se.tx.write, p.text.sql, args, !p.readOnly)
+	} else {
+		rs, err = se.server.runRead(ctx, p.text.sql, args)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &result{rows: rs.rows, tag: commandTag(p, rs)}, nil
+}
+
+var sleepCall = regexp.MustCompile(`(?i)\bpg_sleep \( ([0-9.]+) \)`)
+
+// sleepTime returns the argument of pg_sleep, which SQL sees as a function
+// that returns at once.
+func sleepTime(sql string) time.Duration {
+	m := sleepCall.FindStringSubmatch(sql)
+	if m == nil {
+		return 0
+	}
+	d, err := time.ParseDuration(m[1] + "s")
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+func commandTag(p *prepared, rs *rowSet) string {
+	verb := p.text.keyword(0)
+	if verb == "with" {
+		verb = mainVerb(p.text.tokens)
+	}
+	switch verb {
+	case "insert":
+		return fmt.Sprintf("INSERT 0 %d", rs.changed)
+	case "update", "delete":
+		return fmt.Sprintf("%s %d", strings.ToUpper(verb), rs.changed)
+	case "select", "values", "table":
+		return fmt.Sprintf("SELECT %d", len(rs.rows))
+	case "truncate":
+		return "TRUNCATE TABLE"
+	case "create", "drop", "alter":
+		object := p.text.keyword(1)
+		if object == "unique" {
+			object = "index"
+		}
+		return strings.ToUpper(verb + " " + object)
+	}
+	return strings.ToUpper(verb)
+}
+
+// mainVerb finds the statement after the common table expressions.
+func mainVerb(tokens []token) string {
+	depth := 0
+	for _, t := range tokens {
+		switch {
+		case t.is("("):
+			depth++
+		case t.is(")"):
+			depth--
+		case depth == 0 && (t.is("insert") || t.is("update") || t.is("delete") || t.is("select")):
+			return strings.ToLower(t.text)
+		}
+	}
+	return "select"
+}
+
+// show answers SHOW for the few parameters that drivers ask for.
+func (se *session) show(name string) string {
+	switch name {
+	case "transaction_read_only", "default_transaction_read_only":
+		if se.tx.readOnly || !se.server.isPrimary() {
+			return "on"
+		}
+		return "off"
+	case "server_version":
+		return "16.4"
+	case "transaction isolation level", "transaction_isolation":
+		return "read committed"
+	}
+	return ""
+}
+
+func (se *session) simpleQuery(sql string) {
+	if err := se.runSimple(sql); err != nil {
+		se.sendError(err)
+		se.tx.fail()
+	}
+	if !se.tx.explicit {
+		if err := se.endTransaction(!se.tx.failed); err != nil {
+			se.sendError(err)
+		}
+	}
+	se.ready()
+}
+
+func (se *session) runSimple(sql string) error {
+	tokens, err := tokenize(sql)
+	if err != nil {
+		return err
+	}
+	statements := splitStatements(tokens)
+	if len(statements) == 0 {
+		se.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for _, st := range statements {
+		p, err := se.prepareText(st, nil)
+		if err != nil {
+			return err
+		}
+		if len(p.params) > 0 {
+			return errorf("42P02", "there is no parameter $1 in a simple query")
+		}
+		if handled, err := se.control(p); err != nil {
+			return err
+		} else if handled {
+			continue
+		}
+		res, err := se.run(p, nil)
+		if err != nil {
+			return err
+		}
+		if len(p.fields) > 0 {
+			se.backend.Send(rowDescription(p.fields, nil))
+		}
+		if err := se.sendRows(p.fields, nil, res.rows); err != nil {
+			return err
+		}
+		se.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.tag)})
+	}
+	return nil
+}
