Check operators' files and settings with line, value and what is allowed

Cause: operators change every season and must see at once what is wrong. Ruled out: the YAML library's own validator hook, whose messages name Go fields instead of YAML paths.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/goccy/go-yaml/ast"
 )
 
 // Rank orders classes under strain.
@@ -51,6 +53,14 @@
 	return nil
 }
 
+// UnmarshalYAML reads a duration and names the line in errors.
+func (d *Duration) UnmarshalYAML(node ast.Node) error {
+	if err := d.UnmarshalText([]byte(node.GetToken().Value)); err != nil {
+		return fmt.Errorf("line %d: %w", node.GetToken().Position.Line, err)
+	}
+	return nil
+}
+
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,24 @@
+package catalog
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against manifests that are accepted although they are wrong, and
+// against errors that don't name the field, the value and what is allowed.
+func TestManifest(t *testing.T) {
+	datadriven.RunTest(t, "testdata/manifest", func(t *testing.T, d *datadriven.TestData) string {
+		m, err := ParseManifest([]byte(d.Input), nil)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		var b strings.Builder
+		for _, c := range m.Classes {
+			b.WriteString(Describe(c))
+		}
+		return b.String()
+	})
+}
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -27,7 +27,20 @@
 
 // Validate checks a Service, a Class or a settings struct by its validate tags.
 // The error carries result.Invalid and names field, value and what is allowed.
-func Validate(v any) error {
+func Validate(v any) error { return validateAt(v, nil) }
+
+// DecodeValid reads YAML strictly into out and checks it by its validate tags.
+// Errors name line, field, value and what is allowed.
+func DecodeValid(data []byte, out any) error {
+	if err := DecodeStrict(data, out); err != nil {
+		return err
+	}
+	return validateAt(out, data)
+}
+
+// validateAt checks v; source, if not nil, is the YAML it was read from and
+// gives the lines in errors.
+func validateAt(v any, source []byte) error {
 	err := validate.Struct(v)
 	if err == nil {
 		return nil
@@ -38,17 +51,34 @@
 	}
 	msgs := make([]string, 0, len(fields))
 	for _, f := range fields {
-		msgs = append(msgs, fieldMessage(f))
+		msgs = append(msgs, fieldMessage(f, source))
 	}
 	return result.Errorf(result.Invalid, "%s", strings.Join(msgs, "; "))
 }
 
-func fieldMessage(f validator.FieldError) string {
+func fieldMessage(f validator.FieldError, source []byte) string {
 	path := f.Namespace()
 	if _, rest, ok := strings.Cut(path, "."); ok {
 		path = rest
 	}
-	return fmt.Sprintf("field %s has value %q: %s", path, fmt.Sprint(f.Value()), allowed(f))
+	return fmt.Sprintf("%sfield %s has value %q: %s", linePrefix(path, source), path, fmt.Sprint(f.Value()), allowed(f))
+}
+
+// linePrefix returns "line N: " for a field that the source contains. A
+// missing field has no line.
+func linePrefix(path string, source []byte) string {
+	if source == nil {
+		return ""
+	}
+	p, err := yaml.PathString("$." + path)
+	if err != nil {
+		return ""
+	}
+	node, err := p.ReadNode(bytes.NewReader(source))
+	if err != nil || node == nil || node.GetToken() == nil {
+		return ""
+	}
+	return fmt.Sprintf("line %d: ", node.GetToken().Position.Line)
 }
 
 func allowed(f validator.FieldError) string {
@@ -100,10 +130,7 @@
 // the references between them. known holds the services that exist already.
 func ParseManifest(data []byte, known *Snapshot) (Manifest, error) {
 	var m Manifest
-	if err := DecodeStrict(data, &m); err != nil {
-		return m, err
-	}
-	if err := Validate(m); err != nil {
+	if err := DecodeValid(data, &m); err != nil {
 		return m, err
 	}
 	services := make(map[string]bool)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,10 +92,7 @@
 // is allowed, and carries result.Invalid.
 func Parse(data []byte) (Settings, error) {
 	var s Settings
-	if err := catalog.DecodeStrict(data, &s); err != nil {
-		return s, err
-	}
-	if err := catalog.Validate(s); err != nil {
+	if err := catalog.DecodeValid(data, &s); err != nil {
 		return s, err
 	}
 	return s.withDefaults(), nil
