--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,175 @@
+package platform
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"geraniumbeam/internal/result"
+)
+
+// Defaults of Options.
+const (
+	DefaultRate    = 20.0 // calls per second
+	DefaultBurst   = 40
+	DefaultTimeout = 2 * time.Second
+)
+
+// Options configures a Client. Zero fields take the defaults.
+type Options struct {
+	// Rate and Burst limit the calls of this instance, in calls per second
+	// and calls. A call that would wait past its deadline for the limiter
+	// fails with result.RateLimited and is not sent.
+	Rate  float64
+	Burst int
+	// Timeout bounds each call; a watch may take its wait in addition.
+	Timeout time.Duration
+	// Transport is used instead of a new http.Transport if it is not nil.
+	Transport http.RoundTripper
+}
+
+// Client implements API over HTTP. It is safe for concurrent use.
+type Client struct {
+	base    string
+	http    *http.Client
+	limiter *rate.Limiter
+	timeout time.Duration
+	vars    *expvar.Map
+}
+
+var _ API = (*Client)(nil)
+
+// NewClient returns a client of the platform at baseURL.
+func NewClient(baseURL string, opts Options) *Client {
+	if opts.Rate == 0 {
+		opts.Rate = DefaultRate
+	}
+	if opts.Burst == 0 {
+		opts.Burst = DefaultBurst
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	if opts.Transport == nil {
+		opts.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	}
+	return &Client{
+		base:    baseURL,
+		http:    &http.Client{Transport: opts.Transport},
+		limiter: rate.NewLimiter(rate.Limit(opts.Rate), opts.Burst),
+		timeout: opts.Timeout,
+		vars:    new(expvar.Map).Init(),
+	}
+}
+
+// Names of calls in the counters.
+const (
+	callGet       = "get"
+	callList      = "list"
+	callPut       = "put"
+	callDelete    = "delete"
+	callWatch     = "watch"
+	callInstances = "instances"
+	callHeartbeat = "heartbeat"
+)
+
+// Vars returns the call counters: sent calls by name, "limited" for calls that
+// the limiter held back, and failed calls as "failed_" and the result code.
+func (c *Client) Vars() expvar.Var { return c.vars }
+
+// Calls returns the number of calls sent.
+func (c *Client) Calls() int64 {
+	var n int64
+	for _, name := range []string{callGet, callList, callPut, callDelete, callWatch, callInstances, callHeartbeat} {
+		if v, ok := c.vars.Get(name).(*expvar.Int); ok {
+			n += v.Value()
+		}
+	}
+	return n
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements API.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	var o Object
+	err := c.do(ctx, call{name: callGet, method: http.MethodGet, path: objectPath(kind, name)}, &o)
+	return o, err
+}
+
+// List implements API.
+func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
+	var l ObjectList
+	err := c.do(ctx, call{name: callList, method: http.MethodGet, path: kindPath(kind)}, &l)
+	return l.Objects, l.Version, err
+}
+
+// Put implements API. Data above MaxValue is refused with result.Invalid
+// without a call.
+func (c *Client) Put(ctx context.Context, kind, name string, version uint64, data []byte) (Object, error) {
+	if len(data) > MaxValue {
+		return Object{}, result.Errorf(result.Invalid, "object %s/%s has %d bytes: want at most %d",
+			kind, name, len(data), MaxValue)
+	}
+	var o Object
+	err := c.do(ctx, call{
+		name: callPut, method: http.MethodPut, path: objectPath(kind, name),
+		query: url.Values{ParamVersion: {versionText(version)}}, body: data,
+	}, &o)
+	return o, err
+}
+
+// Delete implements API.
+func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+	return c.do(ctx, call{
+		name: callDelete, method: http.MethodDelete, path: objectPath(kind, name),
+		query: url.Values{ParamVersion: {versionText(version)}},
+	}, nil)
+}
+
+// Watch implements API.
+func (c *Client) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Object, uint64, error) {
+	var l ObjectList
+	err := c.do(ctx, call{
+		name: callWatch, method: http.MethodGet, path: kindPath(kind), extra: wait,
+		query: url.Values{
+			ParamAfter: {strconv.FormatUint(after, 10)},
+			ParamWait:  {strconv.FormatInt(wait.Milliseconds(), 10)},
+		},
+	}, &l)
+	return l.Objects, l.Version, err
+}
+
+// Instances implements API.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var l InstanceList
+	err := c.do(ctx, call{name: callInstances, method: http.MethodGet, path: PathInstances}, &l)
+	return l.Instances, err
+}
+
+// Heartbeat registers an instance in the platform's list. A platform that
+// finds its instances by other means ignores it.
+func (c *Client) Heartbeat(ctx context.Context, in Instance) error {
+	body, err := encode(in)
+	if err != nil {
+		return err
+	}
+	return c.do(ctx, call{name: callHeartbeat, method: http.MethodPost, path: PathHeartbeat, body: body}, nil)
+}
+
+func kindPath(kind string) string { return PathObjects + url.PathEscape(kind) }
+
+func objectPath(kind, name string) string { return kindPath(kind) + "/" + url.PathEscape(name) }
+
+func versionText(v uint64) string {
+	if v == AnyVersion {
+		return AnyText
+	}
+	return strconv.FormatUint(v, 10)
+}
