Add geraniumbeamctl and the example deployments of both services

Cause: operators need to check, compare and apply classes and to see the fleet. Ruled out: a client-side lock against racing operators; the platform's conditional update decides, the loser gets a diff. Result: builds; the commands were not run against a fleet yet.

--- a/cmd/geraniumbeamctl/main.go
+++ b/cmd/geraniumbeamctl/main.go
@@ -1,4 +1,138 @@
-// Command geraniumbeamctl is not built yet.
+// Command geraniumbeamctl is the operators' tool: it edits classes and services
+// and shows what the fleet does.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"geraniumbeam/internal/ctl"
+	"geraniumbeam/internal/platform"
+	"geraniumbeam/internal/version"
+	"geraniumbeam/internal/wire"
+)
+
+type cli struct {
+	Platform string           `help:"Base URL of the platform's object API." default:"http://127.0.0.1:7400" env:"GERANIUMBEAM_PLATFORM"`
+	Instance []string         `help:"Inner address HOST:PORT of an instance to ask; repeat for several. Default: the platform's list."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+
+	Apply        applyCmd        `cmd:"" help:"Store services and classes. Example: geraniumbeamctl apply classes.yaml --wait"`
+	Get          getCmd          `cmd:"" help:"Print the configuration as a file that apply accepts."`
+	Diff         diffCmd         `cmd:"" help:"Print what apply would change."`
+	Check        checkCmd        `cmd:"" help:"Check a file without a running system."`
+	Status       statusCmd       `cmd:"" help:"Show the fleet at a glance."`
+	Explain      explainCmd      `cmd:"" help:"Say what happened to a request. Example: geraniumbeamctl explain 0f3a..."`
+	ExplainClass explainClassCmd `cmd:"" help:"Say in sentences what the system does for a class."`
+	Timeline     timelineCmd     `cmd:"" help:"Show the recorded decisions about a group."`
+	Drain        drainCmd        `cmd:"" help:"Start a graceful shutdown of one instance."`
+}
+
+type applyCmd struct {
+	File    string        `arg:"" type:"existingfile" help:"YAML file with services and classes."`
+	Expect  uint64        `help:"Refuse if a changed object is newer than this version."`
+	Wait    bool          `help:"Return only when the change is in force on every instance."`
+	Timeout time.Duration `help:"How long --wait waits." default:"10s"`
+}
+
+func (c *applyCmd) Run(ctx context.Context, env *ctl.Env) error {
+	return withFile(c.File, func(data []byte) error {
+		return env.Apply(ctx, data, ctl.ApplyOptions{Expect: c.Expect, Wait: c.Wait, Timeout: c.Timeout})
+	})
+}
+
+type getCmd struct{}
+
+func (getCmd) Run(ctx context.Context, env *ctl.Env) error { return env.Get(ctx) }
+
+type diffCmd struct {
+	File string `arg:"" type:"existingfile" help:"YAML file with services and classes."`
+}
+
+func (c *diffCmd) Run(ctx context.Context, env *ctl.Env) error {
+	return withFile(c.File, func(data []byte) error { return env.Diff(ctx, data) })
+}
+
+type checkCmd struct {
+	File string `arg:"" type:"existingfile" help:"YAML file with services and classes."`
+}
+
+func (c *checkCmd) Run(env *ctl.Env) error { return withFile(c.File, env.Check) }
+
+type statusCmd struct{}
+
+func (statusCmd) Run(ctx context.Context, env *ctl.Env) error { return env.Status(ctx) }
+
+type explainCmd struct {
+	Request string `arg:"" name:"request-id" help:"Request id, as in error messages and logs."`
+}
+
+func (c *explainCmd) Run(ctx context.Context, env *ctl.Env) error { return env.Explain(ctx, c.Request) }
+
+type explainClassCmd struct {
+	Name string `arg:"" help:"Class name, or SERVICE.CLASS."`
+}
+
+func (c *explainClassCmd) Run(ctx context.Context, env *ctl.Env) error {
+	return env.ExplainClass(ctx, c.Name)
+}
+
+type timelineCmd struct {
+	Group string `arg:"" help:"Group name."`
+	Limit int    `help:"Number of events per instance." default:"200"`
+}
+
+func (c *timelineCmd) Run(ctx context.Context, env *ctl.Env) error {
+	return env.Timeline(ctx, c.Group, c.Limit)
+}
+
+type drainCmd struct {
+	Address string `arg:"" help:"Inner address HOST:PORT of the instance."`
+}
+
+func (c *drainCmd) Run(ctx context.Context, env *ctl.Env) error { return env.Drain(ctx, c.Address) }
+
+func withFile(path string, use func([]byte) error) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ctl.ErrUsage, err)
+	}
+	if err := use(data); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c,
+		kong.Name("geraniumbeamctl"),
+		kong.Description("Edits classes of work and shows what the fleet does. Exit codes: 0 done, 1 refused, 2 bad usage or input, 3 unreachable."),
+		kong.Vars{"version": version.String()},
+		kong.UsageOnError(),
+	)
+	kctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "geraniumbeamctl:", err)
+		os.Exit(ctl.ExitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	env := &ctl.Env{
+		Out:       os.Stdout,
+		Platform:  platform.NewClient(c.Platform, platform.Options{}),
+		Clients:   wire.NewClients(nil),
+		Instances: c.Instance,
+	}
+	kctx.BindTo(ctx, (*context.Context)(nil))
+	err = kctx.Run(env)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "geraniumbeamctl:", err)
+	}
+	os.Exit(ctl.ExitCode(err))
+}
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -235,7 +235,7 @@
 // Guards against a list that is fresher than the real platform's.
 func TestInstanceListLags(t *testing.T) {
 	fake := clock.NewFake(time.Unix(1e9, 0))
-	seed, err := LoadSeed("../../../examples/platform-alliance.yaml")
+	seed, err := LoadSeed("../../../examples/alliance/platform.yaml")
 	if err != nil {
 		t.Fatal(err)
 	}
