--- /dev/null
+++ b/internal/standin/database/group_test.go
@@ -0,0 +1,242 @@
+package database
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"geraniumbeam/internal/backend"
+)
+
+func raise(t *testing.T, n *node, term int) {
+	t.Helper()
+	mustExec(t, connect(t, n), `SELECT group_raise($1)`, term)
+}
+
+func waitPosition(t *testing.T, n *node, p backend.Position) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%s reaches %v", n.cfg.Name, p), func() bool { return n.status().Last == p })
+}
+
+// Guards against a fenced database that commits: a write that began before
+// the raise must not survive it.
+func TestFencedPrimaryCannotCommit(t *testing.T) {
+	n := startGroup(t, nil)["a"]
+	c := connect(t, n)
+	mustExec(t, c, `CREATE TABLE booking (id bigint)`)
+	before := n.status().Last
+	mustExec(t, c, `BEGIN`)
+	mustExec(t, c, `INSERT INTO booking VALUES (1)`)
+	raise(t, n, 2)
+	_, err := c.Exec(t.Context(), `COMMIT`)
+	wantState(t, err, stateRolledBack)
+	_, err = c.Exec(t.Context(), `INSERT INTO booking VALUES (2)`)
+	wantState(t, err, stateReadOnly)
+	if got := queryOne[int64](t, c, `SELECT count(*) FROM booking`); got != 0 {
+		t.Errorf("%d rows were committed after the raise", got)
+	}
+	if last := n.status().Last; last != before {
+		t.Errorf("log grew from %v to %v after the raise", before, last)
+	}
+}
+
+// Guards against commits that slip past a concurrent raise: whatever the
+// client saw committed must be in the log at the position seen by the raise.
+func TestRaiseDuringCommits(t *testing.T) {
+	n := startGroup(t, nil)["a"]
+	c := connect(t, n)
+	mustExec(t, c, `CREATE TABLE booking (id bigint)`)
+	acknowledged := make(chan int64)
+	go func() {
+		var done int64
+		for i := 0; ; i++ {
+			if _, err := c.Exec(context.Background(), `INSERT INTO booking VALUES ($1)`, i); err != nil {
+				acknowledged <- done
+				return
+			}
+			done++
+		}
+	}()
+	eventually(t, "some commits are made", func() bool { return n.status().Last.Offset > 20 })
+	control := connect(t, n)
+	at := queryOne[int64](t, control, `SELECT position FROM group_raise(2)`)
+	if done := <-acknowledged; at != done+2 { // the first entry of the term and CREATE TABLE
+		t.Errorf("position at the raise is %d, but %d inserts were committed", at, done)
+	}
+}
+
+// Guards against a promotion without a raise, which could give a term two
+// primaries.
+func TestPromotionNeedsRaise(t *testing.T) {
+	nodes := startGroup(t, nil)
+	c := connect(t, nodes["b"])
+	_, err := c.Exec(t.Context(), `SELECT group_promote(2)`)
+	wantState(t, err, stateObjectState)
+	mustExec(t, c, `SELECT group_raise(3)`)
+	_, err = c.Exec(t.Context(), `SELECT group_promote(2)`)
+	wantState(t, err, stateObjectState)
+	_, err = c.Exec(t.Context(), `SELECT group_raise(2)`)
+	wantState(t, err, stateObjectState)
+	mustExec(t, c, `SELECT group_follow(3, $1)`, nodes["a"].addr)
+	_, err = c.Exec(t.Context(), `SELECT group_promote(3)`)
+	wantState(t, err, stateObjectState)
+	mustExec(t, c, `SELECT standin_set('unsafe', 1)`)
+	mustExec(t, c, `SELECT group_promote(3)`)
+	if st := nodes["b"].status(); st.Role != backend.RolePrimary || st.Last.Term != 3 {
+		t.Errorf("status after an unsafe promotion is %+v", st)
+	}
+}
+
+// Guards against divergent logs: entries that an isolated primary committed
+// alone must be gone after it follows the new primary.
+func TestOldPrimaryDropsItsTail(t *testing.T) {
+	nodes := startGroup(t, nil)
+	a, b, c := nodes["a"], nodes["b"], nodes["c"]
+	ca := connect(t, a)
+	mustExec(t, ca, `CREATE TABLE booking (id bigint)`)
+	mustExec(t, ca, `INSERT INTO booking VALUES (1)`)
+	waitPosition(t, b, a.status().Last)
+	waitPosition(t, c, a.status().Last)
+	raise(t, b, 2)
+	raise(t, c, 2)
+	mustExec(t, ca, `INSERT INTO booking VALUES (98), (99)`)
+	mustExec(t, connect(t, b), `SELECT group_promote(2)`)
+	mustExec(t, connect(t, c), `SELECT group_follow(2, $1)`, b.addr)
+	cb := connect(t, b)
+	mustExec(t, cb, `INSERT INTO booking VALUES (2)`)
+	waitPosition(t, c, b.status().Last)
+	raise(t, a, 2)
+	mustExec(t, ca, `SELECT group_follow(2, $1)`, b.addr)
+	waitPosition(t, a, b.status().Last)
+	for name, conn := range map[string]*pgx.Conn{"a": ca, "b": cb, "c": connect(t, c)} {
+		if got := queryOne[int64](t, conn, `SELECT sum(id) FROM booking`); got != 3 {
+			t.Errorf("sum in %s is %d, want 3", name, got)
+		}
+	}
+	if st := a.status(); st.Role != backend.RoleReplica || st.Term != 2 {
+		t.Errorf("old primary is %+v", st)
+	}
+	mustExec(t, connect(t, a), `SELECT group_raise(3)`)
+	mustExec(t, connect(t, a), `SELECT group_promote(3)`)
+	mustExec(t, ca, `INSERT INTO booking VALUES (4)`)
+	if got := queryOne[int64](t, ca, `SELECT sum(id) FROM booking`); got != 7 {
+		t.Errorf("sum after the second promotion is %d, want 7", got)
+	}
+}
+
+// Guards against a durable log that a crash loses, and against an open
+// transaction that a crash keeps.
+func TestCrashKeepsCommittedState(t *testing.T) {
+	nodes := startGroup(t, nil)
+	a := nodes["a"]
+	c := connect(t, a)
+	mustExec(t, c, `CREATE TABLE booking (id bigint, at timestamptz DEFAULT now())`)
+	mustExec(t, c, `INSERT INTO booking (id) VALUES (1)`)
+	at := queryOne[time.Time](t, c, `SELECT at FROM booking`)
+	mustExec(t, c, `BEGIN`)
+	mustExec(t, c, `INSERT INTO booking (id) VALUES (2)`)
+	last := a.status().Last
+	if err := a.Crash(); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", a.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, a, l)
+	c = connect(t, a)
+	if st := a.status(); st.Last != last || st.Role != backend.RolePrimary {
+		t.Errorf("status after the crash is %+v, want position %v", st, last)
+	}
+	if got := queryOne[time.Time](t, c, `SELECT max(at) FROM booking`); !got.Equal(at) {
+		t.Errorf("now() was evaluated again: %v, want %v", got, at)
+	}
+	mustExec(t, c, `INSERT INTO booking (id) VALUES (3)`)
+	if got := queryOne[int64](t, c, `SELECT sum(id) FROM booking`); got != 4 {
+		t.Errorf("sum is %d, want 4", got)
+	}
+	waitPosition(t, nodes["b"], a.status().Last)
+}
+
+// Guards against a replica that shows entries before the apply lag, reports a
+// position it does not show, or looks cut off while it lags.
+func TestApplyLag(t *testing.T) {
+	nodes := startGroup(t, nil)
+	a, b := nodes["a"], nodes["b"]
+	ca, cb := connect(t, a), connect(t, b)
+	mustExec(t, ca, `CREATE TABLE track (id bigint)`)
+	waitPosition(t, b, a.status().Last)
+	mustExec(t, cb, `SELECT standin_set('apply_lag_ms', 3600000)`)
+	mustExec(t, ca, `INSERT INTO track VALUES (1)`)
+	waitPosition(t, nodes["c"], a.status().Last)
+	if got := queryOne[int64](t, cb, `SELECT position FROM group_wait(1, $1, 50)`, int64(a.status().Last.Offset)); got != int64(a.status().Last.Offset)-1 {
+		t.Errorf("lagging replica reports position %d", got)
+	}
+	heard := b.status().PrimaryAge
+	eventually(t, "a heartbeat arrives during the lag", func() bool { return b.status().PrimaryAge <= heard })
+	mustExec(t, cb, `SELECT standin_set('apply_lag_ms', 0)`)
+	waitPosition(t, b, a.status().Last)
+	if got := queryOne[int64](t, cb, `SELECT count(*) FROM track`); got != 1 {
+		t.Errorf("replica has %d rows, want 1", got)
+	}
+}
+
+// Guards against more statements at a time than there are slots, group
+// functions that need a slot, and connections beyond the limit.
+func TestSlotsAndConnectionLimit(t *testing.T) {
+	n := startGroup(t, func(c *Config) { c.ConnectionLimit, c.ServiceTime = 4, time.Millisecond })["a"]
+	conns := []*pgx.Conn{connect(t, n), connect(t, n), connect(t, n), connect(t, n)}
+	_, err := pgx.Connect(t.Context(), "postgres://test@"+n.addr+"/test")
+	wantState(t, err, stateTooMany)
+
+	mustExec(t, conns[3], `SELECT standin_set('slots', 1)`)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, c := range conns[:3] {
+		wg.Go(func() { _, _ = c.Exec(ctx, `SELECT pg_sleep(3600)`) })
+	}
+	eventually(t, "one statement runs and two wait", func() bool {
+		n.slots.mu.Lock()
+		defer n.slots.mu.Unlock()
+		return n.slots.used == 1 && n.slots.waiting.Len() == 2
+	})
+	if got := queryOne[string](t, conns[3], `SELECT role FROM group_status()`); got != "primary" {
+		t.Errorf("role is %q", got)
+	}
+	cancel()
+	wg.Wait()
+	eventually(t, "the slot is free", func() bool { n.slots.mu.Lock(); defer n.slots.mu.Unlock(); return n.slots.used == 0 })
+}
+
+// Guards against cancel requests that do not stop a statement or that break
+// the connection.
+func TestCancel(t *testing.T) {
+	n := startGroup(t, nil)["a"]
+	c := connect(t, n)
+	for _, sql := range []string{
+		`SELECT pg_sleep(3600)`,
+		`WITH RECURSIVE r(n) AS (SELECT 1 UNION ALL SELECT n + 1 FROM r) SELECT count(*) FROM r`,
+	} {
+		done := make(chan error, 1)
+		go func() { _, err := c.Exec(context.Background(), sql); done <- err }()
+		for cancelled := false; !cancelled; {
+			if err := c.PgConn().CancelRequest(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case err := <-done:
+				wantState(t, err, stateCancelled)
+				cancelled = true
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+		if got := queryOne[int64](t, c, `SELECT 1 + 1`); got != 2 {
+			t.Errorf("got %d after a cancel", got)
+		}
+	}
+}
