Add the failover policy and its runner

Cause: no other component orders a promotion when a primary fails. Ruled out: counting instances in a vote, because instances of one data centre share a link; databases are counted. Change: Detector, Tally, Election and Plan decide on values only; Runner polls statuses, asks for votes, carries out the plan and repairs databases that do not follow.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -240,6 +240,14 @@
 	d.groups[name] = g
 }
 
+// Object returns one object as it was applied, also if it is deleted.
+func (d *Directory) Object(kind, name string) (platform.Object, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	o, ok := d.objects[objectKey{kind, name}]
+	return o, ok
+}
+
 // Objects returns all objects held, deleted ones included, sorted by kind and
 // name.
 func (d *Directory) Objects() []platform.Object {
--- /dev/null
+++ b/internal/failover/campaign.go
@@ -0,0 +1,118 @@
+package failover
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/directory"
+	"geraniumbeam/internal/platform"
+)
+
+// campaignTimeout bounds one attempt, so that the next one starts within the
+// bound for a failover.
+const campaignTimeout = 6 * time.Second
+
+// campaign is one attempt to replace the primary of a group.
+func (r *Runner) campaign(ctx context.Context, w *watch) {
+	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
+	defer cancel()
+	began := r.cfg.Clock.Now()
+	err := r.tryPromote(ctx, w, began)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.busy = false
+	if err == nil {
+		w.election.Reset()
+		w.lastErr = ""
+		return
+	}
+	w.next = r.cfg.Clock.Now().Add(w.election.Retry())
+	if text := err.Error(); text != w.lastErr && ctx.Err() != context.Canceled {
+		w.lastErr = text
+		r.cfg.Log.Warn().Err(err).Str("group", w.group).Msg("no promotion")
+		r.record(w.group, "", "no promotion: "+text)
+	}
+}
+
+// suspicion is what a candidate knows when it decides to act.
+type suspicion struct {
+	group directory.Group
+	view  View
+	own   Ballot
+	age   time.Duration // longest time for which an owned replica has not heard from the primary
+}
+
+// suspect reads the group's state; ok is false if nothing is suspected now.
+func (r *Runner) suspect(w *watch) (s suspicion, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	s.view, s.own = w.detector.View(), w.ballot(now)
+	for _, e := range s.own.Evidence {
+		if e.Status.Role != backend.RolePrimary {
+			s.age = max(s.age, e.Status.PrimaryAge)
+		}
+	}
+	s.group, ok = r.cfg.Directory.Group(w.group)
+	return s, ok && s.own.Suspect
+}
+
+// tryPromote asks for votes and carries out a plan if a majority agrees.
+func (r *Runner) tryPromote(ctx context.Context, w *watch, began time.Time) error {
+	r.pause(ctx, r.withElection(w, (*Election).Jitter))
+	s, ok := r.suspect(w)
+	if !ok {
+		return ErrFalseAlarm
+	}
+	verdict := Tally(r.cfg.Thresholds, s.view, r.collectBallots(ctx, s.group, s.view, s.own))
+	if verdict.Term > s.view.Term {
+		r.cfg.Directory.LearnPrimary(w.group, verdict.Term, "")
+		return fmt.Errorf("a database is at term %d: %w", verdict.Term, ErrSuperseded)
+	}
+	if !verdict.Majority {
+		return fmt.Errorf("%d of %d databases have lost the primary of term %d, need %d",
+			verdict.Lost, len(s.view.Members), s.view.Term, Majority(len(s.view.Members)))
+	}
+	if d := w.election.Yield(verdict.Rank, r.standby(s.group.Databases)); d > 0 {
+		r.pause(ctx, d)
+		again, ok := r.suspect(w)
+		if !ok || again.view.Term > s.view.Term {
+			return fmt.Errorf("after a pause for better candidates: %w", ErrSuperseded)
+		}
+	}
+	detected := r.cfg.Clock.Now()
+	r.record(w.group, s.view.Primary, fmt.Sprintf("%d of %d databases have lost the primary of term %d; candidate", verdict.Lost, len(s.view.Members), s.view.Term))
+	p := &promotion{
+		r: r, group: w.group, suspicion: s,
+		plan:   NewPlan(s.view.Term, r.cfg.Self.Name, uuid.NewString(), r.cfg.NoFencing),
+		phases: []phase{{"detection", s.age + detected.Sub(began)}},
+		mark:   detected,
+	}
+	return p.run(ctx)
+}
+
+// withElection reads a delay; Jitter and Retry change the random source.
+func (r *Runner) withElection(w *watch, f func(*Election) time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return f(w.election)
+}
+
+func (r *Runner) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-r.cfg.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) handles(databases []platform.Database) []*handle {
+	out := make([]*handle, len(databases))
+	for i, d := range databases {
+		out[i] = &handle{db: d, open: r.cfg.Open}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/failover/detector.go
@@ -0,0 +1,130 @@
+package failover
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumbeam/internal/backend"
+)
+
+// View is what an instance knows of a group.
+type View struct {
+	Term    uint64
+	Primary string   // empty when unknown
+	Members []string // names of the databases
+}
+
+// Observation is the result of one status call to a database.
+type Observation struct {
+	Database  string
+	Reachable bool
+	Status    backend.Status // valid if Reachable
+}
+
+// Evidence is what an instance can say about one database. Reachable is
+// smoothed: a single lost call does not change it.
+type Evidence struct {
+	Database  string
+	Reachable bool
+	Status    backend.Status // the latest that was received
+}
+
+// Lost reports whether the evidence speaks against the group's primary: the
+// primary cannot be reached, a replica has not heard from it for too long, or
+// the current term has no primary.
+func (t Thresholds) Lost(v View, e Evidence) bool {
+	if e.Database == v.Primary {
+		return !e.Reachable || e.Status.Role != backend.RolePrimary
+	}
+	switch {
+	case !e.Reachable:
+		return false
+	case e.Status.Role == backend.RolePrimary && e.Status.Term >= v.Term:
+		return false
+	case e.Status.Role == backend.RolePrimary || e.Status.Term < v.Term:
+		return v.Primary == "" // with a known primary the owner makes it follow
+	}
+	return e.Status.PrimaryAge >= t.PrimaryAge
+}
+
+// Detector watches the databases of one group that an instance owns. It is
+// used by one goroutine at a time.
+type Detector struct {
+	thresholds Thresholds
+	view       View
+	changed    time.Time // when the highest known term last grew
+	seen       map[string]*sighting
+}
+
+type sighting struct {
+	reached time.Time // last successful call, or the first attempt
+	status  backend.Status
+	known   bool
+}
+
+// NewDetector returns a detector that has seen nothing.
+func NewDetector(t Thresholds) *Detector {
+	return &Detector{thresholds: t, seen: make(map[string]*sighting)}
+}
+
+// Observe takes the directory's view and one round of status calls.
+func (d *Detector) Observe(now time.Time, v View, round []Observation) {
+	current := make(map[string]bool, len(round))
+	for _, o := range round {
+		current[o.Database] = true
+		s, ok := d.seen[o.Database]
+		if !ok {
+			s = &sighting{reached: now}
+			d.seen[o.Database] = s
+		}
+		if !o.Reachable {
+			continue
+		}
+		s.reached, s.status, s.known = now, o.Status, true
+		if o.Status.Term > v.Term {
+			v.Term, v.Primary = o.Status.Term, ""
+		}
+		if o.Status.Term == v.Term && o.Status.Role == backend.RolePrimary {
+			v.Primary = o.Database
+		}
+	}
+	for name := range d.seen {
+		if !current[name] {
+			delete(d.seen, name)
+		}
+	}
+	if v.Term > d.view.Term || d.changed.IsZero() {
+		d.changed = now
+	}
+	// The directory may be behind the databases, but the term must not fall.
+	if v.Term < d.view.Term || (v.Term == d.view.Term && v.Primary == "") {
+		v.Term, v.Primary = d.view.Term, d.view.Primary
+	}
+	d.view = v
+}
+
+// View returns the view with the highest term seen.
+func (d *Detector) View() View { return d.view }
+
+// Evidence returns what is known of the observed databases, sorted by name.
+func (d *Detector) Evidence(now time.Time) []Evidence {
+	out := make([]Evidence, 0, len(d.seen))
+	for name, s := range d.seen {
+		reachable := s.known && now.Sub(s.reached) < d.thresholds.Missed
+		if !s.known && now.Sub(s.reached) < d.thresholds.Missed {
+			continue // nothing is known yet
+		}
+		out = append(out, Evidence{Database: name, Reachable: reachable, Status: s.status})
+	}
+	slices.SortFunc(out, func(a, b Evidence) int { return cmp.Compare(a.Database, b.Database) })
+	return out
+}
+
+// Suspect reports whether any observed database speaks against the primary.
+func (d *Detector) Suspect(now time.Time) bool {
+	if now.Sub(d.changed) < d.thresholds.Settle {
+		return false
+	}
+	return slices.ContainsFunc(d.Evidence(now), func(e Evidence) bool { return d.thresholds.Lost(d.view, e) })
+}
--- /dev/null
+++ b/internal/failover/doc.go
@@ -0,0 +1,29 @@
+// Package failover replaces a failed primary. Detector, Tally, Election and
+// Plan are policy: they take values and return decisions. Runner does the I/O.
+//
+// Invariants: a database is promoted to a term only by the instance that took
+// the term on the platform, only after a majority of the group was raised to
+// it, and a term's promotion is sent to one database only. Everything else,
+// such as suspicion and votes, decides when to try and not what is safe.
+package failover
+
+import "time"
+
+// Thresholds say when a primary counts as lost.
+type Thresholds struct {
+	// PrimaryAge is how long a replica must not have heard from its primary.
+	PrimaryAge time.Duration
+	// Missed is how long status calls to a database must have failed.
+	Missed time.Duration
+	// Settle is how long nothing is suspected after a change of term, so that
+	// a promotion that is under way can finish.
+	Settle time.Duration
+}
+
+// DefaultThresholds keep the time to a new primary under 3 s. Databases send
+// heartbeats every 100 ms, so a replica has missed ten of them.
+var DefaultThresholds = Thresholds{
+	PrimaryAge: 1 * time.Second,
+	Missed:     1 * time.Second,
+	Settle:     1500 * time.Millisecond,
+}
--- /dev/null
+++ b/internal/failover/promotion.go
@@ -0,0 +1,284 @@
+package failover
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/platform"
+	"geraniumbeam/internal/result"
+)
+
+// Bounds of the steps of a promotion.
+const (
+	reachTimeout    = 1 * time.Second
+	reachGrace      = 100 * time.Millisecond // for more databases after a majority answered
+	databaseTimeout = 1 * time.Second
+	platformTimeout = 1 * time.Second
+	stepRetry       = 100 * time.Millisecond
+)
+
+// promotion carries out a plan.
+type promotion struct {
+	r         *Runner
+	group     string
+	suspicion suspicion
+	plan      *Plan
+	handles   map[string]*handle // databases that answered
+	phases    []phase
+	mark      time.Time // end of the last phase
+}
+
+type phase struct {
+	name string
+	took time.Duration
+}
+
+func (p *promotion) endPhase(name string) {
+	now := p.r.cfg.Clock.Now()
+	p.phases = append(p.phases, phase{name, now.Sub(p.mark)})
+	p.mark = now
+}
+
+func (p *promotion) run(ctx context.Context) error {
+	defer p.closeAll()
+	if err := p.reach(ctx); err != nil {
+		return err
+	}
+	promoted := false
+	for ctx.Err() == nil {
+		switch step := p.plan.Step(); step {
+		case StepRead, StepReadBack:
+			p.read(ctx)
+		case StepTake:
+			p.write(ctx)
+			if p.plan.Step() == StepRaise {
+				p.endPhase("term")
+			}
+		case StepRaise:
+			p.raise(ctx)
+		case StepPromote:
+			p.promote(ctx)
+		case StepPublish:
+			if !promoted {
+				promoted = true
+				p.announce(ctx)
+			}
+			p.write(ctx)
+		case StepDone:
+			return nil
+		case StepAbandoned:
+			if promoted {
+				p.r.cfg.Log.Warn().Err(p.plan.Err()).Str("group", p.group).Msg("the platform was not told of the new primary")
+				return nil
+			}
+			if g := p.plan.Group(); g.Term > p.suspicion.view.Term {
+				p.r.cfg.Directory.LearnPrimary(p.group, g.Term, g.Primary)
+			}
+			return p.plan.Err()
+		}
+	}
+	if promoted {
+		return nil
+	}
+	return fmt.Errorf("out of time: %w", ctx.Err())
+}
+
+// reach connects to a majority before a term is taken, because a term that is
+// taken in vain costs a second change of primary.
+func (p *promotion) reach(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	need := Majority(len(p.suspicion.group.Databases))
+	replies := p.r.gather(ctx, p.r.handles(p.suspicion.group.Databases), need, reachGrace,
+		func(ctx context.Context, c backend.Control) (backend.Status, error) { return c.Status(ctx) })
+	p.keep(replies)
+	if len(replies) < need {
+		return fmt.Errorf("reached %d of %d databases, need %d", len(replies), len(p.suspicion.group.Databases), need)
+	}
+	healthy := 0
+	for name, a := range replies {
+		if a.status.Term > p.suspicion.view.Term {
+			p.r.cfg.Directory.LearnPrimary(p.group, a.status.Term, "")
+			return fmt.Errorf("database %s is at term %d: %w", name, a.status.Term, ErrSuperseded)
+		}
+		if !p.r.cfg.Thresholds.Lost(p.suspicion.view, Evidence{Database: name, Reachable: true, Status: a.status}) {
+			healthy++
+		}
+	}
+	if healthy >= need {
+		return ErrFalseAlarm
+	}
+	return nil
+}
+
+func (p *promotion) keep(replies map[string]reply) {
+	p.handles = make(map[string]*handle)
+	for name, a := range replies {
+		p.handles[name] = a.h
+	}
+}
+
+func (p *promotion) closeAll() {
+	for _, h := range p.handles {
+		h.close()
+	}
+}
+
+// all returns a handle for each database of the group, open ones where there
+// are any.
+func (p *promotion) all() []*handle {
+	out := p.r.handles(p.plan.Group().Databases)
+	for i, h := range out {
+		if open, ok := p.handles[h.db.Name]; ok {
+			out[i] = open
+		}
+	}
+	return out
+}
+
+func (p *promotion) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	o, err := p.r.cfg.Platform.Get(ctx, platform.KindGroup, p.group)
+	var g platform.Group
+	if err == nil {
+		g, err = decodeGroup(o)
+	}
+	p.plan.Read(o.Version, g, err)
+	if err != nil {
+		p.r.pause(ctx, stepRetry)
+	}
+}
+
+func (p *promotion) write(ctx context.Context) {
+	version, g := p.plan.Proposal()
+	data, err := json.Marshal(g)
+	if err != nil {
+		p.plan.Abandon(fmt.Errorf("encode group: %w", err))
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	o, err := p.r.cfg.Platform.Put(callCtx, platform.KindGroup, p.group, version, data)
+	if err != nil && !result.Is(err, result.Conflict) {
+		p.plan.Wrote(0, platform.Group{}, err)
+		p.r.pause(ctx, stepRetry)
+		return
+	}
+	current, decodeErr := decodeGroup(o)
+	if decodeErr != nil {
+		p.plan.Abandon(decodeErr)
+		return
+	}
+	p.plan.Wrote(o.Version, current, err)
+}
+
+func decodeGroup(o platform.Object) (platform.Group, error) {
+	var g platform.Group
+	if err := json.Unmarshal(o.Data, &g); err != nil {
+		return g, fmt.Errorf("group object %s version %d: %w", o.Name, o.Version, err)
+	}
+	return g, nil
+}
+
+func (p *promotion) raise(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, databaseTimeout)
+	defer cancel()
+	term := p.plan.Term()
+	all := p.all()
+	need := Majority(len(all))
+	if len(p.handles) >= need {
+		all = slices.Collect(maps.Values(p.handles)) // the others did not answer just now
+	}
+	replies := p.r.gather(ctx, all, need, reachGrace,
+		func(ctx context.Context, c backend.Control) (backend.Status, error) {
+			if p.r.cfg.NoFencing {
+				return c.Status(ctx)
+			}
+			return c.Raise(ctx, term)
+		})
+	p.keep(replies)
+	statuses := make(map[string]backend.Status, len(replies))
+	for name, a := range replies {
+		statuses[name] = a.status
+	}
+	p.plan.RaisedAll(statuses)
+	if p.plan.Step() == StepPromote {
+		p.endPhase("raise")
+	}
+}
+
+func (p *promotion) promote(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, databaseTimeout)
+	defer cancel()
+	var h *handle
+	for _, h = range p.all() {
+		if h.db.Name == p.plan.Chosen() {
+			break
+		}
+	}
+	p.handles[h.db.Name] = h
+	s, err := h.do(callCtx, func(c backend.Control) (backend.Status, error) { return c.Promote(callCtx, p.plan.Term()) })
+	p.plan.Promoted(s, err)
+	if p.plan.Step() == StepPublish {
+		p.endPhase("promote")
+	} else {
+		p.r.pause(ctx, stepRetry)
+	}
+}
+
+// announce tells this instance of the new primary and makes the others
+// follow it. Databases that do not answer are repaired by their owners.
+func (p *promotion) announce(ctx context.Context) {
+	term, chosen := p.plan.Term(), p.plan.Chosen()
+	p.r.cfg.Directory.LearnPrimary(p.group, term, chosen)
+	ctx, cancel := context.WithTimeout(ctx, databaseTimeout)
+	defer cancel()
+	var followers []*handle
+	address := ""
+	for _, h := range p.all() {
+		if h.db.Name == chosen {
+			address = h.db.Address
+		} else {
+			followers = append(followers, h)
+		}
+	}
+	need := Majority(len(followers)+1) - 1
+	replies := p.r.gather(ctx, followers, need, reachGrace,
+		func(ctx context.Context, c backend.Control) (backend.Status, error) {
+			return followPrimary(ctx, c, term, address)
+		})
+	for _, h := range followers {
+		delete(p.handles, h.db.Name)
+	}
+	for name, a := range replies {
+		p.handles[name] = a.h
+	}
+	p.endPhase("redirect")
+	p.report(len(replies))
+}
+
+// followPrimary raises the term first: the database may have missed it.
+func followPrimary(ctx context.Context, c backend.Control, term uint64, address string) (backend.Status, error) {
+	if s, err := c.Raise(ctx, term); err != nil {
+		return s, err
+	}
+	return c.Follow(ctx, term, address)
+}
+
+func (p *promotion) report(followers int) {
+	parts := make([]string, len(p.phases))
+	line := p.r.cfg.Log.Info().Str("group", p.group).Str("primary", p.plan.Chosen()).Uint64("term", p.plan.Term()).Int("followers", followers)
+	for i, ph := range p.phases {
+		parts[i] = fmt.Sprintf("%s %s", ph.name, ph.took.Round(time.Millisecond))
+		line = line.Dur(ph.name+"_ms", ph.took)
+	}
+	line.Msg("promoted a new primary")
+	p.r.record(p.group, p.plan.Chosen(), fmt.Sprintf("primary of term %d, %d followers; %s", p.plan.Term(), followers, strings.Join(parts, ", ")))
+}
