--- /dev/null
+++ b/internal/entry/batch.go
@@ -0,0 +1,329 @@
+package entry
+
+import (
+	"io"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/route"
+)
+
+// prepared is a statement of a session that the backend does not keep.
+type prepared struct {
+	sql    string
+	types  []uint32
+	script *route.Script
+}
+
+// maxStatements bounds the prepared statements of one session.
+const maxStatements = 4096
+
+// batch is one unit of work: a simple query, or extended messages up to Sync.
+type batch struct {
+	simple   bool
+	messages []byte   // for the backend, in wire format
+	injected []uint32 // indexes of the Parse messages that the entry added
+	parses   uint32   // Parse messages so far
+	executes bool     // has a Query or Execute message
+	remote   bool     // has a message that needs a database
+	scripts  []*route.Script
+	local    []localOp
+	effects  []effect
+	unnamed  *prepared            // what the backend's unnamed statement is at this point
+	pending  map[string]*prepared // statements that this batch prepares or closes (nil)
+	err      error                // refuses the whole batch
+	reported bool                 // err was sent before Sync
+}
+
+// effect changes the session's statements once the backend has confirmed it.
+type effect struct {
+	kind byte // the confirming message: '1' ParseComplete, '3' CloseComplete
+	name string
+	stmt *prepared // nil: remove
+	skip bool      // confirms something that is not a statement
+}
+
+// refuse keeps the first error; the rest of the batch is skipped as PostgreSQL
+// does.
+func (b *batch) refuse(err error) {
+	if b.err == nil && err != nil {
+		b.err = err
+	}
+}
+
+// readBatch reads messages up to Sync or one simple query. It returns nil if
+// the caller terminates the connection.
+func (c *caller) readBatch(kind byte) (*batch, error) {
+	b := &batch{}
+	for {
+		body, err := c.frames.read()
+		if tooLarge := result.Is(err, result.MessageTooLarge); err != nil && !tooLarge {
+			return nil, err
+		} else if tooLarge {
+			b.refuse(err)
+		}
+		switch kind {
+		case 'X':
+			return nil, nil
+		case 'S':
+			b.messages = append(b.messages, 'S', 0, 0, 0, 4)
+			return b, nil
+		case 'Q':
+			b.query(c, body)
+			return b, nil
+		}
+		if b.err == nil {
+			b.refuse(c.extended(b, kind, body))
+		}
+		if len(b.messages) > c.frames.max {
+			b.refuse(result.Errorf(result.MessageTooLarge, "batch has more than %d bytes", c.frames.max))
+			b.messages = nil
+		}
+		if err := c.reportEarly(b, kind); err != nil {
+			return nil, err
+		}
+		if kind, err = c.frames.kind(); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+}
+
+// reportEarly sends the error of a batch at a Flush, because a caller that
+// flushes waits for an answer before it sends Sync.
+func (c *caller) reportEarly(b *batch, kind byte) error {
+	if kind != 'H' || b.err == nil || b.reported {
+		return nil
+	}
+	b.reported = true
+	return c.write(appendError(nil, "ERROR", result.From(b.err)))
+}
+
+func (b *batch) query(c *caller, body []byte) {
+	b.simple = true
+	if len(b.messages) > 0 || len(b.local) > 0 {
+		b.refuse(result.Errorf(result.ProtocolViolation, "simple query before the Sync of extended messages"))
+	}
+	var q pgproto3.Query
+	if b.err == nil {
+		b.refuse(decode(&q, body))
+	}
+	if b.err != nil {
+		return
+	}
+	script := route.Classify(q.String)
+	b.scripts = append(b.scripts, script)
+	b.executes = true
+	local, err := c.admit(script)
+	b.refuse(err)
+	if local || len(script.Statements) == 0 {
+		b.local = append(b.local, localOp{kind: 'Q', script: script})
+		return
+	}
+	b.remote = true
+	b.messages = encode(b.messages, &q)
+}
+
+// extended takes one message of the extended protocol.
+func (c *caller) extended(b *batch, kind byte, body []byte) error {
+	switch kind {
+	case 'P':
+		return c.parse(b, body)
+	case 'B':
+		return c.bind(b, body)
+	case 'D':
+		return c.describe(b, body)
+	case 'E':
+		return c.executePortal(b, body)
+	case 'C':
+		return c.closeObject(b, body)
+	case 'H':
+		return result.Errorf(result.NotSupported, "Flush is not supported: a batch is answered at Sync")
+	case 'F':
+		return result.Errorf(result.NotSupported, "function calls are not supported: use SELECT")
+	case 'd', 'c', 'f':
+		return nil // copy data after a refused COPY is ignored, as PostgreSQL does
+	}
+	return result.Errorf(result.ProtocolViolation, "message type %q is not allowed here", kind)
+}
+
+func (c *caller) parse(b *batch, body []byte) error {
+	var m pgproto3.Parse
+	if err := decode(&m, body); err != nil {
+		return err
+	}
+	if m.Name != "" && c.lookup(b, m.Name) != nil {
+		return result.Errorf(result.ProtocolViolation, "prepared statement %q already exists", m.Name)
+	}
+	if len(c.statements)+len(b.pending) >= maxStatements {
+		return result.Errorf(result.NotSupported, "more than %d prepared statements in one session", maxStatements)
+	}
+	p := &prepared{sql: m.Query, types: append([]uint32(nil), m.ParameterOIDs...), script: route.Classify(m.Query)}
+	local, err := c.admit(p.script)
+	if err != nil {
+		return err
+	}
+	b.scripts = append(b.scripts, p.script)
+	b.setPending(m.Name, p)
+	if local {
+		b.local = append(b.local, localOp{kind: 'P', name: m.Name, script: p.script, stmt: p})
+		return nil
+	}
+	b.remote = true
+	b.addParse(p)
+	b.effects = append(b.effects, effect{kind: '1', name: m.Name, stmt: p})
+	return nil
+}
+
+func (b *batch) addParse(p *prepared) {
+	b.messages = encode(b.messages, &pgproto3.Parse{Query: p.sql, ParameterOIDs: p.types})
+	b.parses++
+	b.unnamed = p
+}
+
+func (b *batch) setPending(name string, p *prepared) {
+	if b.pending == nil {
+		b.pending = make(map[string]*prepared)
+	}
+	b.pending[name] = p
+}
+
+// lookup finds a statement as the batch sees it at this point.
+func (c *caller) lookup(b *batch, name string) *prepared {
+	if p, ok := b.pending[name]; ok {
+		return p
+	}
+	return c.statements[name]
+}
+
+// use makes a statement the backend's unnamed one.
+func (c *caller) use(b *batch, name string) (*prepared, error) {
+	p := c.lookup(b, name)
+	if p == nil {
+		return nil, result.Errorf(result.UnknownStatement, "prepared statement %q does not exist", name)
+	}
+	if isLocal(p.script) {
+		return p, nil
+	}
+	b.remote = true
+	if b.unnamed != p {
+		b.injected = append(b.injected, b.parses)
+		b.addParse(p)
+		b.scripts = append(b.scripts, p.script)
+	}
+	return p, nil
+}
+
+func (c *caller) bind(b *batch, body []byte) error {
+	var m pgproto3.Bind
+	if err := decode(&m, body); err != nil {
+		return err
+	}
+	p, err := c.use(b, m.PreparedStatement)
+	if err != nil {
+		return err
+	}
+	if isLocal(p.script) {
+		b.local = append(b.local, localOp{kind: 'B', name: m.DestinationPortal, script: p.script})
+		return nil
+	}
+	m.PreparedStatement = ""
+	b.messages = encode(b.messages, &m)
+	return nil
+}
+
+func (c *caller) describe(b *batch, body []byte) error {
+	var m pgproto3.Describe
+	if err := decode(&m, body); err != nil {
+		return err
+	}
+	switch m.ObjectType {
+	case 'S':
+		p, err := c.use(b, m.Name)
+		if err != nil {
+			return err
+		}
+		if isLocal(p.script) {
+			b.local = append(b.local, localOp{kind: 'S', script: p.script})
+			return nil
+		}
+		m.Name = ""
+	case 'P':
+		if script := b.localPortal(m.Name); script != nil {
+			b.local = append(b.local, localOp{kind: 'D', script: script})
+			return nil
+		}
+		b.remote = true
+	default:
+		return result.Errorf(result.ProtocolViolation, "Describe of type %q: want S or P", m.ObjectType)
+	}
+	b.messages = encode(b.messages, &m)
+	return nil
+}
+
+func (c *caller) executePortal(b *batch, body []byte) error {
+	var m pgproto3.Execute
+	if err := decode(&m, body); err != nil {
+		return err
+	}
+	b.executes = true
+	if script := b.localPortal(m.Portal); script != nil {
+		b.local = append(b.local, localOp{kind: 'E', script: script})
+		return nil
+	}
+	b.remote = true
+	b.messages = encode(b.messages, &m)
+	return nil
+}
+
+// closeObject forwards every Close under the name that the backend knows, so
+// that the order of its answers stays right.
+func (c *caller) closeObject(b *batch, body []byte) error {
+	var m pgproto3.Close
+	if err := decode(&m, body); err != nil {
+		return err
+	}
+	e := effect{kind: '3', name: m.Name, skip: m.ObjectType != 'S'}
+	if m.ObjectType == 'S' {
+		b.setPending(m.Name, nil)
+		b.unnamed = nil
+		m.Name = ""
+	}
+	b.effects = append(b.effects, e)
+	b.local = append(b.local, localOp{kind: 'C', name: e.name, neutral: true})
+	b.messages = encode(b.messages, &m)
+	return nil
+}
+
+// localPortal returns the script of a portal that this batch bound locally.
+func (b *batch) localPortal(name string) *route.Script {
+	for i := len(b.local) - 1; i >= 0; i-- {
+		if op := b.local[i]; op.kind == 'B' && op.name == name {
+			return op.script
+		}
+	}
+	return nil
+}
+
+// mixed reports that the batch has statements for the entry and for a database.
+func (b *batch) mixed() bool {
+	if !b.remote {
+		return false
+	}
+	for _, op := range b.local {
+		if !op.neutral {
+			return true
+		}
+	}
+	return false
+}
+
+func decode(m pgproto3.FrontendMessage, body []byte) error {
+	if err := m.Decode(body); err != nil {
+		return result.Errorf(result.ProtocolViolation, "message is damaged: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/caller.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/session"
+)
+
+// Timeouts towards callers.
+const (
+	// writeTimeout ends the connection of a caller that does not read its
+	// answer, which would hold the answer's memory.
+	writeTimeout = 60 * time.Second
+	// goodbyeTimeout bounds the last message on a connection that is closed.
+	goodbyeTimeout = 1 * time.Second
+)
+
+// caller is one connection of a caller. One goroutine serves it; the fields
+// under mu and inFlight are shared.
+type caller struct {
+	s       *Server
+	conn    net.Conn
+	frames  frames
+	pid     uint32
+	secret  uint32
+	user    string
+	service string
+
+	startParams params // given at startup, restored by RESET
+	params      params
+	reported    map[string]string // harmless parameters that differ from the defaults
+	floors      session.Floors
+	statements  map[string]*prepared
+	tx          *transaction
+	txFailed    bool // the transaction was ended here and the caller has not closed it yet
+
+	inFlight atomic.Pointer[flight]
+
+	mu       sync.Mutex
+	waiting  bool // idle outside a transaction
+	draining bool
+}
+
+func (s *Server) serveCaller(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	c := &caller{s: s, conn: conn}
+	c.frames.conn, c.frames.max = conn, s.cfg.Settings.Callers.MaxMessage
+	if !c.connect() {
+		return
+	}
+	defer s.unregister(c)
+	defer c.endTransaction()
+	if err := c.serve(); err != nil {
+		c.fatal(err)
+	}
+}
+
+// connect runs the startup and registers the caller.
+func (c *caller) connect() bool {
+	_ = c.conn.SetDeadline(time.Now().Add(c.s.cfg.Settings.Callers.StartupTimeout.Std()))
+	given, err := c.s.startup(c.conn)
+	if err == nil && given == nil {
+		return false
+	}
+	if err == nil {
+		err = c.applyStartup(given)
+	}
+	if err != nil {
+		c.fatal(err)
+		return false
+	}
+	full, draining := c.s.register(c)
+	switch {
+	case draining:
+		c.fatal(errShuttingDown)
+		return false
+	case full:
+		c.fatal(result.Errorf(result.ConnectionsBusy, "too many callers: at most %d connections are allowed",
+			c.s.cfg.Settings.Callers.MaxConnections))
+		return false
+	}
+	if c.write(c.greeting()) != nil {
+		c.s.unregister(c)
+		return false
+	}
+	_ = c.conn.SetDeadline(time.Time{})
+	return true
+}
+
+var errShuttingDown = result.Errorf(result.ShuttingDown, "the instance is stopping; connect again")
+
+// serve answers batches until the caller leaves. The returned error is sent to
+// the caller if it still listens.
+func (c *caller) serve() error {
+	for {
+		kind, err := c.await()
+		if err != nil {
+			return err
+		}
+		b, err := c.readBatch(kind)
+		if err != nil {
+			return err
+		}
+		if b == nil {
+			return nil
+		}
+		if err := c.answer(b); err != nil {
+			return err
+		}
+		c.frames.release()
+	}
+}
+
+// await waits for the first byte of a batch. Drain interrupts it only while the
+// caller is idle outside a transaction.
+func (c *caller) await() (byte, error) {
+	c.mu.Lock()
+	if c.draining && c.tx == nil {
+		c.mu.Unlock()
+		return 0, errShuttingDown
+	}
+	c.waiting = c.tx == nil && c.frames.idle()
+	c.mu.Unlock()
+
+	kind, err := c.frames.kind()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if err != nil && c.draining && c.tx == nil && isTimeout(err) {
+		return 0, errShuttingDown
+	}
+	if c.draining && err == nil {
+		err = c.conn.SetReadDeadline(time.Time{})
+	}
+	return kind, err
+}
+
+// startDrain ends the caller now if it is idle, or else after its request or
+// transaction.
+func (c *caller) startDrain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	if c.waiting {
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// write sends b whole or ends the connection.
+func (c *caller) write(b []byte) error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.conn.Write(b)
+	return err
+}
+
+// fatal sends the error that ends the connection, unless the caller left.
+func (c *caller) fatal(err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	var coded *result.Error
+	if !errors.As(err, &coded) {
+		if !isTimeout(err) {
+			return
+		}
+		coded = result.Errorf(result.BadStartup, "no complete startup packet within %s",
+			c.s.cfg.Settings.Callers.StartupTimeout.Std())
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(goodbyeTimeout))
+	_, _ = c.conn.Write(appendError(nil, "FATAL", coded))
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// greeting is the answer to a valid startup packet.
+func (c *caller) greeting() []byte {
+	out := encode(nil, &pgproto3.AuthenticationOk{})
+	for _, p := range reportedParameters {
+		out = encode(out, &pgproto3.ParameterStatus{Name: p.name, Value: c.reportedValue(p)})
+	}
+	out = encode(out, &pgproto3.ParameterStatus{Name: "session_authorization", Value: c.user})
+	out = encode(out, &pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: secretBytes(c.secret)})
+	return encode(out, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+}
--- /dev/null
+++ b/internal/entry/local.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/route"
+)
+
+// localOp is a message of a batch that the entry answers itself.
+type localOp struct {
+	kind    byte   // 'Q', 'P', 'B', 'S' and 'D' (Describe of statement, portal), 'E', 'C'
+	name    string // statement or portal
+	script  *route.Script
+	stmt    *prepared
+	neutral bool // may also go to a database
+}
+
+// textOID is the type of the values that SHOW returns.
+const textOID = 25
+
+// isLocal reports whether the entry answers a script itself.
+func isLocal(s *route.Script) bool {
+	for _, k := range []route.Kind{route.KindLocal, route.KindSet, route.KindDiscard} {
+		if _, ok := s.Only(k); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// admit refuses what cannot be forwarded and reports whether the entry answers
+// the script itself.
+func (c *caller) admit(s *route.Script) (local bool, err error) {
+	if s.Err != nil {
+		return false, s.Err
+	}
+	if isLocal(s) {
+		return true, nil
+	}
+	for _, st := range s.Statements {
+		switch st.Kind {
+		case route.KindRefused:
+			return false, result.Errorf(result.NotSupported,
+				"%s is not supported here: backend connections are shared and keep no session state",
+				strings.ToUpper(st.Keyword()))
+		case route.KindLocal, route.KindSet, route.KindDiscard:
+			return false, result.Errorf(result.NotSupported,
+				"%s is handled by the proxy and must be sent alone", strings.ToUpper(st.Keyword()))
+		}
+	}
+	return false, nil
+}
+
+// runLocal answers a batch that needs no database.
+func (c *caller) runLocal(b *batch) error {
+	var out []byte
+	for _, op := range b.local {
+		next, err := c.runOp(out, op)
+		if err != nil {
+			return c.refuse(b, out, err)
+		}
+		out = next
+	}
+	return c.write(appendReady(out, c.status()))
+}
+
+func (c *caller) runOp(out []byte, op localOp) ([]byte, error) {
+	switch op.kind {
+	case 'Q':
+		if len(op.script.Statements) == 0 {
+			return encode(out, &pgproto3.EmptyQueryResponse{}), nil
+		}
+		return c.runStatement(appendRowDescription(out, op.script, false), op.script.Statements[0])
+	case 'P':
+		c.setStatement(op.name, op.stmt)
+		return encode(out, &pgproto3.ParseComplete{}), nil
+	case 'B':
+		return encode(out, &pgproto3.BindComplete{}), nil
+	case 'S':
+		out = encode(out, &pgproto3.ParameterDescription{})
+		return appendRowDescription(out, op.script, true), nil
+	case 'D':
+		return appendRowDescription(out, op.script, true), nil
+	case 'E':
+		return c.runStatement(out, op.script.Statements[0])
+	default:
+		c.setStatement(op.name, nil)
+		return encode(out, &pgproto3.CloseComplete{}), nil
+	}
+}
+
+func (c *caller) setStatement(name string, p *prepared) {
+	if p == nil {
+		delete(c.statements, name)
+		return
+	}
+	if c.statements == nil {
+		c.statements = make(map[string]*prepared)
+	}
+	c.statements[name] = p
+}
+
+// appendRowDescription describes the result of SHOW; other statements have
+// none, which is stated only in the extended protocol.
+func appendRowDescription(out []byte, s *route.Script, extended bool) []byte {
+	st := s.Statements[0]
+	if st.Keyword() == "show" {
+		return encode(out, &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+			Name: []byte(st.Words[1]), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1,
+		}}})
+	}
+	if extended {
+		return encode(out, &pgproto3.NoData{})
+	}
+	return out
+}
+
+// runStatement runs one statement and appends its rows and completion.
+func (c *caller) runStatement(out []byte, st route.Statement) ([]byte, error) {
+	tag := strings.ToUpper(st.Keyword())
+	var err error
+	switch st.Keyword() {
+	case "show":
+		var v string
+		if v, err = c.showLocal(st.Words[1]); err == nil {
+			out = encode(out, &pgproto3.DataRow{Values: [][]byte{[]byte(v)}})
+		}
+	case "set":
+		out, err = c.runSet(out, st)
+	case "reset":
+		err = c.runReset(st)
+	case "discard", "deallocate":
+		err = c.runDiscard(st)
+	}
+	if err != nil {
+		return out, err
+	}
+	return encode(out, &pgproto3.CommandComplete{CommandTag: []byte(tag)}), nil
+}
+
+func (c *caller) runSet(out []byte, st route.Statement) ([]byte, error) {
+	name, value, err := setting(st)
+	if err != nil {
+		return out, err
+	}
+	if isLocalParameter(name) {
+		if value == "default" {
+			return out, c.resetLocal(name)
+		}
+		return out, c.setLocal(name, value)
+	}
+	if err := c.harmlessSet(name, value); err != nil {
+		return out, err
+	}
+	if p, _ := findParameter(name); p.free {
+		out = encode(out, &pgproto3.ParameterStatus{Name: p.name, Value: value})
+	}
+	return out, nil
+}
+
+// setting splits SET into name and value; SET TIME ZONE and SET NAMES have
+// their own form.
+func setting(st route.Statement) (name, value string, err error) {
+	w := st.Words[1:]
+	if len(w) > 1 && w[0] == "session" {
+		w = w[1:]
+	}
+	switch {
+	case len(w) > 2 && w[0] == "time" && w[1] == "zone":
+		return "timezone", strings.Join(w[2:], ""), nil
+	case len(w) > 1 && w[0] == "names":
+		return "names", strings.Join(w[1:], ""), nil
+	case len(w) > 2 && (w[1] == "=" || w[1] == "to"):
+		return w[0], strings.Join(w[2:], ""), nil
+	}
+	return "", "", result.Errorf(result.NotSupported, "SET is supported only as SET NAME = VALUE")
+}
+
+func (c *caller) runReset(st route.Statement) error {
+	if st.Words[1] != "all" {
+		return c.resetLocal(st.Words[1])
+	}
+	c.params = c.startParams
+	return nil
+}
+
+// runDiscard drops statements. DISCARD keeps the floors, because forgetting a
+// write of the session would let a later read miss it.
+func (c *caller) runDiscard(st route.Statement) error {
+	words := st.Words[1:]
+	if len(words) > 0 && words[0] == "prepare" {
+		words = words[1:]
+	}
+	if len(words) == 0 {
+		return result.Errorf(result.NotSupported, "%s needs a name or ALL", strings.ToUpper(st.Keyword()))
+	}
+	switch {
+	case st.Keyword() == "reset":
+		c.params = c.startParams
+	case st.Keyword() == "discard":
+		c.params = c.startParams
+		c.statements = nil
+	case words[0] == "all":
+		c.statements = nil
+	default:
+		if c.statements[words[0]] == nil {
+			return result.Errorf(result.UnknownStatement, "prepared statement %q does not exist", words[0])
+		}
+		delete(c.statements, words[0])
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,237 @@
+// Package entry serves callers over the PostgreSQL protocol and sends their
+// batches to the pools that own the databases.
+//
+// Invariants: an answer reaches the caller whole or not at all. A request is
+// reported as not run only if no pool can have run it. A transaction stays with
+// one pool from its first statement to its end.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/directory"
+	"geraniumbeam/internal/events"
+	"geraniumbeam/internal/metrics"
+	"geraniumbeam/internal/retry"
+	"geraniumbeam/internal/session"
+	"geraniumbeam/internal/settings"
+	"geraniumbeam/internal/telemetry"
+	"geraniumbeam/internal/wire"
+)
+
+// Pools makes clients for the pools of other instances. *wire.Clients
+// implements it.
+type Pools interface {
+	Pool(address string) wire.Pool
+}
+
+// Config holds what a Server needs. All fields are required.
+type Config struct {
+	Settings  settings.Settings
+	Directory *directory.Directory
+	Clients   Pools
+	Metrics   *metrics.Registry
+	Events    events.Recorder
+	Log       zerolog.Logger
+	Clock     clock.Clock
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	cfg      Config
+	keys     *session.Keys
+	budgets  *retry.Budgets
+	loads    *loads
+	health   *health
+	resolver *resolver
+	open     *transactions
+
+	ids     atomic.Uint64
+	idStart string
+
+	ctx  context.Context // of all calls to pools
+	stop context.CancelFunc
+
+	mu        sync.Mutex
+	callers   map[uint32]*caller
+	listeners map[net.Listener]struct{}
+	draining  bool
+	empty     chan struct{} // closed when draining and no caller is left
+
+	background sync.WaitGroup
+}
+
+// New returns a server that accepts no connection yet.
+func New(cfg Config) *Server {
+	cfg.Log = telemetry.Part(cfg.Log, telemetry.PartEntry)
+	s := &Server{
+		cfg:       cfg,
+		keys:      session.NewKeys(cfg.Settings.SessionKey, cfg.Settings.PreviousSessionKeys...),
+		budgets:   retry.NewBudgets(),
+		loads:     newLoads(),
+		health:    newHealth(),
+		open:      newTransactions(),
+		idStart:   fmt.Sprintf("%s-%x", cfg.Settings.Instance, rand.Uint32()),
+		callers:   make(map[uint32]*caller),
+		listeners: make(map[net.Listener]struct{}),
+		empty:     make(chan struct{}),
+	}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.resolver = newResolver(s)
+	return s
+}
+
+// Callers counts the connections of callers.
+func (s *Server) Callers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.callers)
+}
+
+// Serve accepts callers until ctx ends, l is closed or Drain is called. When
+// ctx ends it also closes the connections of the callers.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if !s.addListener(l) {
+		_ = l.Close()
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	s.background.Go(func() { s.keepAlive(ctx) })
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return s.acceptEnded(ctx, err)
+		}
+		s.background.Go(func() { s.serveCaller(conn) })
+	}
+}
+
+func (s *Server) acceptEnded(ctx context.Context, err error) error {
+	if s.isDraining() {
+		<-s.empty
+		return nil
+	}
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		s.closeCallers()
+		return nil
+	}
+	return fmt.Errorf("accept callers: %w", err)
+}
+
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Drain stops accepting, lets requests in flight and open transactions finish
+// until ctx ends, closes what is left and waits for it. Connections that are
+// idle get a FATAL error with result.ShuttingDown. It returns an error if
+// connections had to be cut.
+func (s *Server) Drain(ctx context.Context) error {
+	s.beginDrain()
+	defer s.background.Wait()
+	select {
+	case <-s.empty:
+		return nil
+	case <-ctx.Done():
+	}
+	n := s.closeCallers()
+	if n == 0 {
+		return nil
+	}
+	return fmt.Errorf("drain: %d connections were cut: %w", n, ctx.Err())
+}
+
+func (s *Server) beginDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return
+	}
+	s.draining = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	for _, c := range s.callers {
+		c.startDrain()
+	}
+	if len(s.callers) == 0 {
+		close(s.empty)
+	}
+	s.cfg.Events.Record(events.Event{
+		Kind: events.KindDrain, Text: fmt.Sprintf("stopped accepting with %d callers connected", len(s.callers)),
+	})
+}
+
+// closeCallers cuts all connections and the calls to pools that they wait for.
+func (s *Server) closeCallers() int {
+	s.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.callers {
+		_ = c.conn.Close()
+	}
+	return len(s.callers)
+}
+
+// register gives the caller a process id and adds it. It fails if the server
+// is full or draining.
+func (s *Server) register(c *caller) (full, draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false, true
+	}
+	if len(s.callers) >= s.cfg.Settings.Callers.MaxConnections {
+		return true, false
+	}
+	for c.pid == 0 || s.callers[c.pid] != nil {
+		c.pid = rand.Uint32() & 0x7fffffff
+	}
+	c.secret = rand.Uint32()
+	s.callers[c.pid] = c
+	return false, false
+}
+
+func (s *Server) unregister(c *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.callers[c.pid] != c {
+		return
+	}
+	delete(s.callers, c.pid)
+	if s.draining && len(s.callers) == 0 {
+		close(s.empty)
+	}
+}
+
+// requestID returns an id that is unique across instances and restarts.
+func (s *Server) requestID() string { return fmt.Sprintf("%s-%x", s.idStart, s.ids.Add(1)) }
+
+func (s *Server) now() time.Time { return s.cfg.Clock.Now() }
+
+func (s *Server) record(e events.Event) { s.cfg.Events.Record(e) }
--- /dev/null
+++ b/internal/entry/startup.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumbeam/internal/result"
+)
+
+// Codes that replace the protocol version in a startup packet.
+const (
+	codeCancel = 80877102
+	codeSSL    = 80877103
+	codeGSS    = 80877104
+)
+
+// maxStartup is the largest startup packet in bytes, as in PostgreSQL.
+const maxStartup = 10000
+
+// maxNegotiations bounds the SSL and GSS requests before the startup packet.
+const maxNegotiations = 4
+
+// startup reads packets until the caller sent its startup parameters. It
+// returns nil parameters if the connection only asked for a cancellation.
+func (s *Server) startup(conn net.Conn) (map[string]string, error) {
+	for range maxNegotiations {
+		body, err := readStartup(conn, maxStartup)
+		if err != nil {
+			return nil, err
+		}
+		switch code := binary.BigEndian.Uint32(body); code {
+		case codeSSL, codeGSS:
+			if _, err := conn.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		case codeCancel:
+			s.cancelRequest(body)
+			return nil, nil
+		default:
+			return startupParameters(conn, body, code)
+		}
+	}
+	return nil, result.Errorf(result.BadStartup, "more than %d encryption requests", maxNegotiations)
+}
+
+func startupParameters(conn net.Conn, body []byte, version uint32) (map[string]string, error) {
+	if version>>16 != 3 {
+		return nil, result.Errorf(result.BadStartup,
+			"protocol version %d.%d is not supported: want 3.0", version>>16, version&0xffff)
+	}
+	// Minor versions above 3.0 are negotiated down.
+	binary.BigEndian.PutUint32(body, pgproto3.ProtocolVersion30)
+	var m pgproto3.StartupMessage
+	if err := decodeStartup(&m, body); err != nil {
+		return nil, result.Errorf(result.BadStartup, "startup packet is damaged: %w", err)
+	}
+	var unknown []string
+	for name := range m.Parameters {
+		if strings.HasPrefix(name, "_pq_.") {
+			unknown = append(unknown, name)
+			delete(m.Parameters, name)
+		}
+	}
+	if version != pgproto3.ProtocolVersion30 || len(unknown) > 0 {
+		reply, err := (&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: unknown}).Encode(nil)
+		if err == nil {
+			_, err = conn.Write(reply)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return withOptions(m.Parameters)
+}
+
+// decodeStartup guards against packets that pgproto3 does not check, such as
+// one without any parameter.
+func decodeStartup(m *pgproto3.StartupMessage, body []byte) error {
+	if len(body) < 6 || body[len(body)-1] != 0 {
+		return errors.New("it does not end with a zero byte")
+	}
+	return m.Decode(body)
+}
+
+// withOptions adds the settings of the options parameter, which has the form
+// "-c name=value --name=value"; a backslash escapes the next character.
+// Parameters that are given directly take precedence.
+func withOptions(params map[string]string) (map[string]string, error) {
+	words := splitOptions(params["options"])
+	delete(params, "options")
+	for i := 0; i < len(words); i++ {
+		w := words[i]
+		switch {
+		case w == "-c" && i+1 < len(words):
+			i++
+			w = words[i]
+		case strings.HasPrefix(w, "--"):
+			w = w[2:]
+		case strings.HasPrefix(w, "-c"):
+			w = w[2:]
+		default:
+			return nil, result.Errorf(result.BadParameter, "startup option %q is not supported: want -c NAME=VALUE", w)
+		}
+		name, value, ok := strings.Cut(w, "=")
+		if !ok || name == "" {
+			return nil, result.Errorf(result.BadParameter, "startup option %q is not valid: want -c NAME=VALUE", w)
+		}
+		if _, given := params[name]; !given {
+			params[name] = value
+		}
+	}
+	return params, nil
+}
+
+func splitOptions(s string) []string {
+	var out []string
+	var word strings.Builder
+	inWord := false
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case c == '\\' && i+1 < len(s):
+			i++
+			word.WriteByte(s[i])
+			inWord = true
+		case c == ' ' || c == '\t' || c == '\n':
+			if inWord {
+				out = append(out, word.String())
+			}
+			word.Reset()
+			inWord = false
+		default:
+			word.WriteByte(c)
+			inWord = true
+		}
+	}
+	if inWord {
+		out = append(out, word.String())
+	}
+	return out
+}
+
+// applyStartup takes the startup parameters. The error is fatal.
+func (c *caller) applyStartup(params map[string]string) error {
+	c.user = params["user"]
+	if c.user == "" {
+		return result.Errorf(result.BadStartup, "startup parameter user is missing")
+	}
+	c.service = params["database"]
+	if c.service == "" {
+		c.service = c.user
+	}
+	if _, ok := c.s.cfg.Directory.Catalog().Service(c.service); !ok {
+		return result.Errorf(result.UnknownService, "service %q does not exist: known services are %s",
+			c.service, c.s.serviceNames())
+	}
+	for name, value := range params {
+		if name == "user" || name == "database" {
+			continue
+		}
+		if err := c.startupParameter(name, value); err != nil {
+			return err
+		}
+	}
+	c.startParams = c.params
+	return nil
+}
+
+func (c *caller) startupParameter(name, value string) error {
+	if isLocalParameter(name) {
+		return c.setLocal(name, value)
+	}
+	if name == "replication" && isFalse(value) {
+		return nil
+	}
+	if err := c.harmlessSet(name, value); err != nil {
+		return fmt.Errorf("startup parameter: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) serviceNames() string {
+	var names []string
+	for _, v := range s.cfg.Directory.Catalog().Services() {
+		names = append(names, v.Name)
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/entry/transaction.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/route"
+	"geraniumbeam/internal/wire"
+)
+
+// Limits of open transactions. A pool rolls a transaction back when it has not
+// heard of it for 2 s, so three keep-alives fit.
+const (
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveTimeout  = 1 * time.Second
+	endTimeout        = 2 * time.Second
+)
+
+// transaction is an open transaction of a caller, pinned to one pool.
+type transaction struct {
+	id       string
+	at       attempt
+	group    string
+	sequence uint64 // of the last statement
+	status   byte   // 'T' or 'E'
+	session  params // of the session when it was started
+	used     params // class and partition that it was started with
+}
+
+// transactions lists the open transactions for keep-alives.
+type transactions struct {
+	mu   sync.Mutex
+	open map[string]*transaction
+}
+
+func newTransactions() *transactions { return &transactions{open: make(map[string]*transaction)} }
+
+func (t *transactions) add(x *transaction) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.open[x.id] = x
+}
+
+func (t *transactions) remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, id)
+}
+
+// byAddress groups the ids of the open transactions by pool.
+func (t *transactions) byAddress() map[string][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string][]string)
+	for id, x := range t.open {
+		out[x.at.address] = append(out[x.at.address], id)
+	}
+	return out
+}
+
+// keepAlive extends the life of open transactions until ctx ends.
+func (s *Server) keepAlive(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.ctx.Done():
+			return
+		case <-s.cfg.Clock.After(keepAliveInterval):
+		}
+		for address, ids := range s.open.byAddress() {
+			s.background.Go(func() { s.sendKeepAlive(address, ids) })
+		}
+	}
+}
+
+// sendKeepAlive ignores ids that the pool does not know: the next statement of
+// such a transaction is refused by the pool.
+func (s *Server) sendKeepAlive(address string, ids []string) {
+	ctx, cancel := context.WithTimeout(s.ctx, keepAliveTimeout)
+	defer cancel()
+	_, err := s.cfg.Clients.Pool(address).KeepAlive(ctx, &wire.KeepAliveRequest{
+		EntryInstance: s.cfg.Settings.Instance, TransactionIds: ids,
+	})
+	if err != nil {
+		s.cfg.Log.Info().Err(err).Str("address", address).Int("transactions", len(ids)).Msg("keep-alive failed")
+	}
+}
+
+// runInTransaction sends a statement of an open transaction to its pool, once.
+func (s *Server) runInTransaction(c *caller, r *request, f *flight) outcome {
+	tx := c.tx
+	tx.sequence++
+	req := s.baseRequest(r, tx.at)
+	req.TransactionId, req.Sequence, req.WantPrimary = tx.id, tx.sequence, true
+	if !s.cfg.Settings.Unsafe.NoFloor {
+		if r.known {
+			req.Floor = wire.NewPosition(r.floor)
+		}
+		req.Verify = r.read && r.batch.executes && !r.known
+	}
+	resp, err := s.call(f, tx.at, req, r.deadline)
+	failure := failureOf(tx.at, f, resp, err)
+	if failure == nil {
+		return outcome{resp: resp, at: tx.at, verified: req.GetVerify()}
+	}
+	return outcome{at: tx.at, err: transactionFailure(r, failure)}
+}
+
+// transactionFailure tells what a failed statement means for its transaction.
+// Without a commit nothing of it can remain, because the pool rolls back a
+// transaction that is not continued.
+func transactionFailure(r *request, e *result.Error) *result.Error {
+	switch {
+	case e.Ran == result.RanYes:
+		return e
+	case e.Ran == result.RanUnknown && r.commits:
+		if e.Code == result.OutcomeUnknown {
+			return e
+		}
+		return result.Errorf(result.OutcomeUnknown, "the commit was sent and its outcome is not known: %s", e.Message)
+	case ownCode(e.Code):
+		return e.WithRan(result.RanNo)
+	}
+	return result.Errorf(result.RolledBack, "the transaction was rolled back: %s", e.Message)
+}
+
+// ownCode reports codes that tell the caller more than that the transaction
+// was rolled back.
+func ownCode(c result.Code) bool {
+	switch c {
+	case result.AnswerTooLarge, result.Cancelled, result.Overloaded, result.DeadlineBeforeRun, result.RolledBack,
+		result.KeyInUse, result.KeyReused, result.NotSupported, result.BadParameter:
+		return true
+	}
+	return false
+}
+
+// updateTransaction follows the transaction status of an answer.
+func (c *caller) updateTransaction(r *request, done outcome) {
+	status := byte(done.resp.GetTransactionStatus())
+	switch {
+	case status != 'T' && status != 'E':
+		if c.tx != nil {
+			c.s.open.remove(c.tx.id)
+			c.setTransaction(nil)
+		}
+	case c.tx != nil:
+		c.tx.status = status
+	default:
+		tx := &transaction{
+			id: done.resp.GetTransactionId(), at: done.at, group: r.group, sequence: 1, status: status,
+			session: c.params, used: r.used,
+		}
+		c.setTransaction(tx)
+		c.s.open.add(tx)
+	}
+}
+
+// setTransaction is under the lock of Drain, which spares open transactions.
+func (c *caller) setTransaction(tx *transaction) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tx = tx
+}
+
+// endTransaction rolls an open transaction back at its pool.
+func (c *caller) endTransaction() {
+	tx := c.tx
+	if tx == nil {
+		return
+	}
+	c.setTransaction(nil)
+	c.s.open.remove(tx.id)
+	c.s.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		_, err := c.s.cfg.Clients.Pool(tx.at.address).EndTransaction(ctx, &wire.EndTransactionRequest{
+			TransactionId: tx.id, Database: tx.at.target.Database.Name,
+		})
+		if err != nil {
+			c.s.cfg.Log.Info().Err(err).Str("transaction", tx.id).Msg("rollback did not reach the pool")
+		}
+	})
+}
+
+// failTransaction rolls back and makes the caller end the transaction before
+// it can go on, as after any error in PostgreSQL.
+func (c *caller) failTransaction() {
+	c.endTransaction()
+	c.txFailed = true
+}
+
+// answerFailed answers a batch in a transaction that was rolled back here.
+func (c *caller) answerFailed(b *batch) error {
+	if !endsTransaction(b) {
+		return c.refuse(b, nil, result.Errorf(result.RolledBack,
+			"the transaction was rolled back: commands are refused until ROLLBACK"))
+	}
+	c.txFailed = false
+	c.params.key = ""
+	out := rollbackAnswer(b)
+	c.applyEffects(b, out)
+	return c.write(appendReady(out, 'I'))
+}
+
+func endsTransaction(b *batch) bool {
+	if len(b.scripts) == 0 {
+		return false
+	}
+	for _, s := range b.scripts {
+		_, commit := s.Only(route.KindCommit)
+		_, rollback := s.Only(route.KindRollback)
+		if !commit && !rollback {
+			return false
+		}
+	}
+	return true
+}
+
+// raiseFloor applies what the answer proves to the session's floor and reports
+// whether it changed. A verified read proves that the position covers all
+// earlier confirmed writes, so an unknown floor becomes known.
+func (c *caller) raiseFloor(r *request, done outcome) bool {
+	p := wire.PositionOf(done.resp.GetPosition())
+	switch {
+	case done.resp.GetWrote():
+		return c.floors.Raise(r.group, p)
+	case done.verified && !r.known && p.Term > 0:
+		return c.floors.Raise(r.group, p)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/route/classify.go
@@ -0,0 +1,252 @@
+// Package route decides where a request goes: the group of a partition, the
+// hint whether a batch only reads, and the order of databases to try.
+//
+// SQL is not parsed. The text is split into tokens, and what is derived from
+// them is a hint; the database decides. Two things are more than hints because
+// nothing after them checks: statements that would leave state on a shared
+// connection are refused, and a lost answer is retried only if the text shows
+// that the batch cannot write.
+package route
+
+import "strings"
+
+// Kind is what the first keywords of a statement say.
+type Kind int
+
+// Kinds of statements.
+const (
+	KindOther    Kind = iota // goes to the primary
+	KindRead                 // a replica may answer
+	KindBegin                // starts a transaction
+	KindCommit               // may end a transaction with its changes
+	KindRollback             // ends a transaction without its changes
+	KindLocal                // SET, SHOW or RESET of a geraniumbeam parameter
+	KindSet                  // SET of a session parameter; allowed if it changes nothing
+	KindDiscard              // DISCARD ALL, RESET ALL, DEALLOCATE: state that the entry holds
+	KindRefused              // needs a feature that the proxy does not offer
+)
+
+// ParameterPrefix starts the names of parameters that the entry handles.
+const ParameterPrefix = "geraniumbeam."
+
+// Statement is one statement of a text.
+type Statement struct {
+	Kind Kind
+	// Pure reports that the text shows no way to write: it is a read, has no
+	// word that modifies data and calls only functions known to be read-only.
+	Pure bool
+	// Words holds the first tokens, keywords in lower case.
+	Words []string
+}
+
+// Keyword returns the first keyword, such as select.
+func (s Statement) Keyword() string { return s.word(0) }
+
+func (s Statement) word(i int) string {
+	if i < len(s.Words) {
+		return s.Words[i]
+	}
+	return ""
+}
+
+// Script is what is known of one SQL text.
+type Script struct {
+	Statements []Statement
+	Directives Directives
+	// Err reports a damaged geraniumbeam comment; it carries
+	// result.BadParameter.
+	Err error
+}
+
+// maxWords bounds the tokens kept of a statement; a SET of a geraniumbeam
+// parameter has at most six.
+const maxWords = 8
+
+// Classify splits a text into statements.
+func Classify(sql string) *Script {
+	out := &Script{}
+	l := lexer{s: sql}
+	var b builder
+	for {
+		t := l.next()
+		switch {
+		case t.kind == tokenEnd:
+			out.add(&b)
+			return out
+		case t.kind == tokenComment:
+			if err := out.Directives.read(t.text); err != nil && out.Err == nil {
+				out.Err = err
+			}
+		case t.kind == tokenSymbol && t.text == ";":
+			out.add(&b)
+		default:
+			b.token(t)
+		}
+	}
+}
+
+func (s *Script) add(b *builder) {
+	if len(b.words) > 0 {
+		s.Statements = append(s.Statements, b.statement())
+	}
+	*b = builder{}
+}
+
+// ReadHint reports that all statements look like reads.
+func (s *Script) ReadHint() bool {
+	return s.all(func(st Statement) bool { return st.Kind == KindRead })
+}
+
+// Pure reports that no statement can write, as far as the text shows.
+func (s *Script) Pure() bool { return s.all(func(st Statement) bool { return st.Pure }) }
+
+// MayCommit reports that a statement may make the changes of an open
+// transaction permanent.
+func (s *Script) MayCommit() bool {
+	for _, st := range s.Statements {
+		if st.Kind == KindCommit {
+			return true
+		}
+	}
+	return false
+}
+
+// Only returns the single statement if the text has exactly one of kind k.
+func (s *Script) Only(k Kind) (Statement, bool) {
+	if len(s.Statements) == 1 && s.Statements[0].Kind == k {
+		return s.Statements[0], true
+	}
+	return Statement{}, false
+}
+
+func (s *Script) all(f func(Statement) bool) bool {
+	for _, st := range s.Statements {
+		if !f(st) {
+			return false
+		}
+	}
+	return len(s.Statements) > 0
+}
+
+// builder collects what matters of one statement.
+type builder struct {
+	words   []string
+	last    token
+	impure  bool // has a word that modifies data or an unknown function call
+	session bool // calls a function that changes the session
+	hold    bool // WITH HOLD
+	temp    bool // creates a temporary object
+}
+
+func (b *builder) token(t token) {
+	if t.kind == tokenWord {
+		b.word(t.text)
+	}
+	if t.kind == tokenSymbol && t.text == "(" {
+		b.call()
+	}
+	if len(b.words) < maxWords {
+		b.words = append(b.words, t.text)
+	}
+	b.last = t
+}
+
+func (b *builder) word(w string) {
+	switch {
+	case modifies[w]:
+		b.impure = true
+	case w == "hold":
+		b.hold = true
+	case (w == "temp" || w == "temporary") && len(b.words) < 4:
+		b.temp = true
+	}
+}
+
+// call looks at the name in front of an opening parenthesis.
+func (b *builder) call() {
+	name := strings.TrimPrefix(b.last.text, "pg_catalog.")
+	switch {
+	case b.last.kind != tokenWord && b.last.kind != tokenQuoted:
+	case sessionFunctions[name]:
+		b.session = true
+	case b.last.kind == tokenQuoted, !readOnlyBeforeParenthesis[name]:
+		b.impure = true
+	}
+}
+
+func (b *builder) statement() Statement {
+	st := Statement{Words: b.words}
+	st.Kind = b.kind(st)
+	st.Pure = st.Kind == KindRead && !b.impure
+	return st
+}
+
+func (b *builder) kind(st Statement) Kind {
+	if b.session {
+		return KindRefused
+	}
+	switch w := st.Keyword(); w {
+	case "select", "values", "table", "with", "(":
+		return KindRead
+	case "show":
+		if strings.HasPrefix(st.word(1), ParameterPrefix) {
+			return KindLocal
+		}
+		return KindRead
+	case "begin", "start":
+		return KindBegin
+	case "commit", "end":
+		return KindCommit
+	case "prepare":
+		if st.word(1) == "transaction" {
+			return KindCommit
+		}
+		return KindRefused
+	case "rollback":
+		if st.word(1) == "to" || st.word(2) == "to" || st.word(1) == "prepared" {
+			return KindOther
+		}
+		return KindRollback
+	case "abort":
+		return KindRollback
+	case "set", "reset":
+		return setKind(st)
+	case "discard", "deallocate":
+		return KindDiscard
+	case "declare":
+		return refusedIf(b.hold)
+	case "create":
+		return refusedIf(b.temp)
+	default:
+		return refusedIf(refusedKeywords[w])
+	}
+}
+
+// setKind tells parameters of the entry, settings of the transaction and
+// settings of the session apart.
+func setKind(st Statement) Kind {
+	name := st.word(1)
+	if name == "session" && st.Keyword() == "set" && st.word(2) != "characteristics" {
+		name = st.word(2)
+	}
+	switch {
+	case strings.HasPrefix(name, ParameterPrefix):
+		return KindLocal
+	case st.Keyword() == "reset" && name == "all":
+		return KindDiscard
+	case st.Keyword() == "reset":
+		return KindRefused
+	case name == "local" && strings.HasPrefix(st.word(2), ParameterPrefix):
+		return KindRefused
+	case name == "local", name == "transaction", name == "constraints":
+		return KindOther
+	}
+	return KindSet
+}
+
+func refusedIf(refused bool) Kind {
+	if refused {
+		return KindRefused
+	}
+	return KindOther
+}
--- /dev/null
+++ b/internal/route/directive.go
@@ -0,0 +1,88 @@
+package route
+
+import (
+	"strings"
+
+	"geraniumbeam/internal/result"
+)
+
+// Directives are what a statement comment says, such as
+// /* geraniumbeam class=booking key=42 partition=hut-7 */. Each field is set
+// only if the comment has it.
+type Directives struct {
+	Class, Key, Partition          string
+	HasClass, HasKey, HasPartition bool
+}
+
+// directivePrefix is the first word of a comment with directives.
+const directivePrefix = "geraniumbeam"
+
+// maxDirective is the longest value in bytes.
+const maxDirective = 255
+
+// read takes the directives of one comment; other comments are ignored.
+func (d *Directives) read(comment string) error {
+	words := strings.Fields(comment)
+	if len(words) == 0 || words[0] != directivePrefix {
+		return nil
+	}
+	for _, w := range words[1:] {
+		name, value, ok := strings.Cut(w, "=")
+		if !ok {
+			return result.Errorf(result.BadParameter, "comment word %q has no value: want NAME=VALUE", w)
+		}
+		if len(value) > maxDirective {
+			return result.Errorf(result.BadParameter,
+				"comment value of %s has %d bytes: want at most %d", name, len(value), maxDirective)
+		}
+		if err := d.set(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Directives) set(name, value string) error {
+	field, has := d.field(name)
+	if field == nil {
+		return result.Errorf(result.BadParameter, "comment name %q is not known: want class, key or partition", name)
+	}
+	if *has && *field != value {
+		return result.Errorf(result.BadParameter, "comment gives %s twice: %q and %q", name, *field, value)
+	}
+	*field, *has = value, true
+	return nil
+}
+
+func (d *Directives) field(name string) (*string, *bool) {
+	switch name {
+	case "class":
+		return &d.Class, &d.HasClass
+	case "key":
+		return &d.Key, &d.HasKey
+	case "partition":
+		return &d.Partition, &d.HasPartition
+	}
+	return nil, nil
+}
+
+// Merge adds the directives of another statement of the same batch. Two
+// different values of one name are an error with result.BadParameter.
+func (d *Directives) Merge(o Directives) error {
+	for _, v := range []struct {
+		has         bool
+		name, value string
+	}{
+		{o.HasClass, "class", o.Class},
+		{o.HasKey, "key", o.Key},
+		{o.HasPartition, "partition", o.Partition},
+	} {
+		if !v.has {
+			continue
+		}
+		if err := d.set(v.name, v.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/words.go
@@ -0,0 +1,41 @@
+package route
+
+func set(words ...string) map[string]bool {
+	m := make(map[string]bool, len(words))
+	for _, w := range words {
+		m[w] = true
+	}
+	return m
+}
+
+// refusedKeywords start statements that leave state on a connection which
+// other callers use next, or that need a dialogue within one statement.
+var refusedKeywords = set("copy", "listen", "unlisten", "notify", "load", "execute")
+
+// sessionFunctions change the session of a connection that other callers use
+// next.
+var sessionFunctions = set("set_config", "pg_advisory_lock", "pg_advisory_lock_shared",
+	"pg_try_advisory_lock", "pg_try_advisory_lock_shared", "pg_notify")
+
+// modifies holds words that appear in statements that write or lock.
+var modifies = set("insert", "update", "delete", "merge", "into", "call", "truncate", "nextval", "setval",
+	"share", "for")
+
+// readOnlyBeforeParenthesis holds words that may precede a parenthesis in a
+// statement that writes nothing: keywords, types and built-in functions. A
+// function that is missing costs a retry, never a second run.
+var readOnlyBeforeParenthesis = set(
+	"select", "from", "where", "and", "or", "not", "in", "any", "some", "all", "exists", "as", "on", "using", "join",
+	"lateral", "values", "union", "intersect", "except", "distinct", "by", "having", "limit", "offset", "case", "when",
+	"then", "else", "is", "like", "ilike", "between", "with", "materialized", "over", "filter", "within", "group",
+	"array", "row", "cast", "interval", "return",
+	"char", "varchar", "numeric", "decimal", "bit", "time", "timestamp", "float",
+	"count", "sum", "avg", "min", "max", "array_agg", "string_agg", "json_agg", "jsonb_agg", "bool_and", "bool_or",
+	"every", "row_number", "rank", "dense_rank", "lag", "lead", "first_value", "last_value", "ntile",
+	"coalesce", "nullif", "greatest", "least", "abs", "ceil", "ceiling", "floor", "round", "trunc", "mod", "power",
+	"sqrt", "sign", "length", "char_length", "octet_length", "lower", "upper", "substr", "substring", "trim", "ltrim",
+	"rtrim", "btrim", "replace", "position", "strpos", "concat", "concat_ws", "left", "right", "lpad", "rpad",
+	"split_part", "to_char", "to_date", "to_timestamp", "to_number", "date_trunc", "date_part", "extract", "age",
+	"now", "clock_timestamp", "current_timestamp", "generate_series", "unnest", "array_length", "cardinality", "md5",
+	"to_json", "to_jsonb", "json_build_object", "jsonb_build_object", "row_to_json", "version", "current_setting",
+)
--- /dev/null
+++ b/internal/session/floors.go
@@ -0,0 +1,68 @@
+// Package session keeps what a caller must be able to read: the log position of
+// its last write in each database group, and the signed token that carries
+// these positions between instances.
+//
+// Invariants: a floor never falls while it is known, and a group without an
+// entry has an unknown floor, never the floor zero.
+package session
+
+import (
+	"maps"
+	"slices"
+
+	"geraniumbeam/internal/backend"
+)
+
+// Floors maps groups to the lowest position that a read of the session may
+// see. In the zero value all floors are unknown. It is not safe for concurrent
+// use.
+type Floors struct {
+	known map[string]backend.Position
+}
+
+// Get returns the floor of a group; ok is false if it is unknown.
+func (f *Floors) Get(group string) (p backend.Position, ok bool) {
+	p, ok = f.known[group]
+	return p, ok
+}
+
+// Raise makes p a lower bound of the group's floor and reports whether the
+// floor changed. An unknown floor becomes p: a position that was confirmed on
+// the primary covers every earlier confirmed write of the session.
+func (f *Floors) Raise(group string, p backend.Position) bool {
+	if old, ok := f.known[group]; ok && old.Compare(p) >= 0 {
+		return false
+	}
+	if f.known == nil {
+		f.known = make(map[string]backend.Position, 1)
+	}
+	f.known[group] = p
+	return true
+}
+
+// Lose makes the floor of a group unknown and reports whether it was known.
+func (f *Floors) Lose(group string) bool {
+	_, ok := f.known[group]
+	delete(f.known, group)
+	return ok
+}
+
+// Adopt continues the session of token in this one. A floor stays known only
+// if the token has it, because the token's session may have lost it; the
+// higher of the two positions counts.
+func (f *Floors) Adopt(token Floors) {
+	next := make(map[string]backend.Position, len(token.known))
+	for g, p := range token.known {
+		if old, ok := f.known[g]; ok && old.Compare(p) > 0 {
+			p = old
+		}
+		next[g] = p
+	}
+	f.known = next
+}
+
+// Reset makes all floors unknown.
+func (f *Floors) Reset() { f.known = nil }
+
+// Groups returns the groups with a known floor, sorted.
+func (f *Floors) Groups() []string { return slices.Sorted(maps.Keys(f.known)) }
--- /dev/null
+++ b/internal/session/token.go
@@ -0,0 +1,149 @@
+package session
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/result"
+)
+
+// version is the first byte of a token. A change of the layout needs a new
+// version, and decoders must accept the previous one for a rolling update.
+const version = 1
+
+// Limits of a token.
+const (
+	macSize      = 16 // bytes of HMAC-SHA-256 that are kept; 128 bits resist forgery
+	maxToken     = 64 << 10
+	maxGroups    = 1024
+	maxGroupName = 255 // bytes
+)
+
+// Keys signs and checks tokens. It is safe for concurrent use.
+type Keys struct {
+	current  []byte
+	previous [][]byte
+}
+
+// NewKeys returns keys that sign with current and also accept tokens that were
+// signed with one of previous.
+func NewKeys(current string, previous ...string) *Keys {
+	k := &Keys{current: []byte(current)}
+	for _, p := range previous {
+		k.previous = append(k.previous, []byte(p))
+	}
+	return k
+}
+
+// Encode returns the token of f. It contains only characters of unpadded
+// URL-safe base64.
+func (k *Keys) Encode(f Floors) string {
+	b := []byte{version}
+	groups := f.Groups()
+	b = binary.AppendUvarint(b, uint64(len(groups)))
+	for _, g := range groups {
+		p := f.known[g]
+		b = binary.AppendUvarint(b, uint64(len(g)))
+		b = append(b, g...)
+		b = binary.AppendUvarint(b, p.Term)
+		b = binary.AppendUvarint(b, p.Offset)
+	}
+	b = append(b, sign(k.current, b)...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Decode checks a token and returns its floors. The error carries
+// result.BadToken and does not tell which check failed first for the signature.
+func (k *Keys) Decode(token string) (Floors, error) {
+	if len(token) > maxToken {
+		return Floors{}, badToken("%d bytes long, at most %d are allowed", len(token), maxToken)
+	}
+	b, err := base64.RawURLEncoding.Strict().DecodeString(token)
+	if err != nil {
+		return Floors{}, badToken("not in unpadded URL-safe base64")
+	}
+	if len(b) < 2+macSize {
+		return Floors{}, badToken("too short")
+	}
+	if b[0] != version {
+		return Floors{}, badToken("of version %d, only version %d is known", b[0], version)
+	}
+	body, mac := b[:len(b)-macSize], b[len(b)-macSize:]
+	if !k.valid(body, mac) {
+		return Floors{}, badToken("not signed with a key of this installation")
+	}
+	return decodeBody(body[1:])
+}
+
+func (k *Keys) valid(body, mac []byte) bool {
+	if hmac.Equal(mac, sign(k.current, body)) {
+		return true
+	}
+	for _, p := range k.previous {
+		if hmac.Equal(mac, sign(p, body)) {
+			return true
+		}
+	}
+	return false
+}
+
+func sign(key, body []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(body)
+	return h.Sum(nil)[:macSize]
+}
+
+func decodeBody(b []byte) (Floors, error) {
+	var f Floors
+	d := decoder{rest: b}
+	n := d.uvarint()
+	if n > maxGroups {
+		return f, badToken("for %d groups, at most %d are allowed", n, maxGroups)
+	}
+	for range n {
+		name := d.bytes(d.uvarint())
+		p := backend.Position{Term: d.uvarint(), Offset: d.uvarint()}
+		if d.failed {
+			break
+		}
+		f.Raise(string(name), p)
+	}
+	if d.failed || len(d.rest) != 0 || uint64(len(f.known)) != n {
+		return Floors{}, badToken("damaged")
+	}
+	return f, nil
+}
+
+func badToken(format string, args ...any) error {
+	return result.Errorf(result.BadToken, "session token is %s", fmt.Sprintf(format, args...))
+}
+
+// decoder reads fields until the first one that is incomplete.
+type decoder struct {
+	rest   []byte
+	failed bool
+}
+
+func (d *decoder) uvarint() uint64 {
+	v, n := binary.Uvarint(d.rest)
+	if n <= 0 {
+		d.failed, d.rest = true, nil
+		return 0
+	}
+	d.rest = d.rest[n:]
+	return v
+}
+
+func (d *decoder) bytes(n uint64) []byte {
+	if n > maxGroupName || n > uint64(len(d.rest)) {
+		d.failed, d.rest = true, nil
+		return nil
+	}
+	b := d.rest[:n]
+	d.rest = d.rest[n:]
+	return b
+}
