--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -27,6 +28,8 @@
 	parses   uint32   // Parse messages so far
 	executes bool     // has a Query or Execute message
 	remote   bool     // has a message that needs a database
+	foreign  bool     // executes a portal that an earlier batch bound
+	portals  []string // bound by this batch
 	scripts  []*route.Script
 	local    []localOp
 	effects  []effect
@@ -231,6 +234,7 @@
 		return nil
 	}
 	m.PreparedStatement = ""
+	b.portals = append(b.portals, m.DestinationPortal)
 	b.messages = encode(b.messages, &m)
 	return nil
 }
@@ -275,6 +279,7 @@
 		return nil
 	}
 	b.remote = true
+	b.foreign = b.foreign || !slices.Contains(b.portals, m.Portal)
 	b.messages = encode(b.messages, &m)
 	return nil
 }
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -51,9 +51,16 @@
 
 func (s *Server) serveCaller(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	limit := int64(s.cfg.Settings.Callers.MaxConnections)
+	if s.starting.Add(1) > limit {
+		s.starting.Add(-1)
+		return
+	}
 	c := &caller{s: s, conn: conn}
 	c.frames.conn, c.frames.max = conn, s.cfg.Settings.Callers.MaxMessage
-	if !c.connect() {
+	ok := c.connect()
+	s.starting.Add(-1)
+	if !ok {
 		return
 	}
 	defer s.unregister(c)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -107,7 +107,7 @@
 }
 
 // hints derives from the texts what the batch seems to do. A portal that was
-// bound in an earlier batch leaves no text and no hint.
+// bound in an earlier batch has no text here and may be anything.
 func (r *request) hints() {
 	scripts := r.batch.scripts
 	r.read, r.pure, r.begin = len(scripts) > 0, len(scripts) > 0, len(scripts) > 0
@@ -118,9 +118,11 @@
 		r.pure = r.pure && s.Pure()
 		r.commits = r.commits || s.MayCommit()
 	}
-	if len(scripts) == 0 {
-		r.commits = true
+	if len(scripts) == 0 || r.batch.foreign {
+		r.read, r.pure, r.begin, r.commits = false, false, false, true
 	}
+	// A key is stored with the work, so it needs the primary.
+	r.read = r.read && r.key == ""
 }
 
 func (r *request) budget() time.Duration {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,6 +60,8 @@
 	ids     atomic.Uint64
 	idStart string
 
+	starting atomic.Int64 // connections before the end of their startup
+
 	ctx  context.Context // of all calls to pools
 	stop context.CancelFunc
 
@@ -112,6 +115,11 @@
 	s.background.Go(func() { s.keepAlive(ctx) })
 	for {
 		conn, err := l.Accept()
+		if err != nil && isTemporary(err) {
+			s.cfg.Log.Warn().Err(err).Msg("caller not accepted")
+			<-s.cfg.Clock.After(acceptPause)
+			continue
+		}
 		if err != nil {
 			return s.acceptEnded(ctx, err)
 		}
@@ -119,13 +127,22 @@
 	}
 }
 
+// acceptPause keeps a lack of file descriptors from taking a whole core.
+const acceptPause = 50 * time.Millisecond
+
+// isTemporary reports errors of accept that end by themselves.
+func isTemporary(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 func (s *Server) acceptEnded(ctx context.Context, err error) error {
 	if s.isDraining() {
 		<-s.empty
 		return nil
 	}
+	s.beginDrain()
+	s.closeCallers()
 	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-		s.closeCallers()
 		return nil
 	}
 	return fmt.Errorf("accept callers: %w", err)
@@ -154,6 +171,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.beginDrain()
 	defer s.background.Wait()
+	defer s.stop()
 	select {
 	case <-s.empty:
 		return nil
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,119 @@
+package route
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"geraniumbeam/internal/platform"
+)
+
+var kindNames = map[Kind]string{
+	KindOther: "other", KindRead: "read", KindBegin: "begin", KindCommit: "commit", KindRollback: "rollback",
+	KindLocal: "local", KindSet: "set", KindDiscard: "discard", KindRefused: "refused",
+}
+
+// Guards against a text that is routed, repeated or refused wrongly. Each line
+// is one text; \n in it is a line break.
+func TestClassify(t *testing.T) {
+	datadriven.RunTest(t, "testdata/classify", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		for _, line := range strings.Split(d.Input, "\n") {
+			s := Classify(strings.ReplaceAll(line, `\n`, "\n"))
+			var words []string
+			for _, st := range s.Statements {
+				w := kindNames[st.Kind]
+				if st.Pure {
+					w += "+pure"
+				}
+				words = append(words, w)
+			}
+			if s.MayCommit() {
+				words = append(words, "[may commit]")
+			}
+			if d.Cmd == "directives" {
+				words = []string{fmt.Sprintf("%+v", s.Directives)}
+			}
+			if s.Err != nil {
+				words = []string{s.Err.Error()}
+			}
+			fmt.Fprintln(&out, strings.Join(words, " "))
+		}
+		return out.String()
+	})
+}
+
+// Guards against a lexer that loops, panics or reads past the end on broken
+// text, and against text behind a comment or constant that is taken as SQL.
+func FuzzClassify(f *testing.F) {
+	for _, s := range []string{
+		"select 1", "/* a /* b */", "'", `"`, "$a$ x", "$", "e'\\", "--", "select $1::text; commit", "/* geraniumbeam class= */",
+	} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, sql string) {
+		s := Classify(sql)
+		for _, st := range s.Statements {
+			if len(st.Words) == 0 || len(st.Words) > maxWords {
+				t.Fatalf("%q: words %q", sql, st.Words)
+			}
+		}
+		quoted := strings.ReplaceAll(sql, "'", "''")
+		if got := Classify("select '" + quoted + "'"); len(got.Statements) != 1 || !got.Pure() {
+			t.Fatalf("constant %q is taken as SQL", quoted)
+		}
+	})
+}
+
+// Guards against reads that cross data centres without need, that use a
+// replica that is leaving, or that have no primary to fall back to.
+func TestOrder(t *testing.T) {
+	datadriven.RunTest(t, "testdata/order", func(t *testing.T, d *datadriven.TestData) string {
+		var primary string
+		n := Need{DataCentre: "here", Read: d.HasArg("read")}
+		if d.HasArg("primary") {
+			d.ScanArgs(t, "primary", &primary)
+		}
+		if d.HasArg("spread") {
+			d.ScanArgs(t, "spread", &n.Spread)
+		}
+		var dbs []platform.Database
+		for _, line := range strings.Split(d.Input, "\n") {
+			w := strings.Fields(line)
+			dbs = append(dbs, platform.Database{Name: w[0], DataCentre: w[1], Leaving: len(w) > 2})
+		}
+		var out []string
+		for _, target := range Order(n, primary, dbs) {
+			name := target.Database.Name
+			if target.Primary {
+				name += "(primary)"
+			}
+			out = append(out, name)
+		}
+		return strings.Join(out, " ") + "\n"
+	})
+}
+
+// Guards against partitions that move when the order of the groups changes, and
+// against groups that get no or nearly all partitions.
+func TestGroupOf(t *testing.T) {
+	counts := make(map[string]int)
+	for i := range 3000 {
+		p := fmt.Sprintf("hut-%d", i)
+		g := GroupOf(p, []string{"g1", "g2", "g3"})
+		if other := GroupOf(p, []string{"g3", "g1", "g2"}); other != g {
+			t.Fatalf("%s: %s or %s", p, g, other)
+		}
+		counts[g]++
+	}
+	for g, n := range counts {
+		if n < 850 || n > 1150 {
+			t.Errorf("group %s has %d of 3000 partitions", g, n)
+		}
+	}
+	if GroupOf("", []string{"g1"}) != "g1" || GroupOf("x", nil) != "" {
+		t.Error("empty partition or empty service")
+	}
+}
