--- /dev/null
+++ b/internal/pool/confirmer.go
@@ -0,0 +1,208 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/confirm"
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/wire"
+)
+
+const (
+	// confirmWait is how long one call to a replica waits for a position. A
+	// lagging replica is asked again.
+	confirmWait = time.Second
+	// confirmTimeout bounds a call beyond its own wait.
+	confirmTimeout = 500 * time.Millisecond
+	// confirmPause separates calls after one that failed.
+	confirmPause = 20 * time.Millisecond
+)
+
+// confirmer waits for replicas to hold positions of the unit's database while
+// it is primary. Each replica has at most one outstanding call that waits for a
+// position and one that verifies the term; a call covers all waits that began
+// before it.
+type confirmer struct {
+	u        *unit
+	sequence atomic.Uint64
+
+	mu      sync.Mutex
+	tracker *confirm.Tracker
+	peers   *[]peer // that the tracker was made for
+	waits   []*confirmWaiter
+	busy    map[callKey]bool
+}
+
+type confirmWaiter struct {
+	confirm.Wait
+	verdict chan confirm.Verdict
+}
+
+// callKey names a kind of call to a replica.
+type callKey struct {
+	replica string
+	verify  bool
+}
+
+func newConfirmer(u *unit) *confirmer {
+	return &confirmer{u: u, busy: make(map[callKey]bool)}
+}
+
+// beginVerified returns the sequence number of a read that begins now and has
+// to be verified. The calls to the replicas start at once, while the read runs.
+func (c *confirmer) beginVerified() uint64 {
+	read := c.sequence.Add(1)
+	seen, _ := c.u.look()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if seen.known && seen.status.Role == backend.RolePrimary && c.checkLocked(seen.status.Term, confirm.Wait{NotBefore: read}) == confirm.Pending {
+		for _, p := range *c.peers {
+			c.startLocked(p, seen.status.Term, 0, true)
+		}
+	}
+	return read
+}
+
+// wait returns the verdict on a position of the primary at term. It returns
+// confirm.Pending if ctx ends first.
+func (c *confirmer) wait(ctx context.Context, term uint64, w confirm.Wait) confirm.Verdict {
+	c.mu.Lock()
+	if v := c.checkLocked(term, w); v != confirm.Pending {
+		c.mu.Unlock()
+		return v
+	}
+	cw := &confirmWaiter{Wait: w, verdict: make(chan confirm.Verdict, 1)}
+	c.waits = append(c.waits, cw)
+	c.callLocked()
+	c.mu.Unlock()
+	select {
+	case v := <-cw.verdict:
+		return v
+	case <-ctx.Done():
+	case <-c.u.ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, other := range c.waits {
+		if other == cw {
+			c.waits = append(c.waits[:i], c.waits[i+1:]...)
+			return confirm.Pending
+		}
+	}
+	return <-cw.verdict // settled at the same moment
+}
+
+func (c *confirmer) checkLocked(term uint64, w confirm.Wait) confirm.Verdict {
+	peers := c.u.peers.Load()
+	if c.tracker == nil || c.tracker.Term() < term || c.peers != peers && len(*c.peers) != len(*peers) {
+		for _, old := range c.waits {
+			old.verdict <- confirm.Lost
+		}
+		c.waits = nil
+		c.tracker = confirm.New(term, len(*peers)+1)
+	}
+	c.peers = peers
+	if term < c.tracker.Term() {
+		return confirm.Lost
+	}
+	return c.tracker.Check(w)
+}
+
+// callLocked starts the calls that the waits need and that are not running.
+func (c *confirmer) callLocked() {
+	if len(c.waits) == 0 {
+		return
+	}
+	var needs confirm.Needs
+	for _, w := range c.waits {
+		needs = c.tracker.Add(needs, w.Wait)
+	}
+	term := c.tracker.Term()
+	for _, p := range *c.peers {
+		if needs.Offset > 0 {
+			c.startLocked(p, term, needs.Offset, false)
+		}
+		if needs.Verify {
+			c.startLocked(p, term, 0, true)
+		}
+	}
+}
+
+func (c *confirmer) startLocked(p peer, term, offset uint64, verify bool) {
+	key := callKey{p.name, verify}
+	if c.busy[key] {
+		return
+	}
+	call := uint64(0)
+	if verify {
+		call = c.sequence.Add(1)
+	}
+	position := backend.Position{Term: term, Offset: offset}
+	c.busy[key] = c.u.spawn(func() {
+		s, ok := c.u.ask(c.u.ctx, p, position)
+		c.report(key, call, s, ok)
+	})
+}
+
+// report takes the result of a call and starts the next one if it is needed.
+func (c *confirmer) report(key callKey, call uint64, s backend.Status, ok bool) {
+	if !ok {
+		select {
+		case <-c.u.pool.cfg.Clock.After(confirmPause):
+		case <-c.u.ctx.Done():
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ok {
+		c.tracker.Report(key.replica, call, s)
+		kept := c.waits[:0]
+		for _, w := range c.waits {
+			if v := c.tracker.Check(w.Wait); v != confirm.Pending {
+				w.verdict <- v
+				continue
+			}
+			kept = append(kept, w)
+		}
+		clear(c.waits[len(kept):])
+		c.waits = kept
+	}
+	delete(c.busy, key)
+	if c.u.ctx.Err() == nil {
+		c.callLocked()
+	}
+}
+
+// ask returns the status of another database of the group once it reaches
+// position, or for offset 0 a status that was read after the call began. It
+// tries the owners in order. ok is false if none answered.
+func (u *unit) ask(ctx context.Context, p peer, position backend.Position) (s backend.Status, ok bool) {
+	req := &wire.ConfirmRequest{
+		Group: u.group, Database: p.name,
+		Position: wire.NewPosition(position), WaitMs: confirmWait.Milliseconds(),
+	}
+	timeout := confirmTimeout
+	if position.Offset > 0 {
+		timeout += confirmWait
+	}
+	for _, owner := range p.owners {
+		resp, err := u.askOwner(ctx, owner, req, timeout)
+		if err == nil && resp.GetFailure() == nil && resp.GetStatus().GetReachable() && resp.GetStatus().GetDatabase() == p.name {
+			return wire.StatusOf(resp.GetStatus()), true
+		}
+	}
+	return backend.Status{}, false
+}
+
+func (u *unit) askOwner(ctx context.Context, owner ownership.Instance, req *wire.ConfirmRequest, timeout time.Duration) (*wire.ConfirmResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if owner.Name == u.pool.cfg.Directory.Self().Name {
+		return u.pool.Confirm(ctx, req)
+	}
+	return u.pool.cfg.Clients.Pool(owner.Address).Confirm(ctx, req)
+}
--- /dev/null
+++ b/internal/pool/conns.go
@@ -0,0 +1,264 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/result"
+)
+
+// idleLifetime is how long a connection beyond the warm ones stays open unused.
+const idleLifetime = 30 * time.Second
+
+// openTimeout bounds opening a connection.
+const openTimeout = 2 * time.Second
+
+// sqlStateTooMany is what a server answers when its connections are used up.
+const sqlStateTooMany = "53300"
+
+// connSet holds the work connections of a unit. Opening happens in the worker
+// pool; a waiting request takes whichever comes first, a new connection or one
+// that another request returned.
+type connSet struct {
+	u     *unit
+	limit int
+
+	mu      sync.Mutex
+	idle    []idleConn // most recently used last
+	total   int        // idle, in use and opening
+	opening int
+	pinned  int // held by open transactions
+	waiters []chan opened
+	ended   bool
+
+	unpinned chan struct{} // closed when a transaction ends
+}
+
+type idleConn struct {
+	conn  backend.Conn
+	since time.Time
+}
+
+type opened struct {
+	conn backend.Conn
+	err  error
+}
+
+// errNoConnection means that all connections are in use by open transactions.
+var errNoConnection = errors.New("all connections are in use")
+
+func newConnSet(u *unit, limit int) *connSet {
+	return &connSet{u: u, limit: limit, unpinned: make(chan struct{})}
+}
+
+// take returns a connection that is idle, or waits for one to be opened or
+// returned. It fails with errNoConnection when open transactions hold all
+// connections that the request may use.
+func (s *connSet) take(ctx context.Context, forTransaction bool) (backend.Conn, error) {
+	for {
+		s.mu.Lock()
+		if s.ended {
+			s.mu.Unlock()
+			return nil, result.Errorf(result.NotOwner, "database %s was given up", s.u.db.Name)
+		}
+		if s.pinned >= s.usable(forTransaction) {
+			s.mu.Unlock()
+			return nil, errNoConnection
+		}
+		if n := len(s.idle); n > 0 {
+			c := s.idle[n-1].conn
+			s.idle = s.idle[:n-1]
+			s.mu.Unlock()
+			if !c.Broken() {
+				return c, nil
+			}
+			s.discard(c)
+			continue
+		}
+		w := make(chan opened, 1)
+		s.waiters = append(s.waiters, w)
+		s.openLocked(len(s.waiters))
+		s.mu.Unlock()
+		return s.wait(ctx, w)
+	}
+}
+
+// usable returns how many connections may be pinned before a request gets none.
+// Transactions leave one connection to single statements, so that transactions
+// that wait for their callers do not stop urgent work.
+func (s *connSet) usable(forTransaction bool) int {
+	if forTransaction && s.limit > 1 {
+		return s.limit - 1
+	}
+	return s.limit
+}
+
+func (s *connSet) wait(ctx context.Context, w chan opened) (backend.Conn, error) {
+	select {
+	case o := <-w:
+		return o.conn, o.err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	if i := slices.Index(s.waiters, w); i >= 0 {
+		s.waiters = slices.Delete(s.waiters, i, i+1)
+		s.mu.Unlock()
+		return nil, result.Errorf(result.ConnectionsBusy, "no connection to %s became free: %w", s.u.db.Name, ctx.Err())
+	}
+	s.mu.Unlock()
+	// The connection was handed over at the same moment.
+	if o := <-w; o.err == nil {
+		s.put(o.conn)
+	}
+	return nil, result.Errorf(result.ConnectionsBusy, "no connection to %s became free: %w", s.u.db.Name, ctx.Err())
+}
+
+// put returns a connection for another request.
+func (s *connSet) put(c backend.Conn) {
+	if c.Broken() {
+		s.discard(c)
+		return
+	}
+	s.mu.Lock()
+	if s.ended || (s.u.retired.Load() && len(s.waiters) == 0) {
+		s.mu.Unlock()
+		s.discard(c)
+		return
+	}
+	if !s.giveLocked(opened{conn: c}) {
+		s.idle = append(s.idle, idleConn{c, s.u.pool.cfg.Clock.Now()})
+	}
+	s.mu.Unlock()
+}
+
+func (s *connSet) giveLocked(o opened) bool {
+	if len(s.waiters) == 0 {
+		return false
+	}
+	w := s.waiters[0]
+	s.waiters = slices.Delete(s.waiters, 0, 1)
+	w <- o
+	return true
+}
+
+// discard closes a connection that must not be used again.
+func (s *connSet) discard(c backend.Conn) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total--
+	s.openLocked(len(s.waiters))
+}
+
+// openLocked starts opening connections until want are being opened.
+func (s *connSet) openLocked(want int) {
+	for s.opening < want && s.total < s.limit && !s.ended {
+		s.opening++
+		s.total++
+		if _, ok := s.u.pool.workers.TrySubmit(s.open); !ok {
+			s.opening--
+			s.total--
+			return
+		}
+	}
+}
+
+func (s *connSet) open() {
+	ctx, cancel := context.WithTimeout(s.u.ctx, openTimeout)
+	defer cancel()
+	c, err := s.u.backend.Connect(ctx)
+	s.mu.Lock()
+	s.opening--
+	if err != nil {
+		s.total--
+		s.giveLocked(opened{err: s.openError(err)})
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	s.put(c)
+}
+
+func (s *connSet) openError(err error) error {
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) && pg.Code == sqlStateTooMany {
+		return result.Errorf(result.ConnectionsBusy, "database %s accepts no more connections: %w", s.u.db.Name, err)
+	}
+	return result.Errorf(result.DatabaseDown, "%w", err)
+}
+
+// pin counts a connection that an open transaction holds. When all are pinned,
+// the waiting requests give their turn back: the transactions need it to end.
+func (s *connSet) pin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pinned++
+	for s.pinned >= s.limit && s.giveLocked(opened{err: errNoConnection}) {
+		continue
+	}
+}
+
+// unpin ends what pin began.
+func (s *connSet) unpin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pinned--
+	close(s.unpinned)
+	s.unpinned = make(chan struct{})
+}
+
+// nextUnpin returns a channel that is closed when a transaction ends. It must
+// be asked for before take.
+func (s *connSet) nextUnpin() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unpinned
+}
+
+// maintain opens warm connections and closes those that were idle for long.
+func (s *connSet) maintain(now time.Time, warm int) {
+	var drop []backend.Conn
+	s.mu.Lock()
+	for len(s.idle) > warm && now.Sub(s.idle[0].since) > idleLifetime {
+		drop = append(drop, s.idle[0].conn)
+		s.idle = slices.Delete(s.idle, 0, 1)
+		s.total--
+	}
+	if missing := min(warm, s.limit) - s.total; missing > 0 {
+		s.openLocked(s.opening + missing)
+	}
+	s.mu.Unlock()
+	for _, c := range drop {
+		c.Close()
+	}
+}
+
+// dropIdle closes idle connections, because the server is not reachable and
+// would fail the request that uses them next.
+func (s *connSet) dropIdle() {
+	s.mu.Lock()
+	idle := s.idle
+	s.idle = nil
+	s.total -= len(idle)
+	s.mu.Unlock()
+	for _, c := range idle {
+		c.conn.Close()
+	}
+}
+
+// close ends the set. Connections in use are closed when they are returned.
+func (s *connSet) close() {
+	s.mu.Lock()
+	s.ended = true
+	for s.giveLocked(opened{err: result.Errorf(result.NotOwner, "database %s was given up", s.u.db.Name)}) {
+		continue
+	}
+	s.mu.Unlock()
+	s.dropIdle()
+}
--- /dev/null
+++ b/internal/pool/inflight.go
@@ -0,0 +1,41 @@
+package pool
+
+import "sync"
+
+// inFlight counts requests and open transactions, so that a drain can wait for
+// the last one.
+type inFlight struct {
+	mu   sync.Mutex
+	n    int
+	zero chan struct{} // closed while n is 0
+}
+
+func (f *inFlight) init() {
+	f.zero = make(chan struct{})
+	close(f.zero)
+}
+
+func (f *inFlight) add() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.n == 0 {
+		f.zero = make(chan struct{})
+	}
+	f.n++
+}
+
+func (f *inFlight) done() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n--
+	if f.n == 0 {
+		close(f.zero)
+	}
+}
+
+// idle returns a channel that is closed when nothing is in flight.
+func (f *inFlight) idle() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.zero
+}
--- /dev/null
+++ b/internal/pool/keys.go
@@ -0,0 +1,268 @@
+package pool
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/outcome"
+	"geraniumbeam/internal/result"
+)
+
+// maxKey bounds a request key in bytes.
+const maxKey = 255
+
+// keysTable holds the request keys of a group. The answer is base64, which every
+// server accepts as a plain literal, and empty until the work is done.
+const keysTable = "geraniumbeam_requests"
+
+const createKeysTable = "CREATE TABLE IF NOT EXISTS " + keysTable +
+	" (key text PRIMARY KEY, class text NOT NULL, created bigint NOT NULL, answer text NOT NULL); "
+
+func errKeyInTransaction() error {
+	return result.Errorf(result.NotSupported, "a request key needs a batch that is a transaction of its own")
+}
+
+func (e *execution) keyed() bool {
+	return e.req.GetRequestKey() != "" && !e.pool().cfg.Settings.Unsafe.NoRequestKeys
+}
+
+func (e *execution) checkKey() error {
+	key := e.req.GetRequestKey()
+	switch {
+	case !e.keyed():
+		return nil
+	case e.req.GetTransactionId() != "":
+		return errKeyInTransaction()
+	case !e.req.GetWantPrimary():
+		return result.Errorf(result.NotSupported, "a request key needs the primary")
+	case len(key) > maxKey || strings.ContainsRune(key, 0):
+		return result.Errorf(result.BadParameter, "the request key has %d bytes: want at most %d and no zero byte", len(key), maxKey)
+	}
+	return nil
+}
+
+// runKeyed runs the batch and its key in one transaction: it inserts the key,
+// runs the batch, stores the answer and commits. A key that exists already
+// yields the stored answer instead. An insert waits for a concurrent
+// transaction with the same key, so two of them cannot both run.
+func (e *execution) runKeyed(ctx context.Context, conn backend.Conn) error {
+	k := &keyedRun{e: e, conn: conn}
+	a, err := k.run(ctx)
+	e.release(e.service)
+	if conn.Broken() || k.open || e.u.wasCancelled(&e.running) {
+		e.u.conns.discard(conn)
+	} else {
+		e.u.conns.put(conn)
+	}
+	if err != nil {
+		return err
+	}
+	return e.finishPrimary(ctx, a, nil)
+}
+
+// keyedRun is the sequence of batches of a request with a key.
+type keyedRun struct {
+	e    *execution
+	conn backend.Conn
+	open bool // the transaction may be open
+}
+
+func (k *keyedRun) run(ctx context.Context) (backend.Answer, error) {
+	first, err := k.begin(ctx)
+	if err != nil {
+		return first, err
+	}
+	inserted, class, stored, err := readKey(first.Messages)
+	if err != nil {
+		return first, k.refuse(ctx, err)
+	}
+	if !inserted {
+		return k.replay(ctx, class, stored)
+	}
+	a, err := k.e.run(ctx, k.conn, k.e.batch(), true)
+	if err != nil {
+		if !k.conn.Broken() && a.TransactionStatus != statusIdle {
+			return a, k.refuse(ctx, err) // the answer is too large to be stored
+		}
+		return a, err
+	}
+	return k.finish(ctx, first, a)
+}
+
+// begin opens the transaction and inserts the key. The table is created if this
+// unit has not used it at the primary's term: a new primary may lack it.
+func (k *keyedRun) begin(ctx context.Context) (backend.Answer, error) {
+	seen, _ := k.e.u.look()
+	create := ""
+	if k.e.u.keyed.Load() != seen.status.Term {
+		create = createKeysTable
+	}
+	key := quote(k.e.req.GetRequestKey())
+	sql := "BEGIN; " + create + fmt.Sprintf(
+		"INSERT INTO %s (key, class, created, answer) VALUES (%s, %s, %d, '') ON CONFLICT (key) DO NOTHING; "+
+			"SELECT class, answer FROM %s WHERE key = %s",
+		keysTable, key, quote(k.className()), k.e.now().UnixMilli(), keysTable, key)
+	k.open = true
+	a, err := k.step(ctx, sql)
+	if err != nil {
+		k.e.outcome.Finish(outcome.NoEffect) // COMMIT was not sent
+		return a, err
+	}
+	if a.Before.Role != backend.RolePrimary || a.SQLState == sqlStateReadOnly {
+		return a, k.refuse(ctx, result.Errorf(result.NotPrimary, "database %s is %s at term %d", k.e.u.db.Name, a.Before.Role, a.Before.Term))
+	}
+	if a.SQLState != "" {
+		k.e.u.keyed.Store(0)
+		return a, k.refuse(ctx, keyError(a.SQLState))
+	}
+	k.e.u.keyed.Store(a.Before.Term)
+	return a, nil
+}
+
+func (k *keyedRun) className() string { return k.e.req.GetService() + "." + k.e.req.GetClass() }
+
+// keyError explains why a key could not be inserted.
+func keyError(sqlState string) error {
+	switch sqlState {
+	case "55P03", "40001", "40P01", "57014", "23505":
+		return result.Errorf(result.KeyInUse, "a request with the same key is running (SQLSTATE %s)", sqlState)
+	}
+	return result.Errorf(result.Internal, "the request key could not be stored (SQLSTATE %s)", sqlState)
+}
+
+// replay ends the transaction, which changed nothing, and returns the stored
+// answer with the position that has to be confirmed before it is given.
+func (k *keyedRun) replay(ctx context.Context, class, stored string) (backend.Answer, error) {
+	if class != k.className() {
+		return backend.Answer{}, k.refuse(ctx, result.Errorf(result.KeyReused, "the request key was used by class %s", class))
+	}
+	if stored == "" {
+		return backend.Answer{}, k.refuse(ctx, result.Errorf(result.OutcomeUnknown, "the request ran before, its answer was not stored"))
+	}
+	messages, err := base64.StdEncoding.DecodeString(stored)
+	if err != nil {
+		return backend.Answer{}, k.refuse(ctx, result.Errorf(result.OutcomeUnknown, "the request ran before, its answer is damaged: %w", err))
+	}
+	a, err := k.step(ctx, "ROLLBACK")
+	if err != nil {
+		return a, err
+	}
+	k.open = a.TransactionStatus != statusIdle
+	k.e.resp.Replayed = true
+	a.Messages, a.SQLState = messages, ""
+	return a, nil
+}
+
+// finish stores the answer and commits, or rolls back what failed.
+func (k *keyedRun) finish(ctx context.Context, first, a backend.Answer) (backend.Answer, error) {
+	switch {
+	case a.TransactionStatus == statusIdle:
+		// The batch ended the transaction itself, with the key in it.
+		k.open = false
+		a.Before = first.Before
+		return a, nil
+	case a.SQLState != "":
+		end, err := k.step(ctx, "ROLLBACK")
+		if err != nil {
+			return end, err
+		}
+		k.open = end.TransactionStatus != statusIdle
+		a.After, a.TransactionStatus = end.After, statusIdle
+		setIdle(a.Messages)
+		return a, nil
+	case beganInside(a.Messages):
+		return a, k.refuse(ctx, errKeyInTransaction())
+	}
+	setIdle(a.Messages)
+	key := quote(k.e.req.GetRequestKey())
+	end, err := k.step(ctx, fmt.Sprintf("UPDATE %s SET answer = '%s' WHERE key = %s; COMMIT",
+		keysTable, base64.StdEncoding.EncodeToString(a.Messages), key))
+	if err != nil {
+		return end, err
+	}
+	k.open = end.TransactionStatus != statusIdle
+	if end.Tag != "COMMIT" || end.SQLState != "" {
+		return end, k.refuse(ctx, result.Errorf(result.RolledBack, "the commit failed with %s (SQLSTATE %s)", end.Tag, end.SQLState))
+	}
+	a.Before, a.After, a.TransactionStatus = first.Before, end.After, statusIdle
+	return a, nil
+}
+
+// refuse rolls the transaction back and returns cause. Nothing took effect
+// unless the rollback fails.
+func (k *keyedRun) refuse(ctx context.Context, cause error) error {
+	a, err := k.step(ctx, "ROLLBACK")
+	if err != nil {
+		return err
+	}
+	k.open = a.TransactionStatus != statusIdle
+	if !k.open && !result.Is(cause, result.OutcomeUnknown) {
+		k.e.outcome.Finish(outcome.NoEffect)
+	}
+	return cause
+}
+
+// step runs a simple query of the proxy's own.
+func (k *keyedRun) step(ctx context.Context, sql string) (backend.Answer, error) {
+	return k.e.run(ctx, k.conn, backend.Batch{Messages: simpleQuery(sql)}, true)
+}
+
+// readKey returns whether the key was inserted now, and otherwise what is
+// stored under it.
+func readKey(messages []byte) (inserted bool, class, answer string, err error) {
+	found := false
+	for kind, body := range frames(messages) {
+		switch kind {
+		case 'C':
+			inserted = inserted || strings.TrimRight(string(body), "\x00") == "INSERT 0 1"
+		case 'D':
+			var row pgproto3.DataRow
+			if err := row.Decode(body); err != nil || len(row.Values) != 2 {
+				return false, "", "", result.Errorf(result.Internal, "the stored request key cannot be read")
+			}
+			class, answer, found = string(row.Values[0]), string(row.Values[1]), true
+		}
+	}
+	if !found {
+		return false, "", "", result.Errorf(result.KeyInUse, "a request with the same key is running")
+	}
+	return inserted, class, answer, nil
+}
+
+// beganInside reports whether the batch opened a transaction of its own within
+// the one that holds the key.
+func beganInside(messages []byte) bool {
+	for tag := range tags(messages) {
+		if s := string(tag); s == "BEGIN" || s == "START TRANSACTION" {
+			return true
+		}
+	}
+	return false
+}
+
+// setIdle makes the answer's ReadyForQuery say that no transaction is open.
+func setIdle(messages []byte) {
+	if n := len(messages); n >= 6 && messages[n-6] == 'Z' {
+		messages[n-1] = statusIdle
+	}
+}
+
+func simpleQuery(sql string) []byte {
+	b := make([]byte, 0, len(sql)+6)
+	b = append(b, 'Q')
+	b = binary.BigEndian.AppendUint32(b, uint32(len(sql)+5))
+	b = append(b, sql...)
+	return append(b, 0)
+}
+
+// quote returns s as an SQL literal.
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+func bigint(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/internal/pool/replica.go
@@ -0,0 +1,186 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/events"
+	"geraniumbeam/internal/outcome"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/wire"
+)
+
+// sqlStateReadOnly is what a replica answers to a write.
+const sqlStateReadOnly = "25006"
+
+// finishReplica judges the answer of a database that was no primary before and
+// after the batch, so that nothing took effect.
+func (e *execution) finishReplica(a backend.Answer, failure error) error {
+	e.outcome.Finish(outcome.NoEffect)
+	switch {
+	case failure != nil:
+		return failure
+	case a.Before.Role != backend.RoleReplica:
+		return result.Errorf(result.DatabaseDown, "database %s is %s and follows no primary", e.u.db.Name, a.Before.Role)
+	case a.SQLState == sqlStateReadOnly:
+		return result.Errorf(result.NotPrimary, "database %s is a replica and refused a write", e.u.db.Name)
+	}
+	if err := e.checkFloor(a.Before); err != nil {
+		return err
+	}
+	if e.req.GetBound() == wire.ReadBound_READ_BOUND_AGE && !e.u.ages.prove(e.began, e.now(), e.maxAge(), a.Before) {
+		if !e.req.GetMarkStale() {
+			return result.Errorf(result.TooOld, "the data on %s cannot be proved to be at most %v old", e.u.db.Name, e.maxAge())
+		}
+		e.resp.Stale = true
+		e.pool().record(events.Event{
+			Kind: events.KindStaleRead, Request: e.req.GetRequestId(), Group: e.u.group, Database: e.u.db.Name,
+			Class: e.req.GetClass(), Code: result.StaleAnswer, Text: "answered without proof of age",
+		})
+	}
+	e.answer(a, false)
+	return nil
+}
+
+const (
+	// maxSamples bounds the position history; with the shortest period it
+	// covers 12.8 s, and an older age is proved with the oldest sample.
+	maxSamples = 512
+	// samplesPerAge is how many samples fall into the shortest max_age asked
+	// for. The proof is stricter than max_age by up to one period.
+	samplesPerAge = 8
+	// ageInterest is how long sampling continues after the last read that
+	// needed it.
+	ageInterest = 10 * time.Second
+	// proofMajority is the largest group in which a primary and one replica
+	// at the same term are a majority.
+	proofMajority = 3
+)
+
+// Bounds of the sampling period.
+const (
+	minSamplePeriod = 25 * time.Millisecond
+	maxSamplePeriod = 500 * time.Millisecond
+)
+
+// sample is a position of the primary that was read after begin.
+type sample struct {
+	begin    time.Time
+	term     uint64
+	position backend.Position
+}
+
+// history holds positions that the group's primary was seen to reach, for a
+// unit that is a replica. It samples only while reads ask for an age.
+type history struct {
+	u *unit
+
+	mu       sync.Mutex
+	samples  []sample // by begin
+	interest time.Time
+	shortest time.Duration
+	polling  bool
+	first    chan struct{} // closed after the first sample of a polling period
+}
+
+func newHistory(u *unit) *history { return &history{u: u} }
+
+// prepare makes sure that the primary's position is sampled. The first read
+// after a pause waits for a sample.
+func (h *history) prepare(ctx context.Context, maxAge time.Duration) {
+	now := h.u.pool.cfg.Clock.Now()
+	h.mu.Lock()
+	h.interest = now
+	if !h.polling {
+		h.shortest = maxAge
+		h.first = make(chan struct{})
+		h.polling = h.u.spawn(h.poll)
+	}
+	h.shortest = min(h.shortest, maxAge)
+	first, polling := h.first, h.polling
+	h.mu.Unlock()
+	if !polling {
+		return
+	}
+	select {
+	case <-first:
+	case <-ctx.Done():
+	}
+}
+
+func (h *history) poll() {
+	first := true
+	for {
+		h.sample()
+		h.mu.Lock()
+		if first {
+			close(h.first)
+			first = false
+		}
+		now := h.u.pool.cfg.Clock.Now()
+		if now.Sub(h.interest) > ageInterest || h.u.ctx.Err() != nil {
+			h.polling = false
+			h.mu.Unlock()
+			return
+		}
+		period := min(max(h.shortest/samplesPerAge, minSamplePeriod), maxSamplePeriod)
+		h.mu.Unlock()
+		select {
+		case <-h.u.pool.cfg.Clock.After(period):
+		case <-h.u.ctx.Done():
+		}
+	}
+}
+
+// sample reads the primary's position through its owner.
+func (h *history) sample() {
+	g, ok := h.u.pool.cfg.Directory.Group(h.u.group)
+	if !ok {
+		return
+	}
+	for _, p := range *h.u.peers.Load() {
+		if p.name != g.Primary {
+			continue
+		}
+		begin := h.u.pool.cfg.Clock.Now()
+		s, ok := h.u.ask(h.u.ctx, p, backend.Position{})
+		if ok && s.Role == backend.RolePrimary {
+			h.add(sample{begin: begin, term: s.Term, position: s.Last})
+		}
+	}
+}
+
+func (h *history) add(s sample) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.samples) == maxSamples {
+		h.samples = slices.Delete(h.samples, 0, maxSamples/4)
+	}
+	h.samples = append(h.samples, s)
+}
+
+// prove reports whether data read from a replica with the given status is at
+// most maxAge old at now. It holds if the replica has a position that the
+// primary reported to a call that began within maxAge. The call must have
+// begun before the read did: then both databases were at one term after the
+// call began, so no primary of a higher term had acknowledged anything before.
+func (h *history) prove(read, now time.Time, maxAge time.Duration, s backend.Status) bool {
+	if len(*h.u.peers.Load())+1 > proofMajority {
+		return false
+	}
+	oldest := now.Add(-maxAge)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.samples {
+		if p.begin.Before(oldest) || p.begin.After(read) {
+			continue
+		}
+		if p.term == s.Term && s.Last.Compare(p.position) >= 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/pool/rpc.go
@@ -0,0 +1,133 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"geraniumbeam/internal/events"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/wire"
+)
+
+// Confirm implements wire.Pool. With an offset it answers as soon as the
+// database was seen at the position, or at a higher term, or after the wait.
+// With offset 0 the status was read after the request arrived.
+func (p *Pool) Confirm(ctx context.Context, req *wire.ConfirmRequest) (*wire.ConfirmResponse, error) {
+	u := p.unit(req.GetDatabase())
+	if u == nil {
+		err := result.Errorf(result.NotOwner, "database %s is not owned by this instance", req.GetDatabase())
+		return &wire.ConfirmResponse{Failure: wire.NewFailure(err)}, nil
+	}
+	if req.GetPosition().GetOffset() == 0 {
+		return u.confirmNow(ctx), nil
+	}
+	wait := min(max(req.GetWaitMs(), 0), maxConfirmWait.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	position := wire.PositionOf(req.GetPosition())
+	for {
+		seen, changed := u.look()
+		reached := seen.known && (seen.status.Term > position.Term ||
+			seen.status.Last.Term == position.Term && seen.status.Last.Offset >= position.Offset)
+		if !reached {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+			}
+		}
+		if !seen.known {
+			err := result.Errorf(result.DatabaseDown, "database %s does not answer", u.db.Name)
+			return &wire.ConfirmResponse{Failure: wire.NewFailure(err)}, nil
+		}
+		return &wire.ConfirmResponse{Status: wire.NewStatus(u.db.Name, seen.status)}, nil
+	}
+}
+
+// maxConfirmWait bounds the wait that another instance may ask for.
+const maxConfirmWait = 10 * time.Second
+
+func (u *unit) confirmNow(ctx context.Context) *wire.ConfirmResponse {
+	s, err := u.prober.status(ctx)
+	if err != nil {
+		err = result.Errorf(result.DatabaseDown, "status of %s: %w", u.db.Name, err)
+		return &wire.ConfirmResponse{Failure: wire.NewFailure(err)}
+	}
+	return &wire.ConfirmResponse{Status: wire.NewStatus(u.db.Name, s)}
+}
+
+// GroupStatus implements wire.Pool.
+func (p *Pool) GroupStatus(_ context.Context, req *wire.GroupStatusRequest) (*wire.GroupStatusResponse, error) {
+	return &wire.GroupStatusResponse{Databases: p.Statuses(req.GetGroup()), Hint: p.hint(req.GetGroup())}, nil
+}
+
+// Statuses returns what is known of the owned databases of a group. An empty
+// group means all groups.
+func (p *Pool) Statuses(group string) []*wire.DatabaseStatus {
+	var out []*wire.DatabaseStatus
+	for _, u := range p.owned() {
+		if group != "" && u.group != group {
+			continue
+		}
+		seen, _ := u.look()
+		s := wire.NewStatus(u.db.Name, seen.status)
+		s.Reachable = seen.known
+		s.Leaving = s.Leaving || u.leaving.Load()
+		out = append(out, s)
+	}
+	return out
+}
+
+// Vote implements wire.Pool.
+func (p *Pool) Vote(ctx context.Context, req *wire.VoteRequest) (*wire.VoteResponse, error) {
+	if v := p.voter.Load(); v != nil {
+		return (*v).Vote(ctx, req)
+	}
+	return &wire.VoteResponse{Databases: p.Statuses(req.GetGroup())}, nil
+}
+
+// Cancel implements wire.Pool. A request that waits is refused as not run. A
+// request that runs is cancelled at the database, whose answer goes to the
+// caller.
+func (p *Pool) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelResponse, error) {
+	for _, u := range p.owned() {
+		u.cancelRequest(ctx, req.GetRequestId())
+	}
+	return &wire.CancelResponse{}, nil
+}
+
+// EndTransaction implements wire.Pool.
+func (p *Pool) EndTransaction(_ context.Context, req *wire.EndTransactionRequest) (*wire.EndTransactionResponse, error) {
+	p.transactions.end(req.GetTransactionId())
+	return &wire.EndTransactionResponse{}, nil
+}
+
+// KeepAlive implements wire.Pool.
+func (p *Pool) KeepAlive(_ context.Context, req *wire.KeepAliveRequest) (*wire.KeepAliveResponse, error) {
+	unknown := p.transactions.keepAlive(req.GetEntryInstance(), req.GetTransactionIds(), p.cfg.Clock.Now())
+	return &wire.KeepAliveResponse{UnknownIds: unknown}, nil
+}
+
+// Drain refuses new work and waits until requests and open transactions are
+// done. When ctx ends first, the transactions that are left are rolled back and
+// the context's error is returned.
+func (p *Pool) Drain(ctx context.Context) error {
+	if !p.draining.Swap(true) {
+		p.record(events.Event{Kind: events.KindDrain, Text: "the pool takes no new work"})
+	}
+	select {
+	case <-p.inFlight.idle():
+		return nil
+	case <-ctx.Done():
+		p.transactions.closeAll()
+		return ctx.Err()
+	}
+}
+
+func (p *Pool) hint(group string) *wire.GroupHint {
+	g, ok := p.cfg.Directory.Group(group)
+	if !ok {
+		return nil
+	}
+	return &wire.GroupHint{Group: group, Term: g.Term, Primary: g.Primary}
+}
