Add configuration distribution and a first membership

Instances need the configuration within 3 s without a platform call each.

Digests show what a push missed; a peer that is ahead is asked for versions above the own highest, and only a difference that stays compares all versions. The directory keeps its digest as it applies, decodes only the changed object instead of all of them, and keeps the owners it computed until the live list changes. Membership takes the platform's list for now.

--- /dev/null
+++ b/internal/confsync/relay.go
@@ -0,0 +1,134 @@
+package confsync
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"geraniumbeam/internal/ownership"
+)
+
+// Relays is the number of relays per data centre.
+const Relays = 2
+
+// Timing of platform calls. The longest pause between attempts spreads the
+// calls of all relays after an outage.
+const (
+	watchWait    = 25 * time.Second
+	firstPause   = 100 * time.Millisecond
+	longestPause = 5 * time.Second
+)
+
+// relayKey is the rendezvous key of a data centre's relays.
+func relayKey(dataCentre string) string { return "confsync/" + dataCentre }
+
+// RelayRank returns the rank of self among the relays of its data centre, or
+// -1 if it is none of them.
+func RelayRank(self ownership.Instance, live []ownership.Instance) int {
+	var local []ownership.Instance
+	for _, in := range live {
+		if in.DataCentre == self.DataCentre {
+			local = append(local, in)
+		}
+	}
+	rank := slices.IndexFunc(ownership.Order(relayKey(self.DataCentre), local),
+		func(in ownership.Instance) bool { return in.Name == self.Name })
+	if rank >= Relays {
+		return -1
+	}
+	return rank
+}
+
+// runRelay watches the platform while this instance is a relay.
+func (s *Sync) runRelay(ctx context.Context) {
+	var stop func()
+	defer func() {
+		if stop != nil {
+			stop()
+		}
+	}()
+	for {
+		changed := s.cfg.Directory.Changed()
+		rank := RelayRank(s.self, s.cfg.Directory.Live())
+		s.mu.Lock()
+		was := s.relay
+		s.relay = rank
+		s.mu.Unlock()
+		if was != rank {
+			s.log.Info().Int("rank", rank).Msg("relay rank changed")
+		}
+		switch {
+		case rank >= 0 && stop == nil:
+			stop = s.watch(ctx)
+		case rank < 0 && stop != nil:
+			stop()
+			stop = nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// watch starts a watch per kind. The returned function stops them and waits.
+func (s *Sync) watch(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for _, kind := range Kinds {
+		wg.Go(func() { s.watchKind(ctx, kind) })
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// watchKind starts at version 0: the highest version held does not tell that
+// everything below it was received.
+func (s *Sync) watchKind(ctx context.Context, kind string) {
+	pause := newPause()
+	var after uint64
+	for ctx.Err() == nil {
+		began := s.clock.Now()
+		objects, version, err := s.cfg.Platform.Watch(ctx, kind, after, watchWait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.vars.Add("watch_failed", 1)
+			s.log.Debug().Err(err).Str("kind", kind).Msg("watch failed")
+			s.sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		s.take(ctx, objects, "platform")
+		after = max(after, version)
+		for _, o := range objects {
+			after = max(after, o.Version)
+		}
+		if len(objects) == 0 && s.clock.Now().Sub(began) < firstPause {
+			// A platform that does not wait must not be called in a loop.
+			s.sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+	}
+}
+
+func newPause() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstPause, longestPause
+	b.Reset()
+	return b
+}
+
+func (s *Sync) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-s.clock.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/confsync/sync_test.go
@@ -0,0 +1,337 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"geraniumbeam/internal/directory"
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/platform"
+	"geraniumbeam/internal/result"
+	standin "geraniumbeam/internal/standin/platform"
+	"geraniumbeam/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// gate is a platform.API that can be cut off.
+type gate struct {
+	platform.API
+	closed atomic.Bool
+	calls  atomic.Int64
+}
+
+func (g *gate) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+	g.calls.Add(1)
+	if g.closed.Load() {
+		return nil, 0, result.Errorf(result.PlatformDown, "cut off")
+	}
+	return g.API.Watch(ctx, kind, after, wait)
+}
+
+// peer serves a Sync; refuse makes it fail pushes.
+type peer struct {
+	*Sync
+	refuse atomic.Bool
+}
+
+func (p *peer) PushObjects(ctx context.Context, r *wire.PushObjectsRequest) (*wire.PushObjectsResponse, error) {
+	if p.refuse.Load() {
+		return nil, result.Errorf(result.Internal, "refused")
+	}
+	return p.Sync.PushObjects(ctx, r)
+}
+
+func (p *peer) Gossip(context.Context, *wire.GossipRequest) (*wire.GossipResponse, error) {
+	return &wire.GossipResponse{}, nil
+}
+
+type fleet struct {
+	t        *testing.T
+	ctx      context.Context
+	standin  *standin.Server
+	platform platform.API
+	peers    []*peer
+	gates    []*gate
+	live     []ownership.Instance
+}
+
+// newFleet starts n instances, spread over the data centres, that all see each
+// other.
+func newFleet(t *testing.T, n int, dataCentres ...string) *fleet {
+	f := &fleet{t: t}
+	s, err := standin.New(standin.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.standin = s
+	l := listen(t)
+	go func() { _ = s.Serve(l) }()
+	client := platform.NewClient("http://"+l.Addr().String(), platform.Options{Rate: 1e6, Burst: 1e6})
+	f.platform = client
+	ctx, cancel := context.WithCancel(context.Background())
+	f.ctx = ctx
+	clients := wire.NewClients(nil)
+	listeners := make([]net.Listener, n)
+	for i := range n {
+		listeners[i] = listen(t)
+		f.live = append(f.live, ownership.Instance{
+			Name: fmt.Sprintf("i%02d", i), Address: listeners[i].Addr().String(),
+			DataCentre: dataCentres[i%len(dataCentres)],
+		})
+	}
+	var wg sync.WaitGroup
+	var servers []*wire.Server
+	for i := range n {
+		g := &gate{API: client}
+		d := directory.New(f.live[i])
+		d.SetLive(f.live, false)
+		p := &peer{Sync: New(Config{Directory: d, Clients: clients, Platform: g, Log: zerolog.Nop(), Seed: uint64(i)})}
+		f.peers, f.gates = append(f.peers, p), append(f.gates, g)
+		srv := wire.NewServer(nil, p, nil)
+		servers = append(servers, srv)
+		wg.Go(func() { _ = srv.Serve(listeners[i]) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		clients.Close()
+		for _, srv := range servers {
+			_ = srv.Close()
+		}
+		wg.Wait()
+		client.Close()
+		s.Close()
+	})
+	for _, p := range f.peers {
+		wg.Go(func() { _ = p.Run(ctx) })
+	}
+	return f
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// gossip lets every instance see the digest of the next one and back.
+func (f *fleet) gossip() {
+	for i, p := range f.peers {
+		j := (i + 1) % len(f.peers)
+		d, v := f.peers[j].cfg.Directory.Digest()
+		p.Observe(f.live[j], d, v)
+		d, v = p.cfg.Directory.Digest()
+		f.peers[j].Observe(f.live[i], d, v)
+	}
+}
+
+func (f *fleet) eventually(what string, cond func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within 30 s: %s", what)
+		}
+	}
+}
+
+// everywhere waits until all instances hold the version.
+func (f *fleet) everywhere(version uint64, between func()) {
+	f.t.Helper()
+	f.eventually(fmt.Sprintf("version %d everywhere", version), func() bool {
+		between()
+		for _, p := range f.peers {
+			if p.cfg.Directory.Version() < version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *fleet) relays() []int {
+	var out []int
+	for i, p := range f.peers {
+		if RelayRank(p.self, f.live) >= 0 {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (f *fleet) watching() {
+	f.eventually("relays watch", func() bool {
+		for _, i := range f.relays() {
+			if f.gates[i].calls.Load() < int64(3*len(Kinds)) { // start, first watch, waiting watch
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func service(name string) []byte {
+	return fmt.Appendf(nil, `{"name":%q,"groups":["g"]}`, name)
+}
+
+// Guards against instances that miss a change, and against platform calls that
+// grow with the number of instances.
+func TestPushReachesAllInstances(t *testing.T) {
+	f := newFleet(t, 24, "a", "b")
+	f.standin.PutObject(platform.KindService, "s", service("s"))
+	f.watching()
+	before := f.standin.Counts().Total()
+	for i := range 10 {
+		o := f.standin.PutObject(platform.KindService, "s", fmt.Appendf(nil, `{"name":"s","groups":["g%d"]}`, i))
+		f.everywhere(o.Version, func() {})
+	}
+	calls := f.standin.Counts().Total() - before
+	if want := int64(10 * 2 * Relays); calls > want {
+		t.Fatalf("10 changes cost %d platform calls, want at most %d", calls, want)
+	}
+}
+
+// Guards against a change that is lost with a failed push: digests must show
+// and repair it, in the own data centre and in one that cannot reach the
+// platform.
+func TestDigestsRepair(t *testing.T) {
+	f := newFleet(t, 12, "a", "b")
+	f.watching()
+	for i, p := range f.peers {
+		f.gates[i].closed.Store(f.live[i].DataCentre == "b")
+		p.refuse.Store(i%3 == 0)
+	}
+	o := f.standin.PutObject(platform.KindService, "s", service("s"))
+	f.everywhere(o.Version, f.gossip)
+	if err := f.platform.Delete(f.ctx, platform.KindService, "s", o.Version); err != nil {
+		t.Fatal(err)
+	}
+	f.everywhere(o.Version+1, f.gossip)
+	for _, p := range f.peers {
+		if len(p.cfg.Directory.Catalog().Services()) != 0 {
+			t.Fatalf("%s still has the deleted service", p.self.Name)
+		}
+	}
+}
+
+// Guards against an object below the highest version that stays missing.
+func TestRepairOfOlderVersions(t *testing.T) {
+	f := newFleet(t, 2, "a", "b") // b does not receive a's pushes
+	for _, g := range f.gates {
+		g.closed.Store(true)
+	}
+	low := platform.Object{Kind: platform.KindService, Name: "low", Version: 5, Data: service("low")}
+	high := platform.Object{Kind: platform.KindService, Name: "high", Version: 9, Data: service("high")}
+	f.peers[0].apply([]platform.Object{low, high}, "test")
+	f.peers[1].apply([]platform.Object{high}, "test")
+	f.eventually("the older object arrives", func() bool {
+		f.gossip()
+		_, ok := f.peers[1].cfg.Directory.Catalog().Service("low")
+		return ok
+	})
+}
+
+// Guards against a surge of calls while the platform is down. Pauses have a
+// minimum, so a slow machine only makes fewer calls.
+func TestOutageDoesNotCauseSurge(t *testing.T) {
+	f := newFleet(t, 2, "a")
+	f.watching()
+	f.standin.SetFaults(standin.Faults{Outage: true})
+	before := f.standin.Counts().Total()
+	time.Sleep(2 * time.Second)
+	// Each pause is at least half of 100 ms, 150 ms, 225 ms and so on: at most
+	// 9 attempts in 2 s.
+	if calls := f.standin.Counts().Total() - before; calls > 2*3*9 {
+		t.Fatalf("%d calls in 2 s of outage", calls)
+	}
+	f.standin.SetFaults(standin.Faults{})
+	o := f.standin.PutObject(platform.KindService, "s", service("s"))
+	f.everywhere(o.Version, func() {})
+}
+
+// Guards against a version that decreases on an instance: late, repeated and
+// reordered pushes, older platform reads and objects that are not valid.
+func TestVersionsNeverDecrease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := directory.New(ownership.Instance{Name: "i", Address: "127.0.0.1:1", DataCentre: "a"})
+		s := New(Config{Directory: d, Clients: wire.NewClients(nil), Log: zerolog.Nop()})
+		defer s.pushes.StopAndWait()
+		object := rapid.Custom(func(t *rapid.T) platform.Object {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			v := rapid.Uint64Range(1, 40).Draw(t, "version")
+			o := platform.Object{Kind: platform.KindService, Name: name, Version: v, Data: service(name)}
+			switch v % 5 { // the same version always has the same value
+			case 0:
+				o.Data = []byte(`{"name":""}`)
+			case 1:
+				o.Data, o.Deleted = nil, true
+			}
+			return o
+		})
+		versions, best := map[string]uint64{}, map[string]uint64{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			batch := rapid.SliceOfN(object, 1, 4).Draw(t, "batch")
+			if rapid.Bool().Draw(t, "push") {
+				_, _ = s.PushObjects(context.Background(), &wire.PushObjectsRequest{From: "p", Objects: toWire(batch)})
+			} else {
+				s.apply(batch, "platform")
+			}
+			for _, o := range batch {
+				if o.Version%5 != 0 {
+					best[o.Name] = max(best[o.Name], o.Version)
+				}
+			}
+			for _, o := range d.Objects() {
+				if o.Version < versions[o.Name] {
+					t.Fatalf("%s fell from %d to %d", o.Name, versions[o.Name], o.Version)
+				}
+				versions[o.Name] = o.Version
+			}
+		}
+		for name, v := range best {
+			if versions[name] != v {
+				t.Fatalf("%s has version %d, want %d", name, versions[name], v)
+			}
+			if _, ok := d.Catalog().Service(name); ok == (v%5 == 1) {
+				t.Fatalf("%s in force: %v at version %d", name, ok, v)
+			}
+		}
+	})
+}
+
+func TestSplitCoversAllTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, width := rapid.IntRange(0, 100).Draw(t, "n"), rapid.IntRange(1, 9).Draw(t, "width")
+		targets := make([]ownership.Instance, n)
+		for i := range targets {
+			targets[i].Name = fmt.Sprint(i)
+		}
+		next := 0
+		parts := split(targets, width)
+		if len(parts) > width {
+			t.Fatalf("%d parts, want at most %d", len(parts), width)
+		}
+		for _, p := range parts {
+			for _, in := range append([]ownership.Instance{p.child}, p.below...) {
+				if in.Name != fmt.Sprint(next) {
+					t.Fatalf("got %s, want %d", in.Name, next)
+				}
+				next++
+			}
+		}
+		if next != n {
+			t.Fatalf("covered %d of %d", next, n)
+		}
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,8 +8,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"fmt"
 	"slices"
 	"sync"
 
@@ -42,20 +40,25 @@
 
 	mu       sync.RWMutex
 	objects  map[objectKey]platform.Object
-	version  uint64 // highest object version applied
+	services map[string]catalog.Service // decoded from objects
+	classes  map[string]catalog.Class   // decoded from objects, by object name
+	version  uint64                     // highest object version applied
+	digest   uint64                     // see Digest
 	snapshot *catalog.Snapshot
 	groups   map[string]Group
 	live     []ownership.Instance
+	owners   map[ownersKey][]ownership.Instance // computed from live
 	changed  chan struct{}
 }
 
-type objectKey struct{ kind, name string }
-
 // New returns an empty directory for the instance self.
 func New(self ownership.Instance) *Directory {
 	return &Directory{
 		self:     self,
 		objects:  make(map[objectKey]platform.Object),
+		services: make(map[string]catalog.Service),
+		classes:  make(map[string]catalog.Class),
+		owners:   make(map[ownersKey][]ownership.Instance),
 		snapshot: catalog.NewSnapshot(nil, nil),
 		groups:   make(map[string]Group),
 		live:     []ownership.Instance{self},
@@ -133,6 +136,7 @@
 		return
 	}
 	d.live = next
+	clear(d.owners)
 	d.notify()
 }
 
@@ -143,125 +147,12 @@
 	return d.live
 }
 
-// Owners returns the owners of a database, active first.
-func (d *Directory) Owners(db platform.Database) []ownership.Instance {
-	owners, _ := ownership.For(db.Name, db.DataCentre, d.Live())
-	return owners
-}
-
 // OwnerIndex returns 0 if this instance is the database's active owner, 1 if
 // it is the standby, and -1 otherwise.
 func (d *Directory) OwnerIndex(db platform.Database) int {
 	return slices.IndexFunc(d.Owners(db), func(in ownership.Instance) bool { return in.Name == d.self.Name })
 }
 
-// Apply takes objects that are newer than those held and returns the objects
-// that were applied. An object that is not valid is reported and not applied;
-// the older one stays in force.
-func (d *Directory) Apply(objects []platform.Object) (applied []platform.Object, err error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, o := range objects {
-		k := objectKey{o.Kind, o.Name}
-		if old, ok := d.objects[k]; ok && o.Version <= old.Version {
-			continue
-		}
-		if e := d.check(o); e != nil {
-			err = fmt.Errorf("object %s/%s version %d: %w", o.Kind, o.Name, o.Version, e)
-			continue
-		}
-		d.objects[k] = o
-		d.version = max(d.version, o.Version)
-		applied = append(applied, o)
-	}
-	if len(applied) == 0 {
-		return nil, err
-	}
-	d.rebuild()
-	d.notify()
-	return applied, err
-}
-
-func (d *Directory) check(o platform.Object) error {
-	if o.Deleted {
-		return nil
-	}
-	switch o.Kind {
-	case platform.KindService:
-		_, err := catalog.DecodeService(o.Data)
-		return err
-	case platform.KindClass:
-		_, err := catalog.DecodeClass(o.Data)
-		return err
-	case platform.KindGroup:
-		var g platform.Group
-		return json.Unmarshal(o.Data, &g)
-	default:
-		return fmt.Errorf("kind %q is not known", o.Kind)
-	}
-}
-
-// rebuild derives snapshot and groups from the objects. Objects were checked.
-func (d *Directory) rebuild() {
-	var services []catalog.Service
-	var classes []catalog.Class
-	for k, o := range d.objects {
-		if o.Deleted {
-			if k.kind == platform.KindGroup {
-				delete(d.groups, k.name)
-			}
-			continue
-		}
-		switch k.kind {
-		case platform.KindService:
-			v, _ := catalog.DecodeService(o.Data)
-			services = append(services, v)
-		case platform.KindClass:
-			v, _ := catalog.DecodeClass(o.Data)
-			classes = append(classes, v)
-		case platform.KindGroup:
-			d.mergeGroup(k.name, o.Data)
-		}
-	}
-	d.snapshot = catalog.NewSnapshot(services, classes)
-}
-
-// mergeGroup takes the members from the platform and keeps a newer hint about
-// the primary.
-func (d *Directory) mergeGroup(name string, data []byte) {
-	var v platform.Group
-	if json.Unmarshal(data, &v) != nil {
-		return
-	}
-	g := Group{Name: name, Term: v.Term, Primary: v.Primary, Databases: v.Databases}
-	if old, ok := d.groups[name]; ok && (old.Term > g.Term || (old.Term == g.Term && g.Primary == "")) {
-		g.Term, g.Primary = old.Term, old.Primary
-	}
-	d.groups[name] = g
-}
-
-// Objects returns all objects held, deleted ones included, sorted by kind and
-// name.
-func (d *Directory) Objects() []platform.Object {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	out := make([]platform.Object, 0, len(d.objects))
-	for _, o := range d.objects {
-		out = append(out, o)
-	}
-	slices.SortFunc(out, func(a, b platform.Object) int {
-		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-	})
-	return out
-}
-
-// Version returns the highest object version applied.
-func (d *Directory) Version() uint64 {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.version
-}
-
 func (d *Directory) notify() {
 	close(d.changed)
 	d.changed = make(chan struct{})
--- /dev/null
+++ b/internal/directory/objects.go
@@ -0,0 +1,151 @@
+package directory
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"geraniumbeam/internal/catalog"
+	"geraniumbeam/internal/platform"
+)
+
+type objectKey struct{ kind, name string }
+
+// Apply takes objects that are newer than those held and returns the objects
+// that were applied. An object that is not valid is reported and not applied;
+// the older one stays in force.
+func (d *Directory) Apply(objects []platform.Object) (applied []platform.Object, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	catalogChanged := false
+	for _, o := range objects {
+		k := objectKey{o.Kind, o.Name}
+		old, held := d.objects[k]
+		if held && o.Version <= old.Version {
+			continue
+		}
+		if e := d.store(o); e != nil {
+			err = fmt.Errorf("object %s/%s version %d: %w", o.Kind, o.Name, o.Version, e)
+			continue
+		}
+		if held {
+			d.digest ^= objectHash(old)
+		}
+		d.digest ^= objectHash(o)
+		d.objects[k] = o
+		d.version = max(d.version, o.Version)
+		applied = append(applied, o)
+		catalogChanged = catalogChanged || o.Kind != platform.KindGroup
+	}
+	if len(applied) == 0 {
+		return nil, err
+	}
+	if catalogChanged {
+		d.snapshot = catalog.NewSnapshot(
+			slices.Collect(maps.Values(d.services)), slices.Collect(maps.Values(d.classes)))
+	}
+	d.notify()
+	return applied, err
+}
+
+// store decodes and checks o and puts the decoded value in place. Nothing
+// changes if it fails.
+func (d *Directory) store(o platform.Object) error {
+	switch o.Kind {
+	case platform.KindService:
+		return put(d.services, o, catalog.DecodeService)
+	case platform.KindClass:
+		return put(d.classes, o, catalog.DecodeClass)
+	case platform.KindGroup:
+		if o.Deleted {
+			delete(d.groups, o.Name)
+			return nil
+		}
+		var v platform.Group
+		if err := json.Unmarshal(o.Data, &v); err != nil {
+			return fmt.Errorf("group object: %w", err)
+		}
+		d.mergeGroup(o.Name, v)
+		return nil
+	default:
+		return fmt.Errorf("kind %q is not known", o.Kind)
+	}
+}
+
+func put[V any](values map[string]V, o platform.Object, decode func([]byte) (V, error)) error {
+	if o.Deleted {
+		delete(values, o.Name)
+		return nil
+	}
+	v, err := decode(o.Data)
+	if err != nil {
+		return err
+	}
+	values[o.Name] = v
+	return nil
+}
+
+// mergeGroup takes the members from the platform and keeps a newer hint about
+// the primary.
+func (d *Directory) mergeGroup(name string, v platform.Group) {
+	g := Group{Name: name, Term: v.Term, Primary: v.Primary, Databases: v.Databases}
+	if old, ok := d.groups[name]; ok && (old.Term > g.Term || (old.Term == g.Term && g.Primary == "")) {
+		g.Term, g.Primary = old.Term, old.Primary
+	}
+	d.groups[name] = g
+}
+
+// Objects returns all objects held, deleted ones included, sorted by kind and
+// name.
+func (d *Directory) Objects() []platform.Object { return d.ObjectsAbove(0) }
+
+// ObjectsAbove returns the objects held with a version above the given one,
+// deleted ones included, sorted by kind and name.
+func (d *Directory) ObjectsAbove(version uint64) []platform.Object {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if version >= d.version {
+		return nil
+	}
+	var out []platform.Object
+	for _, o := range d.objects {
+		if o.Version > version {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// Version returns the highest object version applied.
+func (d *Directory) Version() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.version
+}
+
+// Digest returns a hash over kind, name and version of all objects held, and
+// the highest version. Two directories with the same objects have the same
+// digest, whatever the order in which they applied them.
+func (d *Directory) Digest() (digest, version uint64) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.digest, d.version
+}
+
+func objectHash(o platform.Object) uint64 {
+	b := make([]byte, 0, 64)
+	b = append(b, o.Kind...)
+	b = append(b, 0)
+	b = append(b, o.Name...)
+	b = append(b, 0)
+	b = binary.BigEndian.AppendUint64(b, o.Version)
+	return xxhash.Sum64(b)
+}
--- /dev/null
+++ b/internal/directory/owners.go
@@ -0,0 +1,27 @@
+package directory
+
+import (
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/platform"
+)
+
+type ownersKey struct{ database, dataCentre string }
+
+// Owners returns the owners of a database, active first. The caller must not
+// modify the slice.
+func (d *Directory) Owners(db platform.Database) []ownership.Instance {
+	k := ownersKey{db.Name, db.DataCentre}
+	d.mu.RLock()
+	owners, ok := d.owners[k]
+	d.mu.RUnlock()
+	if ok {
+		return owners
+	}
+	// Each request asks for owners; ordering a data centre's instances takes
+	// tens of microseconds, so the result is kept until the live list changes.
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owners, _ = ownership.For(db.Name, db.DataCentre, d.live)
+	d.owners[k] = owners
+	return owners
+}
