Decide admission by rank, deadline, caller and measured concurrency

Cause: the queue was a plain semaphore, so any flood reached all work.

Change: core decides without I/O (turns between callers, earliest deadline within a caller, credit per lower rank, refusal from the estimated wait); limiter compares service times at neighbouring limits; Queue wraps core for concurrent callers. Late requests do not use up their caller's turn.

--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"geraniumbeam/internal/catalog"
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/result"
+)
+
+// Queue is the queue of one database. It is safe for concurrent use.
+type Queue struct {
+	clk   clock.Clock
+	start time.Time
+
+	mu   sync.Mutex
+	core *core
+}
+
+// New returns an empty queue.
+func New(cfg Config) *Queue {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Real{}
+	}
+	return &Queue{clk: cfg.Clock, start: cfg.Clock.Now(), core: newCore(cfg)}
+}
+
+// Ticket is the right to run one request. Release must be called once; further
+// calls do nothing.
+type Ticket struct {
+	q    *Queue
+	it   *item
+	once sync.Once
+}
+
+// Acquire waits for the request's turn. It fails with result.Overloaded and a
+// retry-after when the deadline cannot be met, and with
+// result.DeadlineBeforeRun when ctx or the deadline ends first; the request
+// was not run then.
+func (q *Queue) Acquire(ctx context.Context, r Request) (*Ticket, error) {
+	if ctx.Err() != nil {
+		return nil, deadlineError("the request ended before it was queued", ctx.Err())
+	}
+	q.mu.Lock()
+	now := q.now()
+	it, refusal := q.core.arrive(now, r, q.start)
+	if it == nil {
+		q.mu.Unlock()
+		return nil, refusalError(refusal)
+	}
+	q.pump(now)
+	if it.state == stateRunning {
+		q.mu.Unlock()
+		return &Ticket{q: q, it: it}, nil
+	}
+	if it.state == stateWaiting {
+		it.ready = make(chan struct{})
+	}
+	q.mu.Unlock()
+	return q.wait(ctx, it, r.Deadline.Sub(q.start)-now)
+}
+
+func (q *Queue) wait(ctx context.Context, it *item, left time.Duration) (*Ticket, error) {
+	var expired <-chan time.Time
+	if it.deadline != noDeadline {
+		expired = q.clk.After(left)
+	}
+	if it.ready != nil {
+		select {
+		case <-it.ready:
+		case <-ctx.Done():
+		case <-expired:
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch it.state {
+	case stateRunning:
+		return &Ticket{q: q, it: it}, nil
+	case stateRefused:
+		return nil, refusalError(it.refusal)
+	default:
+		q.core.remove(it)
+		return nil, deadlineError("deadline passed in the queue", ctx.Err())
+	}
+}
+
+// Release returns the ticket. service is the time that the database took, or 0
+// if the request was not run.
+func (t *Ticket) Release(service time.Duration) {
+	t.once.Do(func() {
+		t.q.mu.Lock()
+		defer t.q.mu.Unlock()
+		now := t.q.now()
+		t.q.core.done(now, t.it, service)
+		t.q.pump(now)
+	})
+}
+
+// Load returns the current load.
+func (q *Queue) Load() Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	l := Load{Queued: q.core.queued, Limit: q.core.limiter.limit, Ranks: make([]RankLoad, len(catalog.Ranks))}
+	for i, r := range catalog.Ranks {
+		l.Ranks[i] = RankLoad{Rank: r, Wait: q.core.rankWait(now, i)}
+	}
+	return l
+}
+
+// pump starts all requests that may start now and wakes their callers.
+func (q *Queue) pump(now time.Duration) {
+	for it := q.core.next(now); it != nil; it = q.core.next(now) {
+		if it.ready != nil {
+			close(it.ready)
+		}
+	}
+}
+
+func (q *Queue) now() time.Duration { return q.clk.Now().Sub(q.start) }
+
+// refusalError avoids fmt: refusing must stay far cheaper than serving.
+func refusalError(r refusal) error {
+	return &result.Error{Code: r.code, Message: r.reason, Ran: result.RanNo, RetryAfter: r.retryAfter}
+}
+
+func deadlineError(msg string, cause error) error {
+	return &result.Error{Code: result.DeadlineBeforeRun, Message: msg, Ran: result.RanNo, Err: cause}
+}
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,225 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/catalog"
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/result"
+)
+
+func request(clk clock.Clock, caller string, within time.Duration) Request {
+	return Request{Class: "c", Caller: caller, Rank: catalog.RankNormal, Deadline: clk.Now().Add(within)}
+}
+
+// warm makes service times known to the queue.
+func warm(t *testing.T, q *Queue, clk clock.Clock, service time.Duration) {
+	t.Helper()
+	for range warmSamples {
+		ticket, err := q.Acquire(context.Background(), request(clk, "a", time.Hour))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ticket.Release(service)
+	}
+}
+
+// waitQueued waits until n requests wait in q.
+func waitQueued(t *testing.T, q *Queue, n int) {
+	t.Helper()
+	for range 5000 {
+		if q.Load().Queued == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d requests wait, want %d", q.Load().Queued, n)
+}
+
+// Guards against a request that is run after its deadline or its caller's end,
+// and against one that stays in the queue.
+func TestDeadlineAndCancelInQueue(t *testing.T) {
+	clk := clock.NewFake(time.Unix(1000, 0))
+	q := New(Config{Clock: clk, MaxConcurrency: 1})
+	held, err := q.Acquire(context.Background(), request(clk, "a", time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	errs := make(chan error)
+	for _, c := range []context.Context{ctx, context.Background()} {
+		go func() {
+			_, err := q.Acquire(c, request(clk, "a", time.Second))
+			errs <- err
+		}()
+	}
+	waitQueued(t, q, 2)
+	cancel()
+	for i := range 2 {
+		if i == 1 {
+			clk.Advance(time.Second)
+		}
+		err := <-errs
+		if !result.Is(err, result.DeadlineBeforeRun) || result.From(err).Ran != result.RanNo {
+			t.Errorf("Acquire = %v, want %v and not run", err, result.DeadlineBeforeRun)
+		}
+	}
+	held.Release(time.Millisecond)
+	held.Release(time.Millisecond) // a second release must not free a slot
+	if q.core.inFlight != 0 || q.core.queued != 0 {
+		t.Errorf("%d running and %d waiting after the end", q.core.inFlight, q.core.queued)
+	}
+}
+
+// Guards against a refusal that comes late, claims that the request may have
+// run, or sends all callers back at the same time.
+func TestRefusesAtOnceWithSpreadRetry(t *testing.T) {
+	clk := clock.NewFake(time.Unix(1000, 0))
+	q := New(Config{Clock: clk, MaxConcurrency: 1})
+	warm(t, q, clk, 100*time.Millisecond)
+	if _, err := q.Acquire(context.Background(), request(clk, "a", time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	after := make(map[time.Duration]bool)
+	for range 20 {
+		_, err := q.Acquire(context.Background(), request(clk, "b", 150*time.Millisecond))
+		e := result.From(err)
+		if e == nil || e.Code != result.Overloaded || e.Ran != result.RanNo || e.RetryAfter <= 0 || e.RetryAfter > maxRetryAfter {
+			t.Fatalf("Acquire = %+v, want a refusal with retry-after", e)
+		}
+		after[e.RetryAfter] = true
+	}
+	if len(after) < 15 {
+		t.Errorf("20 refusals had %d different retry-after values", len(after))
+	}
+}
+
+// Guards against a queue that grows without bound or that one caller fills.
+func TestQueueIsBounded(t *testing.T) {
+	c := newCore(Config{MaxConcurrency: 1, MaxQueued: 100})
+	for i := range 10000 {
+		r := request(clock.NewFake(simStart), "flood", time.Hour)
+		r.Class = fmt.Sprint("class", i%1000) // class names must not pile up either
+		c.arrive(0, r, simStart)
+		c.next(0)
+	}
+	if c.queued > 100 || len(c.ranks[1].classes) > maxIdleClasses {
+		t.Errorf("%d waiting requests and %d classes", c.queued, len(c.ranks[1].classes))
+	}
+	c = newCore(Config{MaxConcurrency: 1, MaxQueued: 100})
+	for range 1000 {
+		c.arrive(0, request(clock.NewFake(simStart), "flood", time.Hour), simStart)
+	}
+	if it, ref := c.arrive(0, request(clock.NewFake(simStart), "rival", time.Hour), simStart); it == nil {
+		t.Errorf("a rival was refused because of another caller: %s", ref.reason)
+	}
+}
+
+// Guards against the wrong order: statements of open transactions first, then
+// callers in turn, and the earliest deadline first for one caller.
+func TestOrder(t *testing.T) {
+	clk := clock.NewFake(simStart)
+	c := newCore(Config{MaxConcurrency: 1})
+	names := make(map[*item]string)
+	add := func(name, caller string, within time.Duration, pinned bool) {
+		r := request(clk, caller, within)
+		r.Pinned = pinned
+		it, ref := c.arrive(0, r, simStart)
+		if it == nil {
+			t.Fatalf("%s refused: %s", name, ref.reason)
+		}
+		names[it] = name
+	}
+	add("running", "a", time.Hour, false)
+	running := c.next(0)
+	add("a late", "a", 3*time.Hour, false)
+	add("a early", "a", time.Hour, false)
+	add("b late", "b", 4*time.Hour, false)
+	add("pinned", "b", 5*time.Hour, true)
+	got := ""
+	for running != nil {
+		c.done(0, running, time.Millisecond)
+		if running = c.next(0); running != nil {
+			got += names[running] + ", "
+		}
+	}
+	if want := "pinned, a early, b late, a late, "; got != want {
+		t.Errorf("order %q, want %q", got, want)
+	}
+}
+
+// Guards against more running requests than connections and against lost
+// wake-ups when many callers arrive, give up and finish at once.
+func TestConcurrentUse(t *testing.T) {
+	q := New(Config{MaxConcurrency: 3})
+	var running, served atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 32 {
+		wg.Go(func() {
+			for n := range 200 {
+				ctx, cancel := context.WithCancel(context.Background())
+				if n%7 == 0 {
+					cancel()
+				}
+				r := request(clock.Real{}, fmt.Sprint(i%5), time.Hour)
+				r.Rank = catalog.Ranks[n%3]
+				ticket, err := q.Acquire(ctx, r)
+				cancel()
+				if err != nil {
+					if !errors.As(err, new(*result.Error)) {
+						t.Errorf("Acquire = %v", err)
+					}
+					continue
+				}
+				if now := running.Add(1); now > 3 {
+					t.Errorf("%d requests run, want at most 3", now)
+				}
+				served.Add(1)
+				running.Add(-1)
+				ticket.Release(time.Microsecond)
+			}
+		})
+	}
+	wg.Wait()
+	if q.core.queued != 0 || q.core.inFlight != 0 || served.Load() < 32*100 {
+		t.Errorf("%d waiting, %d running, %d served", q.core.queued, q.core.inFlight, served.Load())
+	}
+}
+
+func BenchmarkServed(b *testing.B) {
+	q := New(Config{MaxConcurrency: 4})
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		t, err := q.Acquire(ctx, request(clock.Real{}, "a", time.Second))
+		if err != nil {
+			b.Fatal(err)
+		}
+		t.Release(time.Millisecond)
+	}
+}
+
+func BenchmarkRefused(b *testing.B) {
+	q := New(Config{MaxConcurrency: 1})
+	ctx := context.Background()
+	t, err := q.Acquire(ctx, request(clock.Real{}, "a", time.Hour))
+	if err != nil {
+		b.Fatal(err)
+	}
+	t.Release(time.Second)
+	if _, err = q.Acquire(ctx, request(clock.Real{}, "a", time.Hour)); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := q.Acquire(ctx, request(clock.Real{}, "b", time.Second)); err == nil {
+			b.Fatal("not refused")
+		}
+	}
+}
