--- /dev/null
+++ b/internal/failover/detector_test.go
@@ -0,0 +1,207 @@
+package failover
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/backend"
+)
+
+var members = []string{"a", "b", "c"}
+
+const (
+	probeInterval = 100 * time.Millisecond
+	lossShare     = 0.3
+)
+
+// site is an instance that owns one database and loses a share of its probes.
+type site struct {
+	database string
+	detector *Detector
+}
+
+// simulation runs three sites against a primary a in steps of probeInterval.
+type simulation struct {
+	rng   *rand.Rand
+	now   time.Time
+	sites []*site
+	heard map[string]time.Time // last heartbeat at a replica
+	dead  bool                 // the primary
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), heard: make(map[string]time.Time)}
+	for _, name := range members {
+		s.sites = append(s.sites, &site{name, NewDetector(DefaultThresholds)})
+		s.heard[name] = s.now
+	}
+	return s
+}
+
+func (s *simulation) lost() bool { return s.rng.Float64() < lossShare }
+
+func (s *simulation) status(name string) backend.Status {
+	st := backend.Status{Term: 1, Role: backend.RoleReplica, Last: backend.Position{Term: 1, Offset: 5}, PrimaryAge: s.now.Sub(s.heard[name])}
+	if name == "a" {
+		st.Role, st.PrimaryAge = backend.RolePrimary, 0
+	}
+	return st
+}
+
+// step loses heartbeats, probes and votes independently and reports whether
+// any site would be a candidate with a majority.
+func (s *simulation) step() bool {
+	s.now = s.now.Add(probeInterval)
+	view := View{Term: 1, Primary: "a", Members: members}
+	for _, name := range members[1:] {
+		if !s.dead && !s.lost() {
+			s.heard[name] = s.now
+		}
+	}
+	for _, si := range s.sites {
+		reachable := !s.lost() && (si.database != "a" || !s.dead)
+		si.detector.Observe(s.now, view, []Observation{{Database: si.database, Reachable: reachable, Status: s.status(si.database)}})
+	}
+	for _, si := range s.sites {
+		if si.detector.Suspect(s.now) && s.tally(si).Majority {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *simulation) tally(candidate *site) Verdict {
+	ballots := []Ballot{s.ballot(candidate)}
+	for _, si := range s.sites {
+		if si != candidate && !s.lost() {
+			ballots = append(ballots, s.ballot(si))
+		}
+	}
+	return Tally(DefaultThresholds, candidate.detector.View(), ballots)
+}
+
+func (s *simulation) ballot(si *site) Ballot {
+	return Ballot{Suspect: si.detector.Suspect(s.now), Evidence: si.detector.Evidence(s.now)}
+}
+
+// Guards against false promotions on lossy links: ten minutes with 30 % of
+// heartbeats, probes and votes lost. A real loss must still be found within
+// the target afterwards.
+func TestNoFalsePromotionUnderLoss(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newSimulation(seed)
+			for end := s.now.Add(10 * time.Minute); s.now.Before(end); {
+				if s.step() {
+					t.Fatalf("a majority of the databases lost a working primary after %v", s.now.Sub(time.Unix(1000, 0)))
+				}
+			}
+			s.dead = true
+			died := s.now
+			for !s.step() {
+				if s.now.Sub(died) > 3*time.Second {
+					t.Fatal("the loss of the primary was not found within 3 s")
+				}
+			}
+		})
+	}
+}
+
+// Guards against thresholds that are too short: with these the loss of probes
+// must cause a false alarm, or the test above proves nothing.
+func TestLossSimulationFindsShortThresholds(t *testing.T) {
+	s := newSimulation(1)
+	for _, si := range s.sites {
+		si.detector.thresholds = Thresholds{PrimaryAge: 250 * time.Millisecond, Missed: 250 * time.Millisecond}
+	}
+	found := false
+	for end := s.now.Add(10 * time.Minute); s.now.Before(end) && !found; {
+		s.step()
+		view := s.sites[1].detector.View()
+		for _, si := range s.sites {
+			short := si.detector.thresholds
+			var ballots []Ballot
+			for _, other := range s.sites {
+				ballots = append(ballots, s.ballot(other))
+			}
+			found = found || (si.detector.Suspect(s.now) && Tally(short, view, ballots).Majority)
+		}
+	}
+	if !found {
+		t.Error("short thresholds caused no false alarm in ten minutes")
+	}
+}
+
+func evidence(name string, role backend.Role, term uint64, age time.Duration) Evidence {
+	return Evidence{Database: name, Reachable: true, Status: backend.Status{Term: term, Role: role, PrimaryAge: age}}
+}
+
+// Guards against wrong counting of databases that speak against the primary.
+func TestTally(t *testing.T) {
+	const long = 2 * time.Second
+	known := View{Term: 3, Primary: "a", Members: members}
+	none := View{Term: 3, Members: members}
+	deadA := Evidence{Database: "a"}
+	for _, c := range []struct {
+		name    string
+		view    View
+		ballots []Ballot
+		lost    int
+	}{
+		{"isolated primary", known, []Ballot{
+			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{true, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
+			{false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
+		}, 2},
+		{"isolated replica", known, []Ballot{
+			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{false, []Evidence{evidence("c", backend.RoleReplica, 3, 0)}},
+		}, 1},
+		{"one of two owners reaches the primary", known, []Ballot{
+			{true, []Evidence{deadA, evidence("b", backend.RoleReplica, 3, long)}},
+			{false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
+		}, 1},
+		{"instance that does not suspect", known, []Ballot{
+			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{false, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
+		}, 1},
+		{"candidate died after the raise", none, []Ballot{
+			{true, []Evidence{evidence("b", backend.RoleFenced, 3, long)}},
+			{true, []Evidence{evidence("c", backend.RoleFenced, 3, long)}},
+		}, 2},
+		{"candidate died before the raise", none, []Ballot{
+			{true, []Evidence{evidence("a", backend.RolePrimary, 2, 0), evidence("b", backend.RoleReplica, 2, 0)}},
+		}, 2},
+		{"unreachable replicas say nothing", known, []Ballot{{true, []Evidence{{Database: "b"}, {Database: "c"}, deadA}}}, 1},
+	} {
+		v := Tally(DefaultThresholds, c.view, c.ballots)
+		if v.Lost != c.lost || v.Majority != (c.lost >= 2) {
+			t.Errorf("%s: verdict is %+v, want %d lost", c.name, v, c.lost)
+		}
+	}
+}
+
+// Guards against a new candidate that interrupts a promotion under way.
+func TestDetectorSettlesAfterChangeOfTerm(t *testing.T) {
+	d := NewDetector(DefaultThresholds)
+	now := time.Unix(0, 0)
+	look := func(term uint64) bool {
+		now = now.Add(probeInterval)
+		d.Observe(now, View{Term: 1, Primary: "a", Members: members},
+			[]Observation{{"b", true, backend.Status{Term: term, Role: backend.RoleFenced, PrimaryAge: time.Minute}}})
+		return d.Suspect(now)
+	}
+	for !look(1) {
+	}
+	raised := now.Add(probeInterval)
+	for !look(2) {
+	}
+	if took := now.Sub(raised); took < DefaultThresholds.Settle {
+		t.Errorf("suspects again %v after the raise", took)
+	}
+	if v := d.View(); v.Term != 2 || v.Primary != "" {
+		t.Errorf("view is %+v", v)
+	}
+}
