Test the failover runner against the database stand-in

Cause: a dead candidate whose own database nobody else watches left the group without a primary: while a term has no known primary, an unreachable database now counts against it. Change: tests for a killed and a cut primary, a lost platform answer, the platform down, a candidate that dies after it took a term, and two candidates at once.

--- a/internal/failover/detector.go
+++ b/internal/failover/detector.go
@@ -39,7 +39,7 @@
 	}
 	switch {
 	case !e.Reachable:
-		return false
+		return v.Primary == "" // it may be the primary that nobody knows
 	case e.Status.Role == backend.RolePrimary && e.Status.Term >= v.Term:
 		return false
 	case e.Status.Role == backend.RolePrimary || e.Status.Term < v.Term:
--- a/internal/failover/detector_test.go
+++ b/internal/failover/detector_test.go
@@ -174,6 +174,9 @@
 		{"candidate died before the raise", none, []Ballot{
 			{true, []Evidence{evidence("a", backend.RolePrimary, 2, 0), evidence("b", backend.RoleReplica, 2, 0)}},
 		}, 2},
+		{"unreachable database while there is no primary", none, []Ballot{
+			{true, []Evidence{deadA, evidence("b", backend.RoleReplica, 2, 0)}},
+		}, 2},
 		{"unreachable replicas say nothing", known, []Ballot{{true, []Evidence{{Database: "b"}, {Database: "c"}, deadA}}}, 1},
 	} {
 		v := Tally(DefaultThresholds, c.view, c.ballots)
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -50,17 +50,18 @@
 	if err := p.reach(ctx); err != nil {
 		return err
 	}
-	promoted := false
+	raising, promoted := false, false
 	for ctx.Err() == nil {
 		switch step := p.plan.Step(); step {
 		case StepRead, StepReadBack:
 			p.read(ctx)
 		case StepTake:
 			p.write(ctx)
-			if p.plan.Step() == StepRaise {
+		case StepRaise:
+			if !raising {
+				raising = true
 				p.endPhase("term")
 			}
-		case StepRaise:
 			p.raise(ctx)
 		case StepPromote:
 			p.promote(ctx)
--- /dev/null
+++ b/internal/failover/runner_test.go
@@ -0,0 +1,224 @@
+package failover
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/platform"
+)
+
+// bound is the longest allowed time from the loss of a primary to a new one.
+const bound = 9 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func (c *cluster) settled() {
+	c.t.Helper()
+	c.exec("a", `CREATE TABLE booking (id bigint)`)
+	c.exec("a", `INSERT INTO booking VALUES (1)`)
+	for _, name := range members[1:] {
+		c.awaitFollowing(name, 1, c.status("a").Last)
+	}
+	c.eventually("the detectors have settled", func() bool {
+		for _, in := range c.instances {
+			in.Runner.mu.Lock()
+			w := in.watches[groupName]
+			ready := w != nil && time.Since(w.detector.changed) > DefaultThresholds.Settle
+			in.Runner.mu.Unlock()
+			if !ready {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a killed primary that is not replaced in time, and against
+// an old primary that comes back and stays one.
+func TestKilledPrimaryIsReplaced(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	before := c.status("b").Last
+	began := time.Now()
+	if err := c.databases["a"].Crash(); err != nil {
+		t.Fatal(err)
+	}
+	primary, term := c.awaitPrimary(1, "a", "b", "c")
+	took := time.Since(began)
+	t.Logf("new primary %s of term %d after %v", primary, term, took)
+	if took > bound {
+		t.Errorf("failover took %v, bound is %v", took, bound)
+	}
+	c.exec(primary, `INSERT INTO booking VALUES (2)`)
+	last := c.status(primary).Last
+	if last.Compare(before) <= 0 || c.status(primary).Role != backend.RolePrimary {
+		t.Errorf("status of %s is %+v", primary, c.status(primary))
+	}
+	other := strings.Trim("bc", primary)
+	c.awaitFollowing(other, term, last)
+	c.restart("a")
+	c.awaitFollowing("a", term, last)
+	c.eventually("the platform names the primary", func() bool { g := c.platform.group(t); return g.Primary == primary && g.Term == term })
+	for _, phase := range []string{"detection", "term", "raise", "promote", "redirect"} {
+		if c.promotionEvents(phase+" ") == 0 {
+			t.Errorf("no event tells the time of phase %s", phase)
+		}
+	}
+}
+
+// Guards against an isolated primary that is not replaced, and against its
+// unconfirmed writes surviving.
+func TestCutPrimaryIsReplaced(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	began := time.Now()
+	c.instances["a"].isolated.Store(true)
+	for _, stream := range []string{"upstream", "downstream"} {
+		if _, err := c.proxies["a"].Toxics.AddToxicJson(strings.NewReader(`{"name":"` + stream + `","type":"timeout","stream":"` + stream + `","attributes":{"timeout":0}}`)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.exec("a", `INSERT INTO booking VALUES (98)`)
+	primary, term := c.awaitPrimary(1, "b", "c")
+	took := time.Since(began)
+	t.Logf("new primary %s of term %d after %v", primary, term, took)
+	if took > bound {
+		t.Errorf("failover took %v, bound is %v", took, bound)
+	}
+	if s := c.status("a"); s.Role != backend.RolePrimary || s.Term != 1 {
+		t.Errorf("the cut database was reached: %+v", s)
+	}
+	c.exec(primary, `INSERT INTO booking VALUES (2)`)
+	last := c.status(primary).Last
+	c.proxies["a"].Toxics.ResetToxics(t.Context())
+	c.instances["a"].isolated.Store(false)
+	if _, err := c.instances["a"].dir.Apply([]platform.Object{c.platform.object}); err != nil {
+		t.Fatal(err)
+	}
+	c.awaitFollowing("a", term, last)
+	if got := c.status("a").Last; got != last {
+		t.Errorf("old primary ends at %v, the new one at %v", got, last)
+	}
+}
+
+// Guards against a platform answer that is lost after the change took effect:
+// the candidate must go on with the term that it has.
+func TestLostPlatformAnswer(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	lost := 0
+	c.platform.after = func(platform.Group) error {
+		if lost++; lost%2 == 1 {
+			return errLost
+		}
+		return nil
+	}
+	if err := c.databases["a"].Crash(); err != nil {
+		t.Fatal(err)
+	}
+	if _, term := c.awaitPrimary(1, "a", "b", "c"); term != 2 {
+		t.Errorf("term is %d, want 2", term)
+	}
+	c.eventually("the platform names the primary", func() bool { return c.platform.group(t).Primary != "" })
+}
+
+// Guards against a promotion without a term from the platform.
+func TestNoPromotionWhilePlatformIsDown(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	c.platform.down.Store(true)
+	if err := c.databases["a"].Crash(); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("a candidate fails", func() bool { return c.promotionEvents("no promotion: read group") > 0 })
+	for _, name := range members[1:] {
+		if s := c.status(name); s.Term != 1 || s.Role != backend.RoleReplica {
+			t.Errorf("%s is %+v without the platform", name, s)
+		}
+	}
+	c.platform.down.Store(false)
+	c.awaitPrimary(1, "a", "b", "c")
+}
+
+// Guards against a group that stays without a primary when a candidate dies
+// after it took a term.
+func TestCandidateDiesHalfWay(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	died := ""
+	c.platform.after = func(g platform.Group) error {
+		if died == "" {
+			died = g.Candidate
+			c.instances[died].stop()
+		}
+		return nil
+	}
+	began := time.Now()
+	if err := c.databases["a"].Crash(); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("a candidate dies", func() bool { c.platform.mu.Lock(); defer c.platform.mu.Unlock(); return died != "" })
+	var living []string
+	for _, name := range members {
+		if name != died {
+			living = append(living, name)
+		}
+	}
+	primary, term := c.awaitPrimary(2, living...)
+	took := time.Since(began)
+	t.Logf("%s died; new primary %s of term %d after %v", died, primary, term, took)
+	if took > bound {
+		t.Errorf("failover took %v, bound is %v", took, bound)
+	}
+}
+
+// Guards against two candidates that both promote: one term, one primary.
+func TestTwoCandidatesAtOnce(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	if err := c.databases["a"].Crash(); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("two instances suspect", func() bool {
+		for _, name := range members[1:] {
+			in := c.instances[name]
+			in.Runner.mu.Lock()
+			suspect := in.watches[groupName].detector.Suspect(time.Now())
+			in.Runner.mu.Unlock()
+			if !suspect {
+				return false
+			}
+		}
+		return true
+	})
+	errs := make(chan error, 2)
+	for _, name := range members[1:] {
+		in := c.instances[name]
+		go func() {
+			s, ok := in.suspect(in.watches[groupName])
+			if !ok {
+				errs <- ErrFalseAlarm
+				return
+			}
+			p := &promotion{r: in.Runner, group: groupName, suspicion: s, plan: NewPlan(1, name, name, false), mark: time.Now()}
+			errs <- p.run(context.Background())
+		}()
+	}
+	first, second := <-errs, <-errs
+	if first == nil && second == nil {
+		t.Error("both candidates promoted a database")
+	}
+	for _, err := range []error{first, second} {
+		if err != nil && !errors.Is(err, ErrSuperseded) && !errors.Is(err, ErrFalseAlarm) {
+			t.Errorf("candidate failed: %v", err)
+		}
+	}
+	primary, term := c.awaitPrimary(1, "a", "b", "c")
+	c.awaitFollowing(strings.Trim("bc", primary), term, c.status(primary).Last)
+}
