Keep the stand-in's log in a data directory on request

Cause: a database process that is killed and started again with the same flags came up as the primary of term 1 with an empty log, and its replicas would have dropped theirs. Change: data_dir keeps log, term and role for the next process. Measured: go test -race ./internal/standin/database passes.

--- a/cmd/geraniumbeam-standin/database.go
+++ b/cmd/geraniumbeam-standin/database.go
@@ -29,6 +29,7 @@
 	ReplicationDelay time.Duration     `yaml:"replication_delay" default:"0s" help:"One-way delay to each replica."`
 	ApplyLag         time.Duration     `yaml:"apply_lag" default:"0s" help:"Time for which a replica holds entries back."`
 	Unsafe           bool              `yaml:"unsafe" help:"Allow promotion without a raise of the term."`
+	DataDir          string            `yaml:"data_dir" help:"Directory that keeps log, term and role for the next process. Without it a restarted process has no data."`
 	LogLevel         string            `yaml:"log_level" default:"info" help:"debug, info, warn or error."`
 }
 
@@ -57,6 +58,7 @@
 		ReplicationDelay: c.ReplicationDelay,
 		ApplyLag:         c.ApplyLag,
 		Unsafe:           c.Unsafe,
+		DataDir:          c.DataDir,
 		Log:              telemetry.Part(log, telemetry.PartStandin),
 	})
 	stop := context.AfterFunc(ctx, s.Close)
--- /dev/null
+++ b/internal/standin/database/disk.go
@@ -0,0 +1,153 @@
+package database
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"geraniumbeam/internal/backend"
+)
+
+// logFile is the name of the file in the data directory.
+const logFile = "log.gob"
+
+// record is one change of durable state.
+type record struct {
+	State    *durableState
+	Entry    *entry
+	Truncate *uint64 // entries after this offset are dropped
+}
+
+type durableState struct {
+	Term     uint64
+	Role     backend.Role
+	Upstream string
+}
+
+// disk appends records to a file. They survive the end of the process, not
+// that of the machine: nothing is synced.
+type disk struct {
+	file *os.File
+}
+
+// openDisk reads the records of an earlier process. An incomplete record at
+// the end was never acknowledged and is cut off.
+func openDisk(dir string) (*disk, []record, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, nil, fmt.Errorf("data directory: %w", err)
+	}
+	f, err := os.OpenFile(filepath.Join(dir, logFile), os.O_RDWR|os.O_CREATE, 0o644)
+	if err != nil {
+		return nil, nil, fmt.Errorf("data directory: %w", err)
+	}
+	records, end, err := readRecords(f)
+	if err == nil {
+		err = f.Truncate(end)
+	}
+	if err == nil {
+		_, err = f.Seek(end, io.SeekStart)
+	}
+	if err != nil {
+		_ = f.Close()
+		return nil, nil, fmt.Errorf("read %s: %w", f.Name(), err)
+	}
+	return &disk{file: f}, records, nil
+}
+
+func readRecords(f *os.File) (records []record, end int64, err error) {
+	data, err := io.ReadAll(f)
+	if err != nil {
+		return nil, 0, err
+	}
+	for {
+		rest := data[end:]
+		if len(rest) < 4 {
+			return records, end, nil
+		}
+		n := int64(binary.BigEndian.Uint32(rest))
+		if int64(len(rest)) < 4+n {
+			return records, end, nil
+		}
+		var r record
+		if err := gob.NewDecoder(bytes.NewReader(rest[4 : 4+n])).Decode(&r); err != nil {
+			return nil, 0, fmt.Errorf("record at byte %d: %w", end, err)
+		}
+		records = append(records, r)
+		end += 4 + n
+	}
+}
+
+func (d *disk) write(r record) error {
+	var b bytes.Buffer
+	b.Write(make([]byte, 4))
+	if err := gob.NewEncoder(&b).Encode(r); err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	data := b.Bytes()
+	binary.BigEndian.PutUint32(data, uint32(len(data)-4))
+	if _, err := d.file.Write(data); err != nil {
+		return fmt.Errorf("write record: %w", err)
+	}
+	return nil
+}
+
+// load restores the state of an earlier process, if there was one.
+func (s *Server) load() error {
+	if s.cfg.DataDir == "" {
+		return nil
+	}
+	d, records, err := openDisk(s.cfg.DataDir)
+	if err != nil {
+		return err
+	}
+	s.disk = d
+	if len(records) == 0 {
+		return errors.Join(s.saveState(), s.saveEntries(s.log.entries))
+	}
+	s.log = replicaLog{}
+	for _, r := range records {
+		switch {
+		case r.State != nil:
+			s.term, s.role, s.upstream = r.State.Term, r.State.Role, r.State.Upstream
+		case r.Entry != nil:
+			s.log.append(*r.Entry)
+		case r.Truncate != nil:
+			s.log.truncate(*r.Truncate)
+		}
+	}
+	s.logger.Info().Uint64("term", s.term).Str("role", string(s.role)).Uint64("position", s.log.last().Offset).Msg("restored from the data directory")
+	return s.rebuildLocked()
+}
+
+// saveState, saveEntries and saveTruncate are called under mu. Without a data
+// directory they do nothing.
+func (s *Server) saveState() error {
+	if s.disk == nil {
+		return nil
+	}
+	return s.disk.write(record{State: &durableState{s.term, s.role, s.upstream}})
+}
+
+func (s *Server) saveEntries(entries []entry) error {
+	if s.disk == nil {
+		return nil
+	}
+	for i := range entries {
+		if err := s.disk.write(record{Entry: &entries[i]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Server) saveTruncate(offset uint64) error {
+	if s.disk == nil {
+		return nil
+	}
+	return s.disk.write(record{Truncate: &offset})
+}
--- a/internal/standin/database/group_test.go
+++ b/internal/standin/database/group_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -240,3 +242,48 @@
 		}
 	}
 }
+
+// Guards against a restarted process that lost its log or its term, and
+// against a torn last record.
+func TestDataDirectory(t *testing.T) {
+	dir := t.TempDir()
+	start := func() *node {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := &node{New(Config{Name: "a", Primary: "a", DataDir: dir}), l.Addr().String()}
+		serve(t, n, l)
+		return n
+	}
+	n := start()
+	c := connect(t, n)
+	mustExec(t, c, `CREATE TABLE booking (id bigint, photo bytea)`)
+	mustExec(t, c, `INSERT INTO booking VALUES ($1, $2), (2, NULL)`, 1, []byte{0, 255})
+	mustExec(t, c, `SELECT group_raise(4)`)
+	want := n.status()
+	n.Close()
+	f, err := os.OpenFile(filepath.Join(dir, logFile), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Write([]byte{0, 0, 1, 0, 7}); err != nil {
+		t.Fatal(err)
+	}
+	_ = f.Close()
+
+	n = start()
+	got := n.status()
+	if got.Term != want.Term || got.Role != want.Role || got.Last != want.Last {
+		t.Errorf("status is %+v after the restart, want %+v", got, want)
+	}
+	c = connect(t, n)
+	mustExec(t, c, `SELECT group_promote(4)`)
+	mustExec(t, c, `INSERT INTO booking VALUES (3, $1)`, []byte("x"))
+	n.Close()
+	n = start()
+	defer n.Close()
+	if got := queryOne[int64](t, connect(t, n), `SELECT sum(id) FROM booking WHERE photo IS NOT NULL`); got != 4 {
+		t.Errorf("sum is %d, want 4", got)
+	}
+}
--- a/internal/standin/database/replicationreceive.go
+++ b/internal/standin/database/replicationreceive.go
@@ -224,7 +224,15 @@
 	if s.log.last().Offset != msg.Prev.Offset {
 		return fmt.Errorf("message continues at position %d, log ends at %d", msg.Prev.Offset, s.log.last().Offset)
 	}
-	s.term = msg.Term
+	if s.term != msg.Term {
+		s.term = msg.Term
+		if err := s.saveState(); err != nil {
+			return err
+		}
+	}
+	if err := s.saveEntries(msg.Entries); err != nil {
+		return err
+	}
 	for _, e := range msg.Entries {
 		s.log.append(e)
 		s.applyLocked(e)
@@ -239,6 +247,9 @@
 	if n == 0 {
 		return nil
 	}
+	if err := s.saveTruncate(offset); err != nil {
+		return err
+	}
 	s.logger.Warn().Int("dropped", n).Uint64("position", offset).Uint64("term", term).Msg("dropped log entries that the new primary does not have")
 	return s.rebuildLocked()
 }
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -36,6 +36,7 @@
 	ReplicationDelay time.Duration     // one-way delay to each replica
 	ApplyLag         time.Duration     // time for which a replica holds entries back
 	Unsafe           bool              // promotion without a raise of the term
+	DataDir          string            // keeps log, term and role for the next process; empty: nothing is kept
 	Log              zerolog.Logger
 }
 
@@ -81,6 +82,7 @@
 	reader *engine
 
 	openErr  error
+	disk     *disk
 	connMu   sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]struct{}
@@ -118,7 +120,9 @@
 	} else if s.upstream = cfg.Peers[cfg.Primary]; s.upstream == "" {
 		s.role = backend.RoleFenced
 	}
-	s.openErr = s.openEngines()
+	if s.openErr = s.openEngines(); s.openErr == nil {
+		s.openErr = s.load()
+	}
 	return s
 }
 
@@ -213,6 +217,10 @@
 		s.writer.close()
 		s.reader, s.writer = nil, nil
 	}
+	if s.disk != nil {
+		_ = s.disk.file.Close()
+		s.disk = nil
+	}
 }
 
 // Crash stops the database without notice to its clients and keeps what a
--- a/internal/standin/database/state.go
+++ b/internal/standin/database/state.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -42,7 +43,7 @@
 	s.logger.Info().Uint64("term", term).Uint64("old_term", s.term).Str("old_role", string(s.role)).Msg("term raised")
 	s.term, s.role, s.upstream = term, backend.RoleFenced, ""
 	s.notifyLocked()
-	return nil
+	return s.saveState()
 }
 
 // promote makes a database that was raised to term its primary and appends an
@@ -60,7 +61,11 @@
 		return errorf(stateObjectState, "term %d is below the current term %d", term, s.term)
 	}
 	s.term, s.role, s.upstream = term, backend.RolePrimary, ""
-	s.log.append(entry{Term: term, Now: time.Now()})
+	first := entry{Term: term, Now: time.Now()}
+	s.log.append(first)
+	if err := errors.Join(s.saveState(), s.saveEntries([]entry{first})); err != nil {
+		return err
+	}
 	s.logger.Info().Uint64("term", term).Uint64("position", s.log.last().Offset).Msg("promoted to primary")
 	s.notifyLocked()
 	return nil
@@ -82,7 +87,7 @@
 	s.term, s.role, s.upstream, s.heard = term, backend.RoleReplica, address, time.Now()
 	s.logger.Info().Uint64("term", term).Str("primary", address).Msg("following primary")
 	s.notifyLocked()
-	return nil
+	return s.saveState()
 }
 
 // errNotPrimary proves that the statement was not run.
@@ -102,11 +107,14 @@
 		s.failCommits--
 		return errorf(stateSerialization, "could not serialize access (requested by standin_set)")
 	}
+	e := entry{Term: tx.term, Now: tx.now, Statements: tx.statements}
 	if _, err := s.writer.run("COMMIT", nil); err != nil {
 		return err
 	}
-	e := entry{Term: tx.term, Now: tx.now, Statements: tx.statements}
 	s.log.append(e)
+	if err := s.saveEntries([]entry{e}); err != nil {
+		s.logger.Error().Err(err).Msg("log entry is not durable")
+	}
 	s.applyLocked(e)
 	s.writerAt = s.log.last()
 	s.notifyLocked()
