--- a/internal/standin/database/disk.go
+++ b/internal/standin/database/disk.go
@@ -21,6 +21,7 @@
 	State    *durableState
 	Entry    *entry
 	Truncate *uint64 // entries after this offset are dropped
+	Snapshot *snapshot
 }
 
 type durableState struct {
@@ -118,36 +119,32 @@
 			s.log.append(*r.Entry)
 		case r.Truncate != nil:
 			s.log.truncate(*r.Truncate)
+		case r.Snapshot != nil:
+			s.log, s.baseSnapshot = replicaLog{base: r.Snapshot.At}, r.Snapshot
 		}
 	}
 	s.logger.Info().Uint64("term", s.term).Str("role", string(s.role)).Uint64("position", s.log.last().Offset).Msg("restored from the data directory")
 	return s.rebuildLocked()
 }
 
-// saveState, saveEntries and saveTruncate are called under mu. Without a data
-// directory they do nothing.
-func (s *Server) saveState() error {
+// save writes a record, called under mu. Without a data directory it does
+// nothing.
+func (s *Server) save(r record) error {
 	if s.disk == nil {
 		return nil
 	}
-	return s.disk.write(record{State: &durableState{s.term, s.role, s.upstream}})
+	return s.disk.write(r)
+}
+
+func (s *Server) saveState() error {
+	return s.save(record{State: &durableState{s.term, s.role, s.upstream}})
 }
 
 func (s *Server) saveEntries(entries []entry) error {
-	if s.disk == nil {
-		return nil
-	}
 	for i := range entries {
-		if err := s.disk.write(record{Entry: &entries[i]}); err != nil {
+		if err := s.save(record{Entry: &entries[i]}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-func (s *Server) saveTruncate(offset uint64) error {
-	if s.disk == nil {
-		return nil
-	}
-	return s.disk.write(record{Truncate: &offset})
-}
--- a/internal/standin/database/engine.go
+++ b/internal/standin/database/engine.go
@@ -263,6 +263,11 @@
 	if err != nil {
 		return err
 	}
+	return e.deserialize(data, size)
+}
+
+// deserialize replaces the content by data, which SQLite allocated and frees.
+func (e *engine) deserialize(data uintptr, size int64) error {
 	e.dropStatements()
 	main, err := libc.CString("main")
 	if err != nil {
--- a/internal/standin/database/group_test.go
+++ b/internal/standin/database/group_test.go
@@ -287,3 +287,54 @@
 		t.Errorf("sum is %d, want 4", got)
 	}
 }
+
+// Guards against a compacted log that loses rows: for a replica that is behind
+// the log, for a truncation, and for a crash.
+func TestCompaction(t *testing.T) {
+	nodes := startGroup(t, func(c *Config) { c.CompactEvery = 10 })
+	a, b, c := nodes["a"], nodes["b"], nodes["c"]
+	ca := connect(t, a)
+	mustExec(t, ca, `CREATE TABLE track (id bigint)`)
+	insert := func(conn *pgx.Conn, from, to int) {
+		for i := from; i <= to; i++ {
+			mustExec(t, conn, `INSERT INTO track VALUES ($1)`, i)
+		}
+	}
+	sum := func(n *node) int64 { return queryOne[int64](t, connect(t, n), `SELECT sum(id) FROM track`) }
+	if err := c.Crash(); err != nil {
+		t.Fatal(err)
+	}
+	insert(ca, 1, 100)
+	a.mu.Lock()
+	kept, base := len(a.log.entries), a.log.base
+	a.mu.Unlock()
+	if kept > 20 || base.Offset == 0 {
+		t.Errorf("%d entries are kept after position %v", kept, base)
+	}
+	l, err := net.Listen("tcp", c.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, c, l)
+	waitPosition(t, c, a.status().Last)
+	waitPosition(t, b, a.status().Last)
+	if got := sum(c); got != 5050 {
+		t.Errorf("replica that was behind has sum %d, want 5050", got)
+	}
+	raise(t, b, 2)
+	insert(ca, 901, 903)
+	mustExec(t, connect(t, b), `SELECT group_promote(2)`)
+	insert(connect(t, b), 101, 105)
+	mustExec(t, ca, `SELECT group_follow(2, $1)`, b.addr)
+	waitPosition(t, a, b.status().Last)
+	if err := a.Crash(); err != nil {
+		t.Fatal(err)
+	}
+	if l, err = net.Listen("tcp", a.addr); err != nil {
+		t.Fatal(err)
+	}
+	serve(t, a, l)
+	if got := sum(a); got != 5565 {
+		t.Errorf("old primary has sum %d after truncation and crash, want 5565", got)
+	}
+}
--- a/internal/standin/database/replicationreceive.go
+++ b/internal/standin/database/replicationreceive.go
@@ -213,6 +213,11 @@
 	if !s.sameSourceLocked(src) || msg.Term < s.term {
 		return fmt.Errorf("message of term %d refused at term %d", msg.Term, s.term)
 	}
+	if msg.Snapshot != nil {
+		if err := s.installLocked(msg.Snapshot); err != nil {
+			return err
+		}
+	}
 	if msg.Prev.Offset > 0 && s.log.termAt(msg.Prev.Offset) != msg.Prev.Term {
 		return fmt.Errorf("no entry of term %d at position %d", msg.Prev.Term, msg.Prev.Offset)
 	}
@@ -237,17 +242,21 @@
 		s.log.append(e)
 		s.applyLocked(e)
 	}
+	s.compactLocked()
 	s.notifyLocked()
 	return nil
 }
 
 // dropAfterLocked removes the entries that the primary of term does not have.
 func (s *Server) dropAfterLocked(offset, term uint64) error {
+	if offset < s.log.base.Offset {
+		return fmt.Errorf("the primary's log differs before position %d, where this log begins", s.log.base.Offset)
+	}
 	n := s.log.truncate(offset)
 	if n == 0 {
 		return nil
 	}
-	if err := s.saveTruncate(offset); err != nil {
+	if err := s.save(record{Truncate: &offset}); err != nil {
 		return err
 	}
 	s.logger.Warn().Int("dropped", n).Uint64("position", offset).Uint64("term", term).Msg("dropped log entries that the new primary does not have")
--- a/internal/standin/database/replicationsend.go
+++ b/internal/standin/database/replicationsend.go
@@ -28,7 +28,11 @@
 	}
 	s.mu.Lock()
 	term, primary := s.term, s.role == backend.RolePrimary
-	next := s.log.matching(h.Runs)
+	next, ok := s.log.matching(h.Runs)
+	var snap *snapshot
+	if !ok {
+		snap, next = s.baseSnapshot, s.log.base.Offset
+	}
 	s.mu.Unlock()
 	if !primary || h.Term > term {
 		return
@@ -50,7 +54,7 @@
 		defer cancel()
 		writeDelayed(ctx, c, line)
 	}()
-	s.produce(ctx, term, next, line)
+	s.produce(ctx, term, next, snap, line)
 }
 
 // writeDelayed writes messages when they are due, in order.
@@ -63,17 +67,19 @@
 	}
 }
 
-// produce queues new entries and heartbeats for one replica.
-func (s *Server) produce(ctx context.Context, term, next uint64, line chan<- delayed) {
+// produce queues new entries and heartbeats for one replica. It ends the
+// connection if the log no longer holds the next entry.
+func (s *Server) produce(ctx context.Context, term, next uint64, snap *snapshot, line chan<- delayed) {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for first, due := true, true; ; first = false {
 		s.mu.Lock()
-		if s.role != backend.RolePrimary || s.term != term {
+		if s.role != backend.RolePrimary || s.term != term || next < s.log.base.Offset {
 			s.mu.Unlock()
 			return
 		}
-		msg := logMessage{Term: term, Prev: backend.Position{Term: s.log.termAt(next), Offset: next}, First: first}
+		msg := logMessage{Term: term, Prev: backend.Position{Term: s.log.termAt(next), Offset: next}, First: first, Snapshot: snap}
+		snap = nil
 		msg.Entries = s.log.after(next, maxEntriesPerSend)
 		changed := s.changed
 		s.mu.Unlock()
--- a/internal/standin/database/replicationwire.go
+++ b/internal/standin/database/replicationwire.go
@@ -36,5 +36,8 @@
 	Term    uint64
 	Prev    backend.Position
 	Entries []entry
-	First   bool // first message on a connection: entries after Prev conflict
+	// Snapshot replaces the replica's log. It is set on a first message when
+	// the primary's log does not reach back to the replica's.
+	Snapshot *snapshot
+	First    bool // first message on a connection: entries after Prev conflict
 }
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -36,6 +36,7 @@
 	ReplicationDelay time.Duration     // one-way delay to each replica
 	ApplyLag         time.Duration     // time for which a replica holds entries back
 	Unsafe           bool              // promotion without a raise of the term
+	CompactEvery     int               // entries between snapshots; 0 means 20000
 	DataDir          string            // keeps log, term and role for the next process; empty: nothing is kept
 	Log              zerolog.Logger
 }
@@ -67,16 +68,19 @@
 	writer    *engine       // used by the holder of writeLock
 	writerAt  backend.Position
 
-	mu          sync.Mutex // taken before readMu
-	term        uint64
-	role        backend.Role
-	log         replicaLog
-	upstream    string
-	heard       time.Time
-	leaving     bool
-	unsafe      bool
-	failCommits int64
-	changed     chan struct{}
+	mu   sync.Mutex // taken before readMu
+	term uint64
+	role backend.Role
+	log  replicaLog
+	// Content at the base of the log (nil at its beginning) and at a later
+	// position, where the base moves next.
+	baseSnapshot, nextSnapshot *snapshot
+	upstream                   string
+	heard                      time.Time
+	leaving                    bool
+	unsafe                     bool
+	failCommits                int64
+	changed                    chan struct{}
 
 	readMu sync.Mutex
 	reader *engine
--- a/internal/standin/database/state.go
+++ b/internal/standin/database/state.go
@@ -116,6 +116,7 @@
 		s.logger.Error().Err(err).Msg("log entry is not durable")
 	}
 	s.applyLocked(e)
+	s.compactLocked()
 	s.writerAt = s.log.last()
 	s.notifyLocked()
 	return nil
@@ -147,22 +148,3 @@
 	_, err := e.run("COMMIT", nil)
 	return err
 }
-
-// rebuildLocked makes the reading copy from the log.
-func (s *Server) rebuildLocked() error {
-	e, err := newEngine()
-	if err != nil {
-		return err
-	}
-	for _, en := range s.log.entries {
-		if err := applyTo(e, en); err != nil {
-			e.close()
-			return fmt.Errorf("rebuild from the log: %w", err)
-		}
-	}
-	s.readMu.Lock()
-	defer s.readMu.Unlock()
-	s.reader.close()
-	s.reader = e
-	return nil
-}
