--- /dev/null
+++ b/internal/outcome/outcome_test.go
@@ -0,0 +1,47 @@
+package outcome
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"geraniumbeam/internal/result"
+)
+
+var errCut = errors.New("connection reset")
+
+// Guards against "not run" for a request that may have been run, and against a
+// second run of a request that is not repeatable.
+func TestOutcome(t *testing.T) {
+	datadriven.RunTest(t, "testdata/outcome", func(t *testing.T, d *datadriven.TestData) string {
+		r := New(d.HasArg("repeatable"))
+		failures := map[string]error{
+			"cut":       errCut,
+			"too-large": result.Errorf(result.AnswerTooLarge, "too large"),
+			"copy":      result.Errorf(result.NotSupported, "copy"),
+			"floor":     result.Errorf(result.BehindFloor, "behind"),
+		}
+		steps := map[string]func(){
+			"send":      r.Send,
+			"effect":    func() { r.Finish(Effect) },
+			"no-effect": func() { r.Finish(NoEffect) },
+			"no-proof":  func() { r.Finish(NoProof) },
+		}
+		var failure error
+		for _, a := range d.CmdArgs {
+			if f, ok := failures[a.Key]; ok {
+				failure = f
+			} else if step, ok := steps[a.Key]; ok {
+				step()
+			}
+		}
+		out := fmt.Sprintf("%v ran=%v retry=%v", r.State(), r.Ran(), r.MayRetry())
+		if failure != nil {
+			f := r.Fail(result.DatabaseDown, failure)
+			out += fmt.Sprintf(" code=%s reported=%v", result.Lookup(f.Code).Name, f.Ran)
+		}
+		return out + "\n"
+	})
+}
