Add the load tool with scenarios for both services

Ruled out: closed-loop load for the floods (it slows down with the service and hides the delay); statements with parameters (literals work in each protocol mode); retries in the tool (they would change the offered load).

Change: internal/load sends seeded Poisson arrivals per caller through unmodified pgx, measures from the intended send time into HDR histograms and classifies answers by result code and detail. Commands: run, check, compare (closed loop, direct and proxy alternating) and idle (memory per connection). metrics.Registry publishes memstats, which idle needs.

Measured: go test -race ./internal/load passes (5 s). No run against the daemon yet.

--- a/cmd/geraniumbeam-load/main.go
+++ b/cmd/geraniumbeam-load/main.go
@@ -1,4 +1,188 @@
-// Command geraniumbeam-load is not built yet.
+// Command geraniumbeam-load sends open-loop load through the proxy and reports
+// what callers got.
+//
+// Exit codes: 0 finished, 1 the run failed, 2 bad usage or scenario.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"geraniumbeam/internal/load"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/version"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type cli struct {
+	JSON    bool             `help:"Write the report as JSON."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+
+	Run     runCmd     `cmd:"" help:"Run a scenario. Example: geraniumbeam-load run examples/load/alliance-calm.yaml --address 127.0.0.1:7501 --vars 127.0.0.1:7801"`
+	Check   checkCmd   `cmd:"" help:"Check scenario files without running them."`
+	Compare compareCmd `cmd:"" help:"Compare latency direct to a database and through the proxy in a closed loop."`
+	Idle    idleCmd    `cmd:"" help:"Open idle connections and report memory per connection."`
+}
+
+type env struct {
+	out     io.Writer
+	json    bool
+	command string
+}
+
+type report interface {
+	WriteText(w io.Writer) error
+}
+
+func (e *env) write(r report) error {
+	if !e.json {
+		return r.WriteText(e.out)
+	}
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+type runCmd struct {
+	Scenario  string        `arg:"" type:"existingfile" help:"YAML file of the scenario."`
+	Address   []string      `required:"" help:"HOST:PORT of an instance for callers; repeat or separate by commas."`
+	Vars      []string      `help:"HOST:PORT of an instance's metrics, for the share of replica reads."`
+	Seed      *uint64       `help:"Replaces the scenario's seed."`
+	Capacity  float64       `help:"Replaces the scenario's capacity in requests per second."`
+	Scale     float64       `default:"1" help:"Multiplies all rates."`
+	Duration  time.Duration `help:"Ends the run earlier than the scenario says."`
+	SkipSetup bool          `help:"Do not make tables and rows."`
+}
+
+func (c *runCmd) Run(ctx context.Context, e *env) error {
+	s, err := load.Load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	if c.Seed != nil {
+		s.Seed = *c.Seed
+	}
+	if c.Scale <= 0 || c.Capacity < 0 || c.Duration < 0 {
+		return result.Errorf(result.Invalid, "scale %v, capacity %v and duration %v: want positive values", c.Scale, c.Capacity, c.Duration)
+	}
+	if s, err = s.Adjust(c.Capacity, c.Scale, c.Duration); err != nil {
+		return err
+	}
+	r, err := load.Run(ctx, s, load.Options{Addresses: c.Address, Vars: c.Vars, Command: e.command, SkipSetup: c.SkipSetup})
+	if r == nil {
+		return err
+	}
+	if werr := e.write(r); err == nil {
+		err = werr
+	}
+	return err
+}
+
+type checkCmd struct {
+	Scenario []string `arg:"" type:"existingfile" help:"YAML files of scenarios."`
+}
+
+func (c *checkCmd) Run(e *env) error {
+	for _, path := range c.Scenario {
+		s, err := load.Load(path)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(e.out, "%s: %s, %d classes, %v\n", path, s.Name, len(s.Classes), s.Duration.Std())
+	}
+	return nil
+}
+
+type compareCmd struct {
+	Direct  string        `required:"" help:"Connection string of a database, such as postgres://user@127.0.0.1:7711/hut-ledger."`
+	Proxy   string        `required:"" help:"Connection string of an instance, such as postgres://user@127.0.0.1:7501/hut-ledger."`
+	Setup   []string      `sep:"none" help:"Statement to run once through the proxy; repeat for several."`
+	SQL     string        `name:"sql" default:"SELECT 1" help:"Statement; {n} and {caller} are replaced by numbers."`
+	Callers int           `default:"1" help:"Callers, each on its own connection."`
+	Rounds  int           `default:"20" help:"Rounds; each round uses both ways."`
+	Batch   int           `default:"100" help:"Requests per caller, way and round."`
+	Timeout time.Duration `default:"10s" help:"Time limit of one request."`
+}
+
+func (c *compareCmd) Run(ctx context.Context, e *env) error {
+	r, err := load.Compare(ctx, load.CompareOptions{
+		Direct: c.Direct, Proxy: c.Proxy, Setup: c.Setup, SQL: c.SQL, Callers: c.Callers,
+		Rounds: c.Rounds, Batch: c.Batch, Timeout: c.Timeout, Command: e.command,
+	})
+	if err != nil {
+		return err
+	}
+	return e.write(r)
+}
+
+type idleCmd struct {
+	Address     []string      `required:"" help:"HOST:PORT of an instance for callers."`
+	Vars        []string      `required:"" help:"HOST:PORT of the same instances' metrics."`
+	Service     string        `required:"" help:"Service name."`
+	Class       string        `help:"Class of the connections."`
+	Connections int           `default:"1000" help:"Connections to open."`
+	Hold        time.Duration `default:"20s" help:"How long to hold them while memory is sampled."`
+}
+
+func (c *idleCmd) Run(ctx context.Context, e *env) error {
+	r, err := load.Idle(ctx, load.IdleOptions{
+		Addresses: c.Address, Vars: c.Vars, Service: c.Service, Class: c.Class,
+		Connections: c.Connections, Hold: c.Hold, Command: e.command,
+	})
+	if err != nil {
+		return err
+	}
+	return e.write(r)
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var c cli
+	exited := -1
+	p, err := kong.New(&c, kong.Name("geraniumbeam-load"), kong.Writers(out, errOut), kong.Exit(func(n int) { exited = n }),
+		kong.Description("Sends open-loop load through geraniumbeam and reports what callers got."),
+		kong.Vars{"version": version.String()})
+	if err != nil {
+		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
+		return exitUsage
+	}
+	k, err := p.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
+		return exitUsage
+	}
+	k.BindTo(ctx, (*context.Context)(nil))
+	err = k.Run(&env{out: out, json: c.JSON, command: "geraniumbeam-load " + strings.Join(args, " ")})
+	switch {
+	case err == nil:
+		return 0
+	case result.Is(err, result.Invalid):
+		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
+		return exitUsage
+	default:
+		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/internal/load/idle.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"geraniumbeam/internal/result"
+)
+
+// IdleOptions configures a run of idle connections.
+type IdleOptions struct {
+	Addresses   []string // of proxy instances for callers
+	Vars        []string // metrics addresses of the same instances
+	Service     string
+	Class       string
+	Connections int
+	// Hold is how long the connections stay open while the memory is sampled.
+	Hold    time.Duration
+	Command string
+}
+
+const (
+	maxIdle      = 25000
+	maxHold      = 30 * time.Minute
+	idleOpeners  = 64
+	idleSamples  = 10
+	settleBefore = 2 * time.Second
+)
+
+// IdleReport is the memory of instances per idle connection.
+type IdleReport struct {
+	Command     string         `json:"command"`
+	Connections int            `json:"connections"`
+	Failed      int            `json:"failed"`
+	FirstError  string         `json:"first_error,omitempty"`
+	Instances   []InstanceIdle `json:"instances"`
+	// HeapPerConnection and TotalPerConnection are heap and stacks in use over all instances; the stack is part of the second. They
+	// include the load tool itself if it runs in the same process.
+	HeapPerConnection  Float `json:"heap_bytes_per_connection"`
+	TotalPerConnection Float `json:"heap_and_stack_bytes_per_connection"`
+}
+
+// InstanceIdle is the memory of one instance before and with the connections.
+type InstanceIdle struct {
+	Address    string `json:"address"`
+	HeapBefore uint64 `json:"heap_before"`
+	HeapAfter  uint64 `json:"heap_after"`
+	StackAdded int64  `json:"stack_added"`
+}
+
+// Idle opens connections, holds them and reports heap and stack per
+// connection. Garbage makes single samples too high, so the lowest of several
+// samples counts.
+func Idle(ctx context.Context, o IdleOptions) (*IdleReport, error) {
+	switch {
+	case o.Connections < 1 || o.Connections > maxIdle:
+		return nil, result.Errorf(result.Invalid, "connections has value %d: want 1 to %d", o.Connections, maxIdle)
+	case o.Hold <= 0 || o.Hold > maxHold:
+		return nil, result.Errorf(result.Invalid, "hold has value %v: want more than 0 and at most %v", o.Hold, maxHold)
+	}
+	before, err := lowest(ctx, o.Vars, settleBefore)
+	if err != nil {
+		return nil, err
+	}
+	conns, failed, first := openIdle(ctx, o)
+	defer func() {
+		for _, c := range conns {
+			closeConn(c)
+		}
+	}()
+	after, err := lowest(ctx, o.Vars, o.Hold)
+	if err != nil {
+		return nil, err
+	}
+	rep := &IdleReport{Command: o.Command, Connections: len(conns), Failed: failed}
+	if first != nil {
+		rep.FirstError = first.Error()
+	}
+	var heap, stack int64
+	for i, a := range o.Vars {
+		in := InstanceIdle{
+			Address: a, HeapBefore: before[i].HeapAlloc, HeapAfter: after[i].HeapAlloc,
+			StackAdded: int64(after[i].StackInuse) - int64(before[i].StackInuse),
+		}
+		rep.Instances = append(rep.Instances, in)
+		heap += int64(in.HeapAfter) - int64(in.HeapBefore)
+		stack += in.StackAdded
+	}
+	if len(conns) > 0 {
+		rep.HeapPerConnection = Float(float64(heap) / float64(len(conns)))
+		rep.TotalPerConnection = Float(float64(heap+stack) / float64(len(conns)))
+	}
+	return rep, nil
+}
+
+// lowest samples the memory of all instances over d and keeps, per instance,
+// the sample with the smallest heap.
+func lowest(ctx context.Context, vars []string, d time.Duration) ([]memory, error) {
+	best := make([]memory, len(vars))
+	for n := range idleSamples {
+		for i, a := range vars {
+			m, err := fetchMemory(ctx, a)
+			if err != nil {
+				return nil, err
+			}
+			if n == 0 || m.HeapAlloc < best[i].HeapAlloc {
+				best[i] = m
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(d / idleSamples):
+		}
+	}
+	return best, nil
+}
+
+func openIdle(ctx context.Context, o IdleOptions) (conns []*pgx.Conn, failed int, first error) {
+	var (
+		mu   sync.Mutex
+		wg   sync.WaitGroup
+		todo = make(chan int)
+	)
+	for range idleOpeners {
+		wg.Go(func() {
+			for i := range todo {
+				conn, err := dial(ctx, o.Addresses[i%len(o.Addresses)], fmt.Sprintf("idle-%d", i), o.Service, o.Class, "")
+				mu.Lock()
+				if err != nil {
+					failed++
+					if first == nil {
+						first = err
+					}
+				} else {
+					conns = append(conns, conn)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := 0; i < o.Connections && ctx.Err() == nil; i++ {
+		todo <- i
+	}
+	close(todo)
+	wg.Wait()
+	return conns, failed, first
+}
+
+// WriteText writes the report.
+func (r *IdleReport) WriteText(w io.Writer) error {
+	fmt.Fprintf(w, "command: %s\n%d idle connections, %d failed\n", r.Command, r.Connections, r.Failed)
+	if r.FirstError != "" {
+		fmt.Fprintln(w, "first error:", r.FirstError)
+	}
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "instance\theap before\theap after\tstack added\t")
+	for _, i := range r.Instances {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t\n", i.Address, i.HeapBefore, i.HeapAfter, i.StackAdded)
+	}
+	fmt.Fprintf(tw, "per connection\t\t%.0f\t%.0f\t\n", r.HeapPerConnection, r.TotalPerConnection-r.HeapPerConnection)
+	return tw.Flush()
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,146 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Options says against what a scenario runs.
+type Options struct {
+	// Addresses of proxy instances for callers; connections are spread over
+	// them.
+	Addresses []string
+	// Vars are the metrics addresses of instances, for the share of reads
+	// served by replicas.
+	Vars []string
+	// Command is recorded in the report.
+	Command   string
+	SkipSetup bool
+}
+
+// Run runs a scenario and measures it.
+func Run(ctx context.Context, s Scenario, o Options) (*Report, error) {
+	if !o.SkipSetup {
+		if err := runSetup(ctx, &s, o.Addresses); err != nil {
+			return nil, err
+		}
+	}
+	r := &run{scenario: s, options: o, id: strconv.FormatInt(time.Now().UnixMilli(), 36), start: time.Now()}
+	for _, g := range s.Segments {
+		seg := &segment{Segment: g, reads: make(map[string]readCounts)}
+		for _, c := range s.Classes {
+			seg.recorders = append(seg.recorders, newRecorder(c, g))
+		}
+		r.segments = append(r.segments, seg)
+	}
+	r.serve(ctx)
+	return r.report(), ctx.Err()
+}
+
+// run is one run of a scenario.
+type run struct {
+	scenario Scenario
+	options  Options
+	id       string // makes keys unique over runs
+	start    time.Time
+	segments []*segment
+
+	mu       sync.Mutex
+	warnings []string
+}
+
+type segment struct {
+	Segment
+	recorders []*recorder // by class
+	reads     map[string]readCounts
+}
+
+func (r *run) serve(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i := range r.scenario.Classes {
+		for caller := range r.scenario.Classes[i].Callers {
+			c := r.newCaller(i, caller)
+			wg.Go(func() { c.serve(ctx) })
+		}
+	}
+	if len(r.options.Vars) > 0 {
+		for _, g := range r.segments {
+			wg.Go(func() { r.countReads(ctx, g) })
+		}
+	}
+	wg.Wait()
+}
+
+// countReads samples the instances at the segment's start and end.
+func (r *run) countReads(ctx context.Context, g *segment) {
+	if !r.sleepUntil(ctx, g.Start.Std()) {
+		return
+	}
+	before := r.sample(ctx)
+	if !r.sleepUntil(ctx, (g.Start + g.Duration).Std()) {
+		return
+	}
+	for class, v := range r.sample(ctx) {
+		g.reads[class] = v.since(before[class])
+	}
+}
+
+func (r *run) sample(ctx context.Context) map[string]readCounts {
+	total, errs := sampleReads(ctx, r.options.Vars, r.scenario.Service)
+	for _, err := range errs {
+		r.warn("%v", err)
+	}
+	return total
+}
+
+func (r *run) warn(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.warnings = append(r.warnings, fmt.Sprintf(format, args...))
+}
+
+func (r *run) elapsed() time.Duration { return time.Since(r.start) }
+
+// sleepUntil waits for time t of the run; it reports false if ctx ends first.
+func (r *run) sleepUntil(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t - r.elapsed())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (r *run) add(class, caller int, write bool, intended, end time.Duration, v verdict, name string) {
+	for _, g := range r.segments {
+		if rec := g.recorders[class]; rec.covers(intended) {
+			rec.add(caller, write, intended, end, v, name)
+		}
+	}
+}
+
+func (r *run) report() *Report {
+	out := &Report{Command: r.options.Command, Scenario: r.scenario.Name, Seed: r.scenario.Seed, Warnings: r.warnings}
+	for _, g := range r.segments {
+		sr := SegmentReport{Name: g.Name, Seconds: g.Duration.Std().Seconds()}
+		for i, rec := range g.recorders {
+			sr.Classes = append(sr.Classes, rec.report(g.reads[r.scenario.Classes[i].Class]))
+		}
+		out.Segments = append(out.Segments, sr)
+	}
+	return out
+}
+
+// newRand returns a source that depends on the seed and the caller only.
+func (r *run) newRand(class, caller int, use string) *rand.Rand {
+	h := xxhash.Sum64String(fmt.Sprintf("%s/%d/%s", r.scenario.Classes[class].Class, caller, use))
+	return rand.New(rand.NewPCG(r.scenario.Seed, h))
+}
--- /dev/null
+++ b/internal/load/setup.go
@@ -0,0 +1,91 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+const (
+	setupUser     = "load-setup"
+	setupAttempts = 10
+	setupPause    = 500 * time.Millisecond
+)
+
+// runSetup makes the tables and rows of the scenario through the proxy. Each
+// step is tried again a bounded number of times, because its statements are
+// repeatable.
+func runSetup(ctx context.Context, s *Scenario, addresses []string) error {
+	if len(s.Setup.Statements) == 0 && s.Setup.Fill == "" {
+		return nil
+	}
+	st := &setup{scenario: s, addresses: addresses}
+	defer st.disconnect()
+	for p := range max(1, s.Partitions) {
+		for _, sql := range s.Setup.Statements {
+			if err := st.step(ctx, directive(s.Partitions, p, "")+sql); err != nil {
+				return err
+			}
+		}
+	}
+	if s.Setup.Fill == "" {
+		return nil
+	}
+	for row := range s.Rows {
+		sql := expand(s.Setup.Fill, row, row, setupUser, "setup-"+strconv.Itoa(row))
+		if err := st.step(ctx, directive(s.Partitions, row, "")+sql); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type setup struct {
+	scenario  *Scenario
+	addresses []string
+	conn      *pgx.Conn
+	next      int
+}
+
+func (s *setup) step(ctx context.Context, sql string) error {
+	var err error
+	for range setupAttempts {
+		if err = s.try(ctx, sql); err == nil {
+			return nil
+		}
+		if v, _ := judge(err); v == failed {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		case <-time.After(setupPause):
+		}
+	}
+	return fmt.Errorf("set-up statement %q: %w", sql, err)
+}
+
+func (s *setup) try(ctx context.Context, sql string) error {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if s.conn == nil || s.conn.IsClosed() {
+		address := s.addresses[s.next%len(s.addresses)]
+		s.next++
+		conn, err := dial(ctx, address, setupUser, s.scenario.Service, s.scenario.Setup.Class, s.scenario.Protocol)
+		if err != nil {
+			return err
+		}
+		s.conn = conn
+	}
+	return execute(ctx, s.conn, sql)
+}
+
+func (s *setup) disconnect() {
+	if s.conn != nil {
+		closeConn(s.conn)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -109,6 +109,8 @@
 	r := &Registry{Vars: new(expvar.Map).Init(), classes: make(map[key]*Class)}
 	r.Vars.Set("instance", expvar.Func(func() any { return instance }))
 	r.Vars.Set("data_centre", expvar.Func(func() any { return dataCentre }))
+	// The memory statistics are those of the process, as expvar publishes them.
+	r.Vars.Set("memstats", expvar.Get("memstats"))
 	r.Vars.Set("classes", expvar.Func(func() any { return r.Values() }))
 	return r
 }
