Report service-level burn per class and data centre

Cause: counters alone do not tell operators how much of an objective is left.

Ruled out: asking one instance for all (it does not know the others' counters); a window by wall clock (saved samples have their own times).

Change: internal/report adds up counters of all instances, survives restarts and names instances that did not answer; geraniumbeam-report prints text or JSON, saves and reads samples and draws SVG or PNG. internal/scrape is shared with the load tool. Objectives come from operators' files (--classes).

Measured: go test -race ./internal/report ./cmd/geraniumbeam-report passes.

--- a/cmd/geraniumbeam-report/main.go
+++ b/cmd/geraniumbeam-report/main.go
@@ -1,4 +1,199 @@
-// Command geraniumbeam-report is not built yet.
+// Command geraniumbeam-report reports the service-level burn per class and
+// data centre from the counters of all instances.
+//
+// Exit codes: 0 fine, 1 a file could not be read or written, 2 bad usage,
+// 3 some instance did not answer.
 package main
 
-func main() {}
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"geraniumbeam/internal/catalog"
+	"geraniumbeam/internal/report"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/version"
+)
+
+const (
+	exitFailed      = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+)
+
+type cli struct {
+	Address     []string         `help:"HOST:PORT of an instance's metrics; repeat or separate by commas."`
+	AddressFile string           `type:"existingfile" help:"File with one address per line; # begins a comment."`
+	Saved       string           `type:"existingfile" help:"Use samples that --save wrote instead of asking instances."`
+	Save        string           `help:"Write the samples to this file, one JSON object per line."`
+	Samples     int              `default:"2" help:"Number of samples to take."`
+	Interval    time.Duration    `default:"10s" help:"Time between samples."`
+	Classes     []string         `type:"existingfile" help:"Operators' YAML file with classes, for their objectives."`
+	Objective   float64          `default:"0.99" help:"Objective of classes that no file lists."`
+	Period      time.Duration    `default:"720h" help:"Time over which an objective holds."`
+	JSON        bool             `help:"Write the report as JSON."`
+	Plot        string           `help:"Draw the report into this .svg or .png file."`
+	Version     kong.VersionFlag `help:"Print the version and exit."`
+}
+
+const maxSamples = 10000
+
+func (c *cli) check(addresses []string) error {
+	invalid := func(format string, args ...any) error { return result.Errorf(result.Invalid, format, args...) }
+	switch {
+	case c.Saved == "" && len(addresses) == 0:
+		return invalid("no instance is given: want --address, --address-file or --saved")
+	case c.Saved != "" && len(addresses) > 0:
+		return invalid("--saved was given with addresses: want one of them")
+	case c.Samples < 2 || c.Samples > maxSamples:
+		return invalid("--samples has value %d: want 2 to %d", c.Samples, maxSamples)
+	case c.Interval <= 0:
+		return invalid("--interval has value %v: want more than 0", c.Interval)
+	case c.Objective <= 0 || c.Objective >= 1:
+		return invalid("--objective has value %v: want more than 0 and less than 1", c.Objective)
+	case c.Period <= 0:
+		return invalid("--period has value %v: want more than 0", c.Period)
+	case c.Plot != "":
+		return report.CheckPlotPath(c.Plot)
+	}
+	return nil
+}
+
+func (c *cli) run(ctx context.Context, out io.Writer) (int, error) {
+	addresses, err := c.addresses()
+	if err != nil {
+		return exitFailed, err
+	}
+	if err := c.check(addresses); err != nil {
+		return exitUsage, err
+	}
+	classes, err := c.classes()
+	if err != nil {
+		return exitUsage, err
+	}
+	samples, err := c.samples(ctx, addresses)
+	if err != nil {
+		return exitFailed, err
+	}
+	r, err := report.Compute(samples, report.Options{Classes: classes, Objective: c.Objective, Period: c.Period})
+	if err != nil {
+		return exitUsage, err
+	}
+	write := r.WriteText
+	if c.JSON {
+		write = r.WriteJSON
+	}
+	if err := write(out); err != nil {
+		return exitFailed, err
+	}
+	if c.Plot != "" {
+		if err := r.WritePlot(c.Plot); err != nil {
+			return exitFailed, err
+		}
+	}
+	if len(r.Unreachable) > 0 {
+		return exitUnreachable, nil
+	}
+	return 0, nil
+}
+
+func (c *cli) addresses() ([]string, error) {
+	out := c.Address
+	if c.AddressFile == "" {
+		return out, nil
+	}
+	f, err := os.Open(c.AddressFile)
+	if err != nil {
+		return nil, fmt.Errorf("read addresses: %w", err)
+	}
+	defer f.Close()
+	sc := bufio.NewScanner(f)
+	for sc.Scan() {
+		line, _, _ := strings.Cut(sc.Text(), "#")
+		if line = strings.TrimSpace(line); line != "" {
+			out = append(out, line)
+		}
+	}
+	return out, sc.Err()
+}
+
+func (c *cli) classes() ([]catalog.Class, error) {
+	var out []catalog.Class
+	for _, path := range c.Classes {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("read classes: %w", err)
+		}
+		m, err := catalog.ParseManifest(data, nil)
+		if err != nil {
+			return nil, fmt.Errorf("classes %s: %w", path, err)
+		}
+		out = append(out, m.Classes...)
+	}
+	return out, nil
+}
+
+func (c *cli) samples(ctx context.Context, addresses []string) ([]report.Sample, error) {
+	if c.Saved != "" {
+		f, err := os.Open(c.Saved)
+		if err != nil {
+			return nil, fmt.Errorf("read samples: %w", err)
+		}
+		defer f.Close()
+		return report.ReadSamples(f)
+	}
+	samples, err := report.TakeSeries(ctx, addresses, c.Samples, c.Interval)
+	if err != nil || c.Save == "" {
+		return samples, err
+	}
+	f, err := os.Create(c.Save)
+	if err != nil {
+		return nil, fmt.Errorf("save samples: %w", err)
+	}
+	if err := report.Save(f, samples); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return samples, f.Close()
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var c cli
+	exited := -1
+	p, err := kong.New(&c, kong.Name("geraniumbeam-report"), kong.Writers(out, errOut), kong.Exit(func(n int) { exited = n }),
+		kong.Description("Reports the service-level burn per class and data centre. Example: geraniumbeam-report --address 127.0.0.1:7801 --interval 1m"),
+		kong.Vars{"version": version.String()})
+	if err != nil {
+		fmt.Fprintln(errOut, "geraniumbeam-report:", err)
+		return exitUsage
+	}
+	_, err = p.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "geraniumbeam-report:", err)
+		return exitUsage
+	}
+	code, err := c.run(ctx, out)
+	if err != nil {
+		fmt.Fprintln(errOut, "geraniumbeam-report:", err)
+	}
+	return code
+}
--- a/internal/load/vars.go
+++ b/internal/load/vars.go
@@ -5,55 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"sync"
-	"time"
 
-	"geraniumbeam/internal/metrics"
+	"geraniumbeam/internal/scrape"
 )
 
-const (
-	varsTimeout = 3 * time.Second
-	maxVars     = 16 << 20 // bytes of one /debug/vars
-)
-
-// fetchVars reads /debug/vars of the instance whose metrics listen on address.
-func fetchVars(ctx context.Context, address string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, varsTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
-	if err != nil {
-		return nil, fmt.Errorf("metrics of %s: %w", address, err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("metrics of %s: %w", address, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("metrics of %s: status %s", address, resp.Status)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxVars))
-	if err != nil {
-		return nil, fmt.Errorf("metrics of %s: %w", address, err)
-	}
-	return body, nil
-}
-
-// FetchValues reads the counters of one instance.
-func FetchValues(ctx context.Context, address string) (metrics.Values, error) {
-	body, err := fetchVars(ctx, address)
-	if err != nil {
-		return metrics.Values{}, err
-	}
-	v, err := metrics.Decode(body)
-	if err != nil {
-		return v, fmt.Errorf("metrics of %s: %w", address, err)
-	}
-	return v, nil
-}
-
 // memory is the part of memstats that tells what connections cost.
 type memory struct {
 	HeapAlloc  uint64
@@ -63,7 +19,7 @@
 }
 
 func fetchMemory(ctx context.Context, address string) (memory, error) {
-	body, err := fetchVars(ctx, address)
+	body, err := scrape.Vars(ctx, address)
 	if err != nil {
 		return memory{}, err
 	}
@@ -101,7 +57,7 @@
 	)
 	for _, a := range addresses {
 		wg.Go(func() {
-			v, err := FetchValues(ctx, a)
+			v, err := scrape.Values(ctx, a)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
--- /dev/null
+++ b/internal/report/burn.go
@@ -0,0 +1,269 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"geraniumbeam/internal/catalog"
+	"geraniumbeam/internal/metrics"
+	"geraniumbeam/internal/result"
+)
+
+// Options configures Compute.
+type Options struct {
+	// Classes give the objectives. A class that is not listed has Objective.
+	Classes   []catalog.Class
+	Objective float64
+	// Period is the time over which an objective holds.
+	Period time.Duration
+}
+
+// AllDataCentres is the data centre name of a class's total.
+const AllDataCentres = "all"
+
+// Report tells how much of the objectives is used.
+type Report struct {
+	From, To    time.Time     `json:"-"`
+	FastSeconds float64       `json:"fast_window_s"`
+	SlowSeconds float64       `json:"slow_window_s"`
+	Period      string        `json:"period"`
+	Burns       []Burn        `json:"burns"`
+	Unreachable []Unreachable `json:"unreachable,omitempty"`
+	Warnings    []string      `json:"warnings,omitempty"`
+}
+
+// Burn is the use of one class's objective in one data centre.
+type Burn struct {
+	Service    string  `json:"service"`
+	Class      string  `json:"class"`
+	DataCentre string  `json:"data_centre"`
+	Objective  float64 `json:"objective"`
+	// Requests and Bad are totals since the instances started. Requests that
+	// failed by the caller's own fault do not count.
+	Requests int64 `json:"requests"`
+	Bad      int64 `json:"bad"`
+	// Used is the share of the allowed bad requests that is used: 1 means all.
+	Used float64 `json:"objective_used"`
+	// Fast and Slow are burn rates: 1 uses up the objective exactly within
+	// the period. Fast covers the last two samples, Slow all of them.
+	Fast float64 `json:"burn_fast"`
+	Slow float64 `json:"burn_slow"`
+	// ExhaustedInSeconds is the time until the period's allowance is used at
+	// the slow window's rate; -1 means not at this rate.
+	ExhaustedInSeconds float64 `json:"exhausted_in_s"`
+	// Reasons are the shares of bad requests by reason.
+	Reasons map[metrics.Reason]float64 `json:"reasons,omitempty"`
+}
+
+type rowKey struct{ service, class, dataCentre string }
+
+// tally counts requests against the objective.
+type tally struct {
+	requests, bad int64
+	reasons       map[metrics.Reason]int64
+}
+
+func (t *tally) add(v tally) {
+	t.requests += v.requests
+	t.bad += v.bad
+	if t.reasons == nil {
+		t.reasons = make(map[metrics.Reason]int64)
+	}
+	for r, n := range v.reasons {
+		t.reasons[r] += n
+	}
+}
+
+func newTally(v metrics.ClassValues) tally {
+	t := tally{reasons: make(map[metrics.Reason]int64)}
+	t.requests = v.Requests - v.Missed[metrics.ReasonCaller]
+	t.bad = max(0, t.requests-v.WithinTarget)
+	var explained int64
+	for r, n := range v.Missed {
+		if r != metrics.ReasonCaller && n > 0 {
+			t.reasons[r] = n
+			explained += n
+		}
+	}
+	if rest := t.bad - explained; rest > 0 {
+		t.reasons[metrics.ReasonOther] += rest
+	}
+	return t
+}
+
+// Compute evaluates samples in order of time.
+func Compute(samples []Sample, o Options) (*Report, error) {
+	if len(samples) < 2 {
+		return nil, result.Errorf(result.Invalid, "there are %d samples: want at least 2", len(samples))
+	}
+	first, last := samples[0], samples[len(samples)-1]
+	rep := &Report{From: first.At, To: last.At, Period: o.Period.String(), SlowSeconds: last.At.Sub(first.At).Seconds()}
+	rep.FastSeconds = last.At.Sub(samples[len(samples)-2].At).Seconds()
+	if rep.FastSeconds <= 0 || o.Period <= 0 {
+		return nil, result.Errorf(result.Invalid, "window %v s and period %v: want more than 0", rep.FastSeconds, o.Period)
+	}
+	total := make(map[rowKey]*tally)
+	for _, in := range last.Instances {
+		addInstance(total, in, metrics.Values{})
+	}
+	fast, _ := window(samples[len(samples)-2:])
+	slow, restarted := window(samples)
+	for _, name := range restarted {
+		rep.Warnings = append(rep.Warnings, fmt.Sprintf("instance %s restarted between samples; requests before its restart may be missing", name))
+	}
+	for k, t := range total {
+		rep.Burns = append(rep.Burns, o.burn(k, *t, value(fast, k), value(slow, k), rep.SlowSeconds))
+	}
+	slices.SortFunc(rep.Burns, func(a, b Burn) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class),
+			-compareBool(a.DataCentre == AllDataCentres, b.DataCentre == AllDataCentres), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	rep.Unreachable = unreachable(samples)
+	return rep, nil
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// window adds up the increase over consecutive samples and names the instances
+// that restarted in it.
+func window(samples []Sample) (map[rowKey]*tally, []string) {
+	out := make(map[rowKey]*tally)
+	restarted := make(map[string]bool)
+	previous := make(map[string]metrics.Values)
+	for i, s := range samples {
+		for _, in := range s.Instances {
+			before, known := previous[in.Instance]
+			previous[in.Instance] = in
+			if i == 0 || !known {
+				// The increase of an instance that was not seen before is
+				// unknown, so it counts from the next sample on.
+				continue
+			}
+			if resets(before, in) {
+				restarted[in.Instance] = true
+				before = metrics.Values{}
+			}
+			addInstance(out, in, before)
+		}
+	}
+	return out, slices.Sorted(maps.Keys(restarted))
+}
+
+func resets(before, after metrics.Values) bool {
+	counts := make(map[rowKey]int64)
+	for _, c := range after.Classes {
+		counts[rowKey{c.Service, c.Class, ""}] = c.Requests
+	}
+	return slices.ContainsFunc(before.Classes, func(c metrics.ClassValues) bool {
+		return counts[rowKey{c.Service, c.Class, ""}] < c.Requests
+	})
+}
+
+// addInstance adds the increase of one instance to its data centre and to the
+// total.
+func addInstance(out map[rowKey]*tally, in, before metrics.Values) {
+	old := make(map[rowKey]tally)
+	for _, c := range before.Classes {
+		old[rowKey{c.Service, c.Class, ""}] = newTally(c)
+	}
+	for _, c := range in.Classes {
+		t := newTally(c)
+		if b, ok := old[rowKey{c.Service, c.Class, ""}]; ok {
+			t = t.minus(b)
+		}
+		for _, dc := range []string{in.DataCentre, AllDataCentres} {
+			k := rowKey{c.Service, c.Class, dc}
+			if out[k] == nil {
+				out[k] = &tally{}
+			}
+			out[k].add(t)
+		}
+	}
+}
+
+// minus never goes below zero: counters of one instance are not read at the
+// same moment, so a difference may be off by requests in flight.
+func (t tally) minus(b tally) tally {
+	out := tally{requests: max(0, t.requests-b.requests), bad: max(0, t.bad-b.bad), reasons: make(map[metrics.Reason]int64)}
+	for r, n := range t.reasons {
+		out.reasons[r] = max(0, n-b.reasons[r])
+	}
+	return out
+}
+
+func value(m map[rowKey]*tally, k rowKey) tally {
+	if t := m[k]; t != nil {
+		return *t
+	}
+	return tally{}
+}
+
+func (o Options) objective(service, class string) float64 {
+	for _, c := range o.Classes {
+		if c.Service == service && c.Name == class {
+			return c.ObjectiveShare()
+		}
+	}
+	return o.Objective
+}
+
+func (o Options) burn(k rowKey, total, fast, slow tally, slowSeconds float64) Burn {
+	b := Burn{
+		Service: k.service, Class: k.class, DataCentre: k.dataCentre, Objective: o.objective(k.service, k.class),
+		Requests: total.requests, Bad: total.bad, ExhaustedInSeconds: -1,
+	}
+	allowed := 1 - b.Objective
+	b.Used = rate(total) / allowed
+	b.Fast = rate(fast) / allowed
+	b.Slow = rate(slow) / allowed
+	if slow.bad > 0 {
+		// The allowance of a whole period at the present request rate.
+		allowance := allowed * float64(slow.requests) / slowSeconds * o.Period.Seconds()
+		left := max(0, allowance-float64(total.bad))
+		b.ExhaustedInSeconds = left / (float64(slow.bad) / slowSeconds)
+	}
+	var sum int64
+	for _, n := range total.reasons {
+		sum += n
+	}
+	for r, n := range total.reasons {
+		if b.Reasons == nil {
+			b.Reasons = make(map[metrics.Reason]float64)
+		}
+		b.Reasons[r] = float64(n) / float64(sum)
+	}
+	return b
+}
+
+func rate(t tally) float64 {
+	if t.requests == 0 {
+		return 0
+	}
+	return float64(t.bad) / float64(t.requests)
+}
+
+// unreachable lists each instance that did not answer in any sample, with its
+// last error.
+func unreachable(samples []Sample) []Unreachable {
+	last := make(map[string]Unreachable)
+	for _, s := range samples {
+		for _, u := range s.Unreachable {
+			last[u.Address] = u
+		}
+	}
+	out := slices.Collect(maps.Values(last))
+	slices.SortFunc(out, func(a, b Unreachable) int { return cmp.Compare(a.Address, b.Address) })
+	return out
+}
--- /dev/null
+++ b/internal/report/plot.go
@@ -0,0 +1,107 @@
+package report
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"geraniumbeam/internal/metrics"
+	"geraniumbeam/internal/result"
+)
+
+// Sizes of the plot.
+const (
+	barWidth   = 0.5 * vg.Centimeter
+	perBar     = 1.2 * vg.Centimeter
+	plotHeight = 14 * vg.Centimeter
+	plotMargin = 6 * vg.Centimeter
+)
+
+var reasonColours = map[metrics.Reason]color.Color{
+	metrics.ReasonShed:     color.RGBA{R: 0xd5, G: 0x5e, A: 0xff},
+	metrics.ReasonQueue:    color.RGBA{R: 0xe6, G: 0x9f, A: 0xff},
+	metrics.ReasonFailover: color.RGBA{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
+	metrics.ReasonStale:    color.RGBA{R: 0x56, G: 0xb4, B: 0xe9, A: 0xff},
+	metrics.ReasonOther:    color.RGBA{R: 0x99, G: 0x99, B: 0x99, A: 0xff},
+}
+
+// CheckPlotPath refuses a file name that WritePlot cannot write.
+func CheckPlotPath(path string) error {
+	switch ext := strings.ToLower(filepath.Ext(path)); ext {
+	case ".svg", ".png":
+		return nil
+	default:
+		return result.Errorf(result.Invalid, "plot file has the extension %q: want .svg or .png", ext)
+	}
+}
+
+// WritePlot draws the share of the objective used per class and data centre,
+// split by reason, as SVG or PNG according to the file name.
+func (r *Report) WritePlot(path string) error {
+	if err := CheckPlotPath(path); err != nil {
+		return err
+	}
+	p := plot.New()
+	p.Title.Text = "Share of the objective used"
+	p.Y.Label.Text = "percent"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	labels := make([]string, len(r.Burns))
+	for i, b := range r.Burns {
+		labels[i] = b.Class + " " + b.DataCentre
+	}
+	if len(labels) > 0 {
+		p.NominalX(labels...)
+		p.X.Tick.Label.Rotation = math.Pi / 4
+		p.X.Tick.Label.XAlign = -1
+		if err := r.addBars(p); err != nil {
+			return err
+		}
+	}
+	width := plotMargin + perBar*vg.Length(len(r.Burns))
+	if err := p.Save(width, plotHeight, path); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
+
+func (r *Report) addBars(p *plot.Plot) error {
+	var below *plotter.BarChart
+	for _, reason := range metrics.Reasons {
+		values := make(plotter.Values, len(r.Burns))
+		sum := 0.0
+		for i, b := range r.Burns {
+			values[i] = 100 * b.Used * b.Reasons[reason]
+			sum += values[i]
+		}
+		if sum == 0 {
+			continue
+		}
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+		bars.Color = reasonColours[reason]
+		bars.LineStyle.Width = 0
+		if below != nil {
+			bars.StackOn(below)
+		}
+		below = bars
+		p.Add(bars)
+		p.Legend.Add(string(reason), bars)
+	}
+	limit, err := plotter.NewLine(plotter.XYs{{X: -0.5, Y: 100}, {X: float64(len(r.Burns)) - 0.5, Y: 100}})
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	limit.Dashes = []vg.Length{vg.Points(4), vg.Points(4)}
+	p.Add(limit)
+	p.Legend.Add("objective used up", limit)
+	return nil
+}
--- /dev/null
+++ b/internal/report/sample.go
@@ -0,0 +1,117 @@
+// Package report computes how much of each class's service-level objective is
+// used, from the counters of all instances.
+//
+// Invariants: an instance that did not answer is named. A restarted instance,
+// whose counters begin at zero again, never gives negative figures.
+package report
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"geraniumbeam/internal/metrics"
+	"geraniumbeam/internal/scrape"
+)
+
+// Sample is what all instances reported at one time.
+type Sample struct {
+	At          time.Time        `json:"at"`
+	Instances   []metrics.Values `json:"instances"`
+	Unreachable []Unreachable    `json:"unreachable,omitempty"`
+}
+
+// Unreachable is an instance that did not answer.
+type Unreachable struct {
+	Address string `json:"address"`
+	Error   string `json:"error"`
+}
+
+// parallelScrapes bounds the requests under way at once.
+const parallelScrapes = 64
+
+// Take reads the counters of all instances now.
+func Take(ctx context.Context, addresses []string) Sample {
+	s := Sample{At: time.Now()}
+	var (
+		mu sync.Mutex
+		g  errgroup.Group
+	)
+	g.SetLimit(parallelScrapes)
+	for _, a := range addresses {
+		g.Go(func() error {
+			v, err := scrape.Values(ctx, a)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				s.Unreachable = append(s.Unreachable, Unreachable{a, err.Error()})
+			} else {
+				s.Instances = append(s.Instances, v)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // failures are in the sample
+	slices.SortFunc(s.Unreachable, func(a, b Unreachable) int { return cmp.Compare(a.Address, b.Address) })
+	return s
+}
+
+// TakeSeries takes n samples, interval apart. It ends early with ctx.
+func TakeSeries(ctx context.Context, addresses []string, n int, interval time.Duration) ([]Sample, error) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	out := []Sample{Take(ctx, addresses)}
+	for len(out) < n {
+		select {
+		case <-ctx.Done():
+			return out, ctx.Err()
+		case <-ticker.C:
+			out = append(out, Take(ctx, addresses))
+		}
+	}
+	return out, nil
+}
+
+// maxLine bounds one saved sample in bytes.
+const maxLine = 64 << 20
+
+// ReadSamples reads samples that Save wrote, ordered by time.
+func ReadSamples(r io.Reader) ([]Sample, error) {
+	var out []Sample
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for line := 1; sc.Scan(); line++ {
+		var s Sample
+		if err := json.Unmarshal(sc.Bytes(), &s); err != nil {
+			return nil, fmt.Errorf("line %d of the saved samples: %w", line, err)
+		}
+		if s.At.IsZero() {
+			return nil, fmt.Errorf("line %d of the saved samples: field \"at\" is missing", line)
+		}
+		out = append(out, s)
+	}
+	if err := sc.Err(); err != nil {
+		return nil, fmt.Errorf("saved samples: %w", err)
+	}
+	slices.SortStableFunc(out, func(a, b Sample) int { return a.At.Compare(b.At) })
+	return out, nil
+}
+
+// Save writes samples, one JSON object per line.
+func Save(w io.Writer, samples []Sample) error {
+	enc := json.NewEncoder(w)
+	for _, s := range samples {
+		if err := enc.Encode(s); err != nil {
+			return fmt.Errorf("save samples: %w", err)
+		}
+	}
+	return nil
+}
