Report the request id to callers and fix two retry rules

Cause: an operator could not find the events of a failed request from the error that its caller saw. A request without retry budget went to the standby owner although the active one had not turned it away. A replayed answer did not raise the floor, so a later replica read could miss the write.

Ruled out: the id in the message, because applications log or compare it.

Change: errors carry the request id in the Where field; the two rules are fixed; a transaction's group is tested; a fuzz target covers caller messages.

--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -22,6 +22,7 @@
 
 // batch is one unit of work: a simple query, or extended messages up to Sync.
 type batch struct {
+	id       string // of the request, empty before it has one
 	simple   bool
 	messages []byte   // for the backend, in wire format
 	injected []uint32 // indexes of the Parse messages that the entry added
@@ -102,7 +103,7 @@
 		return nil
 	}
 	b.reported = true
-	return c.write(appendError(nil, "ERROR", result.From(b.err)))
+	return c.write(appendError(nil, "ERROR", result.From(b.err), ""))
 }
 
 func (b *batch) query(c *caller, body []byte) {
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -14,6 +14,11 @@
 	"geraniumbeam/internal/session"
 )
 
+// startingSlack is the number of connections that may be in their startup
+// beyond the limit of connections. Cancellations and callers that ask for
+// encryption and reconnect without it need some when the limit is small.
+const startingSlack = 100
+
 // Timeouts towards callers.
 const (
 	// writeTimeout ends the connection of a caller that does not read its
@@ -51,8 +56,7 @@
 
 func (s *Server) serveCaller(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	limit := int64(s.cfg.Settings.Callers.MaxConnections)
-	if s.starting.Add(1) > limit {
+	if s.starting.Add(1) > int64(s.cfg.Settings.Callers.MaxConnections)+startingSlack {
 		s.starting.Add(-1)
 		return
 	}
@@ -183,7 +187,7 @@
 			c.s.cfg.Settings.Callers.StartupTimeout.Std())
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(goodbyeTimeout))
-	_, _ = c.conn.Write(appendError(nil, "FATAL", coded))
+	_, _ = c.conn.Write(appendError(nil, "FATAL", coded, ""))
 }
 
 func isTimeout(err error) bool {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"database/sql"
+	"encoding/binary"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +12,9 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgxpool"
 	_ "github.com/jackc/pgx/v5/stdlib"
+
+	"geraniumbeam/internal/route"
+	"geraniumbeam/internal/wire"
 )
 
 // Guards against a read after a write that misses it, and against reads that
@@ -59,6 +64,81 @@
 	}
 }
 
+// Guards against a statement of a transaction that runs in another group than
+// the transaction, and against a partition that has to be repeated in each.
+func TestTransactionKeepsItsGroup(t *testing.T) {
+	f := start(t, nil)
+	conn := f.connectTo("postgres://ann@" + f.address + "/pairs")
+	in := make(map[string]string)
+	for _, p := range []string{"a", "b", "c", "d", "e", "f"} {
+		in[route.GroupOf(p, []string{"g1", "g2"})] = p
+	}
+	f.exec(conn, "/* geraniumbeam partition="+in["g1"]+" */ begin")
+	f.exec(conn, "insert into huts values (1)")
+	f.wantState(conn, "/* geraniumbeam partition="+in["g2"]+" */ insert into huts values (1)", "22023")
+	f.exec(conn, "rollback")
+	f.exec(conn, "/* geraniumbeam partition="+in["g1"]+" */ begin")
+	f.exec(conn, "set geraniumbeam.partition = '"+in["g2"]+"'")
+	f.wantState(conn, "insert into huts values (1)", "22023")
+}
+
+// Guards against a call that counts as sent although no connection to the
+// instance could be opened, which would make its outcome unknown.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	_, err = wire.NewClients(nil).Pool(l.Addr().String()).Execute(context.Background(), &wire.ExecuteRequest{})
+	if err == nil || !notSent(err) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against caller messages that make the entry panic or loop.
+func FuzzMessages(f *testing.F) {
+	fix := start(f, nil)
+	f.Add(byte('P'), []byte("s\x00select 1\x00\x00\x00"))
+	f.Add(byte('B'), []byte("\x00\x00\x00\x00\x00\x00\x00\x00"))
+	f.Add(byte('D'), []byte("S\x00"))
+	f.Add(byte('E'), []byte("\x00\x00\x00\x00\x00"))
+	f.Add(byte('C'), []byte("P\x00"))
+	f.Add(byte('Q'), []byte("set geraniumbeam.class = quick\x00"))
+	f.Add(byte(0), []byte("\x00\x03\x00\x00user\x00a\x00options\x00-c a=b\x00\x00"))
+	f.Fuzz(func(_ *testing.T, kind byte, body []byte) {
+		c := &caller{s: fix.server, service: "huts", statements: map[string]*prepared{"": {script: route.Classify("select 1")}}}
+		b := &batch{}
+		switch {
+		case kind == 'Q':
+			b.query(c, body)
+		case kind == 0 && len(body) >= 4:
+			c1, c2 := net.Pipe()
+			_, _ = c2.Close(), c1.Close()
+			_, _ = startupParameters(c1, body, binary.BigEndian.Uint32(body))
+		default:
+			b.refuse(c.extended(b, kind, body))
+		}
+		for _, op := range b.local {
+			if b.err == nil && !b.mixed() {
+				_, _ = c.runOp(nil, op)
+			}
+		}
+	})
+}
+
+// Measures the entry alone, with a pool that answers at once.
+func BenchmarkQuery(b *testing.B) {
+	f := start(b, nil)
+	f.cluster.discard = true
+	conn := f.connect("")
+	f.exec(conn, "insert into huts values (1)")
+	b.ReportAllocs()
+	for b.Loop() {
+		f.read(conn, "select seen from huts where id = $1", "7")
+	}
+}
+
 // Guards against client libraries that cannot work unmodified: statement
 // caches, pipelines, transactions and pools.
 func TestUnmodifiedClients(t *testing.T) {
@@ -100,6 +180,14 @@
 	if err := pool.Ping(ctx); err != nil {
 		t.Fatal(err)
 	}
+	for _, mode := range []string{"cache_statement", "cache_describe", "describe_exec", "exec", "simple_protocol"} {
+		conn := f.connect("&default_query_exec_mode=" + mode)
+		for range 2 {
+			f.exec(conn, "insert into huts values ($1)", "1")
+			f.read(conn, "select seen from huts where id = $1", "1")
+			f.read(conn, "show geraniumbeam.class")
+		}
+	}
 }
 
 // Guards against statements of a transaction that leave their pool or lose
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -33,6 +33,7 @@
 	kept      map[string]int
 	cancelled chan string
 	load      *wire.Load
+	discard   bool // calls are not kept
 	// intercept may replace the answer to a call; nil, nil lets it run.
 	intercept func(address string, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error)
 }
@@ -86,7 +87,9 @@
 	f := p.f
 	f.mu.Lock()
 	intercept := f.intercept
-	f.calls, f.addresses = append(f.calls, req), append(f.addresses, p.address)
+	if !f.discard {
+		f.calls, f.addresses = append(f.calls, req), append(f.addresses, p.address)
+	}
 	isDown := f.down[p.address]
 	f.mu.Unlock()
 	if isDown {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -210,7 +210,7 @@
 		}
 		if x.tried[at.key()] > 0 && !x.s.budgets.Class(x.r.class.ObjectName()).Spend() {
 			x.tried[at.key()] = x.pauses + 1
-			continue
+			return attempt{}, false
 		}
 		return at, true
 	}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -222,11 +222,12 @@
 
 // raiseFloor applies what the answer proves to the session's floor and reports
 // whether it changed. A verified read proves that the position covers all
-// earlier confirmed writes, so an unknown floor becomes known.
+// earlier confirmed writes, so an unknown floor becomes known. A stored answer
+// stands for a write at or below the position that was confirmed with it.
 func (c *caller) raiseFloor(r *request, done outcome) bool {
 	p := wire.PositionOf(done.resp.GetPosition())
 	switch {
-	case done.resp.GetWrote():
+	case done.resp.GetWrote(), done.resp.GetReplayed():
 		return c.floors.Raise(r.group, p)
 	case done.verified && !r.known && p.Term > 0:
 		return c.floors.Raise(r.group, p)
