Ask for a proof of age everywhere before a stale answer

Cause: in a trial with the real pool the first read of a class with when_stale: mark was answered stale by the nearest replica, although the primary could have proved the age.

Ruled out: asking the primary first, which would take reads away from the replicas when they can prove the age.

Change: a read is marked stale only after every database that could be tried has failed to prove the age. The later attempt needs no retry budget, because a replica is asked at most twice.

Result: go test -race ./internal/entry passes; TestStaleIsTheLastResort fails without the change.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"geraniumbeam/internal/catalog"
 	"geraniumbeam/internal/directory"
 	"geraniumbeam/internal/events"
 	"geraniumbeam/internal/result"
@@ -26,10 +27,13 @@
 	target  route.Target
 	address string // of the pool
 	term    uint64 // of the group when the attempt was planned
+	stale   bool   // the answer may be marked stale
 }
 
 func (a attempt) key() attemptKey {
-	k := attemptKey{database: a.target.Database.Name, address: a.address, primary: a.target.Primary}
+	k := attemptKey{
+		database: a.target.Database.Name, address: a.address, primary: a.target.Primary, stale: a.stale,
+	}
 	if a.target.Primary {
 		k.term = a.term
 	}
@@ -38,7 +42,7 @@
 
 type attemptKey struct {
 	database, address string
-	primary           bool
+	primary, stale    bool
 	term              uint64
 }
 
@@ -61,6 +65,7 @@
 	attempts    int
 	pauses      int
 	primaryOnly bool          // a replica refused the batch as a write
+	acceptStale bool          // no database could prove the age
 	maybeRan    bool          // an earlier attempt may have run the batch
 	last        *result.Error // of the last attempt
 	shed        *result.Error // a database was passed over because of its load
@@ -110,6 +115,10 @@
 		changed := x.s.cfg.Directory.Changed()
 		group, _ := x.s.cfg.Directory.Group(x.r.group)
 		at, ok := x.next(group)
+		if !ok && x.mayAcceptStale() {
+			x.acceptStale = true
+			continue
+		}
 		if !ok {
 			if x.shed != nil {
 				return outcome{err: x.final(x.shed)}
@@ -124,6 +133,14 @@
 	}
 }
 
+// mayAcceptStale reports that a read whose age no database could prove may now
+// be answered and marked. The proof comes first, because the primary can give
+// it when a replica cannot.
+func (x *runner) mayAcceptStale() bool {
+	return !x.acceptStale && x.r.read && x.attempts > 0 && x.r.class.Reads.MaxAge > 0 &&
+		x.r.class.Reads.WhenStale == catalog.WhenStaleMark
+}
+
 // explainWait notes why there is nothing to try, if no attempt has told yet.
 func (x *runner) explainWait(g directory.Group) {
 	switch {
@@ -198,7 +215,7 @@
 		return attempt{}, false
 	}
 	for _, owner := range x.s.cfg.Directory.Owners(t.Database) {
-		at := attempt{target: t, address: owner.Address, term: term}
+		at := attempt{target: t, address: owner.Address, term: term, stale: x.acceptStale && !t.Primary}
 		if !x.s.health.allows(owner.Address, now) {
 			continue
 		}
@@ -278,7 +295,7 @@
 	}
 	maxAge := r.class.Reads.MaxAge.Std()
 	req.MaxAgeMs = maxAge.Milliseconds()
-	req.MarkStale = r.class.Reads.WhenStale == whenStaleMark
+	req.MarkStale = at.stale
 	switch {
 	case at.target.Primary:
 		// An isolated old primary can be arbitrarily old, so a promise of age
--- a/internal/entry/verdict.go
+++ b/internal/entry/verdict.go
@@ -5,14 +5,11 @@
 	"errors"
 	"net"
 
-	"geraniumbeam/internal/catalog"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/route"
 	"geraniumbeam/internal/wire"
 )
 
-const whenStaleMark = catalog.WhenStaleMark
-
 // stateReadOnly is the SQLSTATE with which a replica refuses a write. It
 // proves that the batch changed nothing.
 const stateReadOnly = "25006"
