--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -100,6 +100,9 @@
 		if coded.Code == result.Internal || coded.Code == result.OutcomeUnknown {
 			return result.Errorf(notRun, "%w", err).WithRan(result.RanNo)
 		}
+		if r.state == Queued {
+			return coded // such as a duplicate of a request that may have been run
+		}
 		return coded.WithRan(result.RanNo)
 	default:
 		if coded.Code == result.AnswerTooLarge || coded.Code == result.NotSupported {
--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -25,7 +25,7 @@
 	outcome outcome.Request
 	running running
 	ticket  *admission.Ticket
-	began   time.Time     // of the call, on the pool's clock
+	asked   time.Time     // when the latest batch was sent, on the pool's clock
 	service time.Duration // time at the database
 	read    uint64        // sequence number at the begin, for verification; 0: none
 }
@@ -46,7 +46,7 @@
 	defer p.inFlight.done()
 	u.inFlight.add()
 	defer u.inFlight.done()
-	e := &execution{u: u, req: req, resp: resp, outcome: outcome.New(req.GetRepeatable()), began: p.cfg.Clock.Now()}
+	e := &execution{u: u, req: req, resp: resp, outcome: outcome.New(req.GetRepeatable())}
 	if err := e.execute(ctx); err != nil {
 		e.fail(err)
 	}
@@ -159,6 +159,18 @@
 	}
 }
 
+// pinnedWait is how long a statement of a transaction waits for its turn.
+const pinnedWait = 50 * time.Millisecond
+
+// admitPinned takes a turn for a statement of an open transaction if one becomes
+// free soon. The statement runs in any case: those that hold the turns may wait
+// for locks of this transaction, and then only its end frees them.
+func (e *execution) admitPinned(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pinnedWait)
+	defer cancel()
+	_ = e.admit(ctx, true)
+}
+
 func (e *execution) admit(ctx context.Context, pinned bool) error {
 	class, ok := e.pool().cfg.Directory.Catalog().Class(e.req.GetService(), e.req.GetClass())
 	if !ok {
@@ -190,6 +202,7 @@
 		return backend.Answer{}, result.Errorf(result.Cancelled, "the caller cancelled the request")
 	}
 	began := time.Now()
+	e.asked = e.now()
 	a, err := conn.Run(ctx, b, after, e.maxAnswer(), e.outcome.Send)
 	e.service += time.Since(began)
 	e.u.leaveDatabase(&e.running)
--- a/internal/pool/primary.go
+++ b/internal/pool/primary.go
@@ -51,7 +51,8 @@
 	switch {
 	case primary && after.Role == backend.RolePrimary && before.Term == after.Term:
 		return nil
-	case !primary && after.Role != backend.RolePrimary:
+	case !primary && after.Role != backend.RolePrimary, a.SQLState == sqlStateReadOnly && !hasCommit(a.Messages):
+		// A refused write rolls its implicit transaction back.
 		e.outcome.Finish(outcome.NoEffect)
 		return result.Errorf(result.NotPrimary, "database %s is %s at term %d", e.u.db.Name, before.Role, after.Term)
 	default:
@@ -136,10 +137,7 @@
 		return result.Errorf(result.ProtocolViolation, "transaction %s is on database %s", t.id, t.unit.db.Name)
 	}
 	e.prepare(ctx)
-	if err := e.admit(ctx, true); err != nil {
-		ts.leave(t, previous, e.now())
-		return err
-	}
+	e.admitPinned(ctx)
 	a, err := e.run(ctx, t.conn, e.batch(), true)
 	e.release(e.service)
 	if e.outcome.State() == outcome.Queued {
--- a/internal/pool/replica.go
+++ b/internal/pool/replica.go
@@ -31,7 +31,7 @@
 	if err := e.checkFloor(a.Before); err != nil {
 		return err
 	}
-	if e.req.GetBound() == wire.ReadBound_READ_BOUND_AGE && !e.u.ages.prove(e.began, e.now(), e.maxAge(), a.Before) {
+	if e.req.GetBound() == wire.ReadBound_READ_BOUND_AGE && !e.u.ages.prove(e.asked, e.now(), e.maxAge(), a.Before) {
 		if !e.req.GetMarkStale() {
 			return result.Errorf(result.TooOld, "the data on %s cannot be proved to be at most %v old", e.u.db.Name, e.maxAge())
 		}
