Hold batches back on an isolated primary; keep transactions across a hand-over

Cause: an isolated primary ran every write and ended each with an unknown outcome; a transaction lost its unit when another instance took the database over; a key's table was taken for present after a rolled back first run; each change of the directory ranked all instances for all databases.

Ruled out: refusing batches by the entry's term hint, because a candidacy that reached no majority would then stop a primary that still works.

Change: after 250 ms without any answer of a replica a batch needs a verified replica before it is sent, and is refused as not run after 300 ms; statements find the unit through their transaction; the place among the owners is cached per state of the data centre.

--- a/internal/pool/confirmer.go
+++ b/internal/pool/confirmer.go
@@ -20,6 +20,13 @@
 	confirmTimeout = 500 * time.Millisecond
 	// confirmPause separates calls after one that failed.
 	confirmPause = 20 * time.Millisecond
+	// doubtAfter is how long waits may go without any answer of a replica before
+	// new batches are held back. It is far above a round trip between data
+	// centres (9 ms) and far below the time that a promotion takes.
+	doubtAfter = 250 * time.Millisecond
+	// doubtWait is how long a held back batch waits for a replica. After that
+	// the entry looks for another primary.
+	doubtWait = 300 * time.Millisecond
 )
 
 // confirmer waits for replicas to hold positions of the unit's database while
@@ -29,6 +36,9 @@
 type confirmer struct {
 	u        *unit
 	sequence atomic.Uint64
+	// silent is when waits began without an answer of a replica since, in
+	// nanoseconds of the pool's clock, or 0.
+	silent atomic.Int64
 
 	mu      sync.Mutex
 	tracker *confirm.Tracker
@@ -77,6 +87,7 @@
 	}
 	cw := &confirmWaiter{Wait: w, verdict: make(chan confirm.Verdict, 1)}
 	c.waits = append(c.waits, cw)
+	c.silent.CompareAndSwap(0, c.u.pool.cfg.Clock.Now().UnixNano())
 	c.callLocked()
 	c.mu.Unlock()
 	select {
@@ -96,6 +107,20 @@
 	return <-cw.verdict // settled at the same moment
 }
 
+// reachable waits for a replica if none answered lately. A batch that is sent to an
+// isolated primary could only end with an unknown outcome; held back, it is not
+// run and can be sent to the next primary.
+func (c *confirmer) reachable(ctx context.Context) bool {
+	silent := c.silent.Load()
+	if silent == 0 || c.u.pool.cfg.Clock.Now().UnixNano()-silent < doubtAfter.Nanoseconds() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, doubtWait)
+	defer cancel()
+	seen, _ := c.u.look()
+	return c.wait(ctx, seen.status.Term, confirm.Wait{NotBefore: c.sequence.Add(1)}) == confirm.Confirmed
+}
+
 func (c *confirmer) checkLocked(term uint64, w confirm.Wait) confirm.Verdict {
 	peers := c.u.peers.Load()
 	if c.tracker == nil || c.tracker.Term() < term || c.peers != peers && len(*c.peers) != len(*peers) {
@@ -170,6 +195,10 @@
 		}
 		clear(c.waits[len(kept):])
 		c.waits = kept
+		c.silent.Store(0)
+		if len(c.waits) > 0 {
+			c.silent.Store(c.u.pool.cfg.Clock.Now().UnixNano())
+		}
 	}
 	delete(c.busy, key)
 	if c.u.ctx.Err() == nil {
--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -37,7 +37,10 @@
 		RequestId: req.GetRequestId(), TransactionId: req.GetTransactionId(), Sequence: req.GetSequence(),
 		Hint: p.hint(req.GetGroup()),
 	}
-	u := p.unit(req.GetDatabase())
+	u := p.transactions.unit(req.GetTransactionId())
+	if u == nil {
+		u = p.unit(req.GetDatabase())
+	}
 	if u == nil {
 		resp.Failure = wire.NewFailure(result.Errorf(result.NotOwner, "database %s is not owned by this instance", req.GetDatabase()))
 		return resp, nil
@@ -92,6 +95,9 @@
 	if err := e.u.admits(ctx, e.req.GetWantPrimary()); err != nil {
 		return err
 	}
+	if !e.mayConfirm(ctx) {
+		return result.Errorf(result.Unverified, "no second database of group %s answers", e.u.group)
+	}
 	e.prepare(ctx)
 	conn, err := e.acquire(ctx)
 	if err != nil {
@@ -124,6 +130,11 @@
 	return e.finishPrimary(ctx, a, err)
 }
 
+// mayConfirm reports whether a batch on the primary has a chance to be confirmed.
+func (e *execution) mayConfirm(ctx context.Context) bool {
+	return !e.req.GetWantPrimary() || e.pool().cfg.Settings.Unsafe.NoConfirmation || e.u.confirm.reachable(ctx)
+}
+
 // prepare starts what the read needs besides the database's answer.
 func (e *execution) prepare(ctx context.Context) {
 	switch {
--- a/internal/pool/execute_test.go
+++ b/internal/pool/execute_test.go
@@ -227,3 +227,22 @@
 	cl.a.set(func(d *fakeDB) { d.hold = true })
 	cl.want("write", cl.run("write", nil), 0, 0)
 }
+
+// Guards against an isolated primary that keeps running writes which nobody
+// can confirm: each would end with an unknown outcome instead of "not run".
+func TestIsolatedPrimaryHoldsBatchesBack(t *testing.T) {
+	cl := newCluster(t, option{})
+	id := cl.run("begin", nil).GetTransactionId()
+	cl.cut.Store(true)
+	cl.eventually("batches are held back", func() bool {
+		return result.Code(cl.run("write", short).GetFailure().GetCode()) == result.Unverified
+	})
+	n := cl.a.count("write")
+	cl.want("write", cl.run("write", nil), result.Unverified, result.RanNo)
+	cl.want("commit", cl.run("commit", in(id, 2)), result.RolledBack, result.RanNo)
+	if got := cl.a.count("write"); got != n {
+		t.Errorf("%d writes ran while held back", got-n)
+	}
+	cl.cut.Store(false)
+	cl.eventually("batches run again", func() bool { return cl.run("write", nil).GetFailure() == nil })
+}
--- a/internal/pool/harness_test.go
+++ b/internal/pool/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,19 @@
 
 func (c clients) Pool(address string) wire.Pool { return c[address] }
 
+// link is the network to a pool.
+type link struct {
+	wire.Pool
+	down *atomic.Bool
+}
+
+func (l link) Confirm(ctx context.Context, r *wire.ConfirmRequest) (*wire.ConfirmResponse, error) {
+	if l.down.Load() {
+		return nil, errCut
+	}
+	return l.Pool.Confirm(ctx, r)
+}
+
 // cluster is a group of three databases: a in data centre "one", owned by pool
 // p; b and c in data centre "two", owned by pool q.
 type cluster struct {
@@ -42,6 +56,7 @@
 	version uint64
 	stop    context.CancelFunc
 	id      int
+	cut     atomic.Bool // no pool reaches another
 }
 
 type option struct {
@@ -89,7 +104,7 @@
 			Directory: dir, Clients: peers, Log: zerolog.Nop(), Clock: o.clock, Open: o.open,
 			Events: events.NewRing(self.Name, 1024, time.Now, nil),
 		})
-		peers[self.Address] = p
+		peers[self.Address] = link{p, &cl.cut}
 		cl.apply(dir)
 		if i == 0 {
 			cl.p, cl.dir = p, dir
--- a/internal/pool/keys.go
+++ b/internal/pool/keys.go
@@ -96,8 +96,8 @@
 	return k.finish(ctx, first, a)
 }
 
-// begin opens the transaction and inserts the key. The table is created if this
-// unit has not used it at the primary's term: a new primary may lack it.
+// begin opens the transaction and inserts the key. The table is created unless
+// this unit saw it committed at the primary's term: a new primary may lack it.
 func (k *keyedRun) begin(ctx context.Context) (backend.Answer, error) {
 	seen, _ := k.e.u.look()
 	create := ""
@@ -122,7 +122,6 @@
 		k.e.u.keyed.Store(0)
 		return a, k.refuse(ctx, keyError(a.SQLState))
 	}
-	k.e.u.keyed.Store(a.Before.Term)
 	return a, nil
 }
 
@@ -155,6 +154,7 @@
 		return a, err
 	}
 	k.open = a.TransactionStatus != statusIdle
+	k.e.u.keyed.Store(a.After.Term)
 	k.e.resp.Replayed = true
 	a.Messages, a.SQLState = messages, ""
 	return a, nil
@@ -191,6 +191,7 @@
 	if end.Tag != "COMMIT" || end.SQLState != "" {
 		return end, k.refuse(ctx, result.Errorf(result.RolledBack, "the commit failed with %s (SQLSTATE %s)", end.Tag, end.SQLState))
 	}
+	k.e.u.keyed.Store(end.After.Term)
 	a.Before, a.After, a.TransactionStatus = first.Before, end.After, statusIdle
 	return a, nil
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -62,8 +62,12 @@
 	draining atomic.Bool
 	inFlight inFlight
 
-	mu    sync.RWMutex
-	units map[string]*unit // by database name
+	owners     ownerCache // used by Run only
+	background sync.WaitGroup
+
+	mu       sync.RWMutex
+	units    map[string]*unit   // by database name
+	retiring map[*unit]struct{} // given up, with work in flight
 }
 
 var _ wire.Pool = (*Pool)(nil)
@@ -75,6 +79,8 @@
 		transactions: newTransactions(),
 		workers:      pond.NewPool(maxWorkers, pond.WithQueueSize(workQueue), pond.WithNonBlocking(true)),
 		units:        make(map[string]*unit),
+		retiring:     make(map[*unit]struct{}),
+		owners:       make(ownerCache),
 	}
 	p.inFlight.init()
 	if cfg.Voter != nil {
@@ -128,6 +134,7 @@
 		u.retire()
 		u.shut()
 	}
+	p.background.Wait()
 	p.workers.StopAndWait()
 }
 
@@ -135,9 +142,11 @@
 // others.
 func (p *Pool) refresh(ctx context.Context) {
 	want := make(map[string]bool)
+	self, live := p.cfg.Directory.Self().Name, p.cfg.Directory.Live()
+	signatures := signaturesOf(live)
 	for _, g := range p.cfg.Directory.Groups() {
 		for _, db := range g.Databases {
-			index := p.cfg.Directory.OwnerIndex(db)
+			index := p.owners.index(self, live, signatures, db)
 			if index < 0 {
 				continue
 			}
@@ -191,13 +200,19 @@
 		Kind: events.KindOwnership, Group: u.group, Database: u.db.Name,
 		Text: "gave the connections of the database up",
 	})
-	go func() {
+	p.mu.Lock()
+	p.retiring[u] = struct{}{}
+	p.mu.Unlock()
+	p.background.Go(func() {
 		select {
 		case <-u.inFlight.idle():
 		case <-u.ctx.Done():
 		}
 		u.shut()
-	}()
+		p.mu.Lock()
+		delete(p.retiring, u)
+		p.mu.Unlock()
+	})
 }
 
 // unit returns the unit of a database, or nil.
@@ -217,4 +232,15 @@
 	return out
 }
 
+// withRetiring returns all units that may have work in flight.
+func (p *Pool) withRetiring() []*unit {
+	out := p.owned()
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for u := range p.retiring {
+		out = append(out, u)
+	}
+	return out
+}
+
 func (p *Pool) record(e events.Event) { p.cfg.Events.Record(e) }
--- a/internal/pool/primary.go
+++ b/internal/pool/primary.go
@@ -129,12 +129,17 @@
 // inTransaction runs a statement of an open transaction.
 func (e *execution) inTransaction(ctx context.Context, t *transaction, previous uint64) error {
 	ts := e.pool().transactions
-	if t.unit != e.u || e.req.GetRequestKey() != "" {
+	if e.req.GetRequestKey() != "" || e.req.GetDatabase() != e.u.db.Name {
 		ts.leave(t, previous, e.now())
 		if e.req.GetRequestKey() != "" {
 			return errKeyInTransaction()
 		}
-		return result.Errorf(result.ProtocolViolation, "transaction %s is on database %s", t.id, t.unit.db.Name)
+		return result.Errorf(result.ProtocolViolation, "transaction %s is on database %s", t.id, e.u.db.Name)
+	}
+	if !e.mayConfirm(ctx) {
+		ts.leave(t, previous, e.now())
+		ts.remove(t, false)
+		return result.Errorf(result.RolledBack, "no second database of group %s answers", e.u.group)
 	}
 	e.prepare(ctx)
 	e.admitPinned(ctx)
--- a/internal/pool/rpc.go
+++ b/internal/pool/rpc.go
@@ -90,7 +90,7 @@
 // request that runs is cancelled at the database, whose answer goes to the
 // caller.
 func (p *Pool) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelResponse, error) {
-	for _, u := range p.owned() {
+	for _, u := range p.withRetiring() {
 		u.cancelRequest(ctx, req.GetRequestId())
 	}
 	return &wire.CancelResponse{}, nil
--- a/internal/pool/transaction.go
+++ b/internal/pool/transaction.go
@@ -73,6 +73,20 @@
 	ts.open[t.id] = t
 }
 
+// unit returns the unit of an open transaction, or nil. The unit may have been
+// given up meanwhile.
+func (ts *transactions) unit(id string) *unit {
+	if id == "" {
+		return nil
+	}
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if t := ts.open[id]; t != nil {
+		return t.unit
+	}
+	return nil
+}
+
 // mayOpen tells whether a request with the id may open a transaction: the id is
 // the entry's, this is the first statement, and it did not end before.
 func (ts *transactions) mayOpen(id string, sequence uint64) error {
--- a/internal/pool/transaction_test.go
+++ b/internal/pool/transaction_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"geraniumbeam/internal/backend"
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/platform"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/wire"
 )
@@ -224,3 +227,41 @@
 		t.Errorf("status = %v, err %v", resp, err)
 	}
 }
+
+// Guards against an open transaction that is cut off when another instance
+// takes the database's connections over.
+func TestTransactionSurvivesHandOver(t *testing.T) {
+	cl := newCluster(t, option{})
+	id := cl.run("begin", nil).GetTransactionId()
+	cl.group.Databases = cl.group.Databases[1:]
+	cl.apply(cl.dir)
+	cl.eventually("the database is given up", func() bool { return cl.p.unit("a") == nil })
+	cl.want("statement", cl.run("write", in(id, 2)), 0, 0)
+	cl.want("commit", cl.run("commit", in(id, 3)), 0, 0)
+	cl.eventually("the unit ends", func() bool { return len(cl.p.withRetiring()) == 0 && cl.a.connections() == 0 })
+}
+
+// Guards against a stale place in the cache of owners.
+func TestOwnerCacheFollowsLiveInstances(t *testing.T) {
+	cache := make(ownerCache)
+	db := platform.Database{Name: "d", DataCentre: "one"}
+	at := func(name, dataCentre string) ownership.Instance {
+		return ownership.Instance{Name: name, DataCentre: dataCentre}
+	}
+	for _, live := range [][]ownership.Instance{
+		{at("self", "one")},
+		{at("self", "one"), at("x", "one"), at("y", "one"), at("z", "one")},
+		{at("self", "one"), at("x", "two")},
+		{at("self", "two"), at("x", "two"), at("y", "three")},
+		{at("self", "two"), at("x", "one")},
+		{at("x", "one")},
+	} {
+		owners, _ := ownership.For(db.Name, db.DataCentre, live)
+		want := slices.IndexFunc(owners, func(in ownership.Instance) bool { return in.Name == "self" })
+		for range 2 {
+			if got := cache.index("self", live, signaturesOf(live), db); got != want {
+				t.Errorf("live %v: place %d, want %d", live, got, want)
+			}
+		}
+	}
+}
