Benchmark what the pool adds to a statement

Cause: the added latency is a target and was not measured.

Change: benchmarks against the stand-in database and against a fake.

--- /dev/null
+++ b/internal/pool/bench_test.go
@@ -0,0 +1,71 @@
+package pool
+
+import (
+	"context"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/wire"
+)
+
+// BenchmarkExecute shows what the pool adds to a statement at the stand-in
+// database, without the hops. Compare with direct.
+func BenchmarkExecute(b *testing.B) {
+	cl := newStandInCluster(b, option{})
+	cl.run("INSERT INTO huts VALUES (1, 'x')", nil)
+	const read = "SELECT holder FROM huts WHERE id = 1"
+	b.Run("direct", func(b *testing.B) {
+		c, err := pgconn.Connect(context.Background(), "postgres://proxy@"+cl.addresses["a"]+"/g?sslmode=disable")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = c.Close(context.Background()) }()
+		for b.Loop() {
+			if _, err := c.Exec(context.Background(), read).ReadAll(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	for name, f := range map[string]func(*wire.ExecuteRequest){
+		"primary":  func(*wire.ExecuteRequest) {},
+		"verified": func(r *wire.ExecuteRequest) { r.Verify = true },
+		"replica": func(r *wire.ExecuteRequest) {
+			r.Database, r.WantPrimary, r.Bound = "b", false, wire.ReadBound_READ_BOUND_FLOOR
+			r.Floor = wire.NewPosition(backend.Position{Term: 3})
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if resp := cl.run(read, f); resp.GetFailure() != nil {
+					b.Fatal(resp.GetFailure())
+				}
+			}
+		})
+	}
+	b.Run("write", func(b *testing.B) {
+		for b.Loop() {
+			if resp := cl.run("UPDATE huts SET holder = 'y' WHERE id = 1", nil); resp.GetFailure() != nil {
+				b.Fatal(resp.GetFailure())
+			}
+		}
+	})
+}
+
+// BenchmarkPoolOnly shows the pool's own time and allocations: the database is
+// a fake that answers at once.
+func BenchmarkPoolOnly(b *testing.B) {
+	cl := newCluster(b, option{})
+	r := cl.request("read", nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		if resp, _ := cl.p.Execute(context.Background(), r); resp.GetFailure() != nil {
+			b.Fatal(resp.GetFailure())
+		}
+		cl.a.mu.Lock()
+		cl.a.ran = cl.a.ran[:0]
+		cl.a.mu.Unlock()
+	}
+}
--- a/internal/pool/harness_test.go
+++ b/internal/pool/harness_test.go
@@ -48,7 +48,7 @@
 // cluster is a group of three databases: a in data centre "one", owned by pool
 // p; b and c in data centre "two", owned by pool q.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	a, b, c *fakeDB
 	p, q    *Pool
 	dir     *directory.Directory // of p
@@ -57,6 +57,8 @@
 	stop    context.CancelFunc
 	id      int
 	cut     atomic.Bool // no pool reaches another
+
+	addresses map[string]string // of stand-in databases
 }
 
 type option struct {
@@ -66,7 +68,7 @@
 	open   func(platform.Database) backend.Database // instead of the fakes
 }
 
-func newCluster(t *testing.T, o option) *cluster {
+func newCluster(t testing.TB, o option) *cluster {
 	t.Helper()
 	if o.clock == nil {
 		o.clock = clock.Real{}
--- a/internal/pool/keys_test.go
+++ b/internal/pool/keys_test.go
@@ -19,7 +19,7 @@
 
 // newStandInCluster is a cluster of stand-in databases over the real adapter,
 // with a table huts(id, holder).
-func newStandInCluster(t *testing.T, o option) *cluster {
+func newStandInCluster(t testing.TB, o option) *cluster {
 	t.Helper()
 	peers := make(map[string]string)
 	listeners := make(map[string]net.Listener)
@@ -45,6 +45,7 @@
 		return backend.NewPostgres(backend.Config{Address: peers[d.Name], User: "proxy", Name: "g"})
 	}
 	cl := newCluster(t, o)
+	cl.addresses = peers
 	cl.want("create table", cl.run("CREATE TABLE huts (id bigint PRIMARY KEY, holder text)", nil), 0, 0)
 	return cl
 }
