Raise the floor after a replay and bound the work of the status follower

Cause: a replayed write was reported as one that wrote nothing, so a session could miss it on a replica, and an unconfirmed replay was reported as not run. Requests could wait for connections that nobody opened after an open failed. Each commit cost a control call on the primary.

Ruled out: one interval for both owners; at four polls a second each, status traffic would take most of the 5 KB/s for control.

Change: a replay counts as a write; a failed open starts the next one; the follower pauses 20 ms on a primary and waits 1 s on a standby; keys are removed only for classes of the group's services, and also when an earlier owner stored them.

--- a/internal/pool/confirmer.go
+++ b/internal/pool/confirmer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,7 +124,7 @@
 
 func (c *confirmer) checkLocked(term uint64, w confirm.Wait) confirm.Verdict {
 	peers := c.u.peers.Load()
-	if c.tracker == nil || c.tracker.Term() < term || c.peers != peers && len(*c.peers) != len(*peers) {
+	if c.tracker == nil || c.tracker.Term() < term || !samePeers(*c.peers, *peers) {
 		for _, old := range c.waits {
 			old.verdict <- confirm.Lost
 		}
@@ -137,6 +138,12 @@
 	return c.tracker.Check(w)
 }
 
+// samePeers reports whether the group has the same members. A report of a former
+// member counts for no majority.
+func samePeers(a, b []peer) bool {
+	return slices.EqualFunc(a, b, func(x, y peer) bool { return x.name == y.name })
+}
+
 // callLocked starts the calls that the waits need and that are not running.
 func (c *confirmer) callLocked() {
 	if len(c.waits) == 0 {
@@ -176,10 +183,7 @@
 // report takes the result of a call and starts the next one if it is needed.
 func (c *confirmer) report(key callKey, call uint64, s backend.Status, ok bool) {
 	if !ok {
-		select {
-		case <-c.u.pool.cfg.Clock.After(confirmPause):
-		case <-c.u.ctx.Done():
-		}
+		c.u.pause(confirmPause)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/pool/conns.go
+++ b/internal/pool/conns.go
@@ -178,6 +178,7 @@
 	if err != nil {
 		s.total--
 		s.giveLocked(opened{err: s.openError(err)})
+		s.openLocked(len(s.waiters)) // more requests may wait than connections were being opened
 		s.mu.Unlock()
 		return
 	}
--- a/internal/pool/follow.go
+++ b/internal/pool/follow.go
@@ -16,6 +16,12 @@
 	// followWait is how long one wait for the next position lasts. It bounds
 	// how late a change that writes no log entry is seen, such as leaving.
 	followWait = 250 * time.Millisecond
+	// standbyWait is the same for a standby owner, which only stands in. With
+	// four databases a node this keeps the status traffic near 2 KB/s.
+	standbyWait = time.Second
+	// primaryPause separates waits on a primary, whose position nobody waits
+	// for here. Without it each commit costs a control call.
+	primaryPause = 20 * time.Millisecond
 	// controlTimeout bounds a control call beyond its own wait. A database
 	// that answers later counts as unreachable.
 	controlTimeout = 750 * time.Millisecond
@@ -53,10 +59,7 @@
 		// at the same moment.
 		jittered := pause/2 + rand.N(pause)
 		pause = min(2*pause, reconnectMax)
-		select {
-		case <-u.ctx.Done():
-		case <-u.pool.cfg.Clock.After(jittered):
-		}
+		u.pause(jittered)
 	}
 }
 
@@ -75,19 +78,32 @@
 		next := backend.Position{Term: s.Last.Term, Offset: s.Last.Offset + 1}
 		began := time.Now()
 		last := s
-		s, err = u.call(followWait, func(ctx context.Context) (backend.Status, error) {
-			return c.Wait(ctx, next, followWait)
+		wait := followWait
+		if u.standby.Load() {
+			wait = standbyWait
+		}
+		s, err = u.call(wait, func(ctx context.Context) (backend.Status, error) {
+			return c.Wait(ctx, next, wait)
 		})
-		if err == nil && s.Last == last.Last && time.Since(began) < followWait/2 {
-			select {
-			case <-u.ctx.Done():
-			case <-u.pool.cfg.Clock.After(idleFollow):
-			}
+		switch {
+		case err != nil:
+		case s.Role == backend.RolePrimary && last.Role == backend.RolePrimary:
+			u.pause(primaryPause)
+		case s.Last == last.Last && time.Since(began) < followWait/2:
+			u.pause(idleFollow)
 		}
 	}
 	return seen, err
 }
 
+// pause waits for d or the end of the unit.
+func (u *unit) pause(d time.Duration) {
+	select {
+	case <-u.ctx.Done():
+	case <-u.pool.cfg.Clock.After(d):
+	}
+}
+
 func (u *unit) control() (backend.Control, error) {
 	ctx, cancel := context.WithTimeout(u.ctx, controlTimeout)
 	defer cancel()
--- a/internal/pool/keys.go
+++ b/internal/pool/keys.go
@@ -131,7 +131,7 @@
 func keyError(sqlState string) error {
 	switch sqlState {
 	case "55P03", "40001", "40P01", "57014", "23505":
-		return result.Errorf(result.KeyInUse, "a request with the same key is running (SQLSTATE %s)", sqlState)
+		return result.Errorf(result.KeyInUse, "another transaction holds the key or its table (SQLSTATE %s)", sqlState)
 	}
 	return result.Errorf(result.Internal, "the request key could not be stored (SQLSTATE %s)", sqlState)
 }
@@ -156,6 +156,9 @@
 	k.open = a.TransactionStatus != statusIdle
 	k.e.u.keyed.Store(a.After.Term)
 	k.e.resp.Replayed = true
+	// The answer reports the write of the first run: it counts as one that has
+	// to be confirmed and raises the floor.
+	a.Before.Last = backend.Position{}
 	a.Messages, a.SQLState = messages, ""
 	return a, nil
 }
--- a/internal/pool/keys_test.go
+++ b/internal/pool/keys_test.go
@@ -78,7 +78,7 @@
 	}
 	again := cl.run(insert, keyed("k'1"))
 	cl.want("repeat", again, 0, 0)
-	if !again.GetReplayed() || !bytes.Equal(first.GetAnswer(), again.GetAnswer()) {
+	if !again.GetReplayed() || !again.GetWrote() || !bytes.Equal(first.GetAnswer(), again.GetAnswer()) {
 		t.Errorf("repeat = %v, first %v", again, first)
 	}
 	cl.want("other class", cl.run(insert, func(r *wire.ExecuteRequest) { r.RequestKey, r.Class = "k'1", "other" }), result.KeyReused, result.RanNo)
--- a/internal/pool/replica.go
+++ b/internal/pool/replica.go
@@ -128,10 +128,7 @@
 		}
 		period := min(max(h.shortest/samplesPerAge, minSamplePeriod), maxSamplePeriod)
 		h.mu.Unlock()
-		select {
-		case <-h.u.pool.cfg.Clock.After(period):
-		case <-h.u.ctx.Done():
-		}
+		h.u.pause(period)
 	}
 }
 
--- a/internal/pool/sweep.go
+++ b/internal/pool/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"geraniumbeam/internal/admission"
@@ -12,6 +13,9 @@
 const (
 	// sweepEvery is how often expired request keys are removed.
 	sweepEvery = time.Minute
+	// sweepUnused is the same while the unit has not seen a key itself. Another
+	// owner may have stored some before.
+	sweepUnused = 30 * time.Minute
 	// sweepTimeout bounds one removal, including its wait in the queue.
 	sweepTimeout = 10 * time.Second
 	// sweepRows bounds one removal, so that it does not hold the database's
@@ -19,14 +23,18 @@
 	sweepRows = 1000
 )
 
-// sweep removes expired request keys in the background if that is due. Only a
-// unit that used keys on the primary at its present term does so.
+// sweep removes expired request keys in the background if that is due. Only the
+// active owner of the primary does so.
 func (u *unit) sweep(now time.Time) {
 	seen, _ := u.look()
-	if seen.status.Role != backend.RolePrimary || u.keyed.Load() != seen.status.Term || u.standby.Load() {
+	if seen.status.Role != backend.RolePrimary || u.standby.Load() {
 		return
 	}
-	if !u.swept.IsZero() && now.Sub(u.swept) < sweepEvery {
+	every := sweepEvery
+	if u.keyed.Load() != seen.status.Term {
+		every = sweepUnused
+	}
+	if now.Sub(u.swept) < every {
 		return
 	}
 	u.swept = now
@@ -34,10 +42,15 @@
 }
 
 func (u *unit) removeExpired(now time.Time) {
-	for _, c := range u.pool.cfg.Directory.Catalog().Classes("") {
+	catalogue := u.pool.cfg.Directory.Catalog()
+	for _, c := range catalogue.Classes("") {
+		service, _ := catalogue.Service(c.Service)
 		if u.ctx.Err() != nil {
 			return
 		}
+		if !slices.Contains(service.Groups, u.group) {
+			continue
+		}
 		lifetime := c.KeyLifetime.Std()
 		if lifetime == 0 {
 			lifetime = catalog.DefaultKeyLifetime
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -78,6 +78,7 @@
 		backend: p.cfg.Open(db),
 		changed: make(chan struct{}),
 		running: make(map[string]*running),
+		swept:   p.cfg.Clock.Now(),
 	}
 	u.inFlight.init()
 	u.ctx, u.cancel = context.WithCancel(ctx)
