--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -25,7 +25,7 @@
 	outcome outcome.Request
 	running running
 	ticket  *admission.Ticket
-	began   time.Time     // of the call, on the pool's clock
+	asked   time.Time     // when the latest batch was sent, on the pool's clock
 	service time.Duration // time at the database
 	read    uint64        // sequence number at the begin, for verification; 0: none
 }
@@ -37,7 +37,10 @@
 		RequestId: req.GetRequestId(), TransactionId: req.GetTransactionId(), Sequence: req.GetSequence(),
 		Hint: p.hint(req.GetGroup()),
 	}
-	u := p.unit(req.GetDatabase())
+	u := p.transactions.unit(req.GetTransactionId())
+	if u == nil {
+		u = p.unit(req.GetDatabase())
+	}
 	if u == nil {
 		resp.Failure = wire.NewFailure(result.Errorf(result.NotOwner, "database %s is not owned by this instance", req.GetDatabase()))
 		return resp, nil
@@ -46,7 +49,7 @@
 	defer p.inFlight.done()
 	u.inFlight.add()
 	defer u.inFlight.done()
-	e := &execution{u: u, req: req, resp: resp, outcome: outcome.New(req.GetRepeatable()), began: p.cfg.Clock.Now()}
+	e := &execution{u: u, req: req, resp: resp, outcome: outcome.New(req.GetRepeatable())}
 	if err := e.execute(ctx); err != nil {
 		e.fail(err)
 	}
@@ -92,6 +95,9 @@
 	if err := e.u.admits(ctx, e.req.GetWantPrimary()); err != nil {
 		return err
 	}
+	if !e.mayConfirm(ctx) {
+		return result.Errorf(result.Unverified, "no second database of group %s answers", e.u.group)
+	}
 	e.prepare(ctx)
 	conn, err := e.acquire(ctx)
 	if err != nil {
@@ -124,6 +130,11 @@
 	return e.finishPrimary(ctx, a, err)
 }
 
+// mayConfirm reports whether a batch on the primary has a chance to be confirmed.
+func (e *execution) mayConfirm(ctx context.Context) bool {
+	return !e.req.GetWantPrimary() || e.pool().cfg.Settings.Unsafe.NoConfirmation || e.u.confirm.reachable(ctx)
+}
+
 // prepare starts what the read needs besides the database's answer.
 func (e *execution) prepare(ctx context.Context) {
 	switch {
@@ -159,6 +170,18 @@
 	}
 }
 
+// pinnedWait is how long a statement of a transaction waits for its turn.
+const pinnedWait = 50 * time.Millisecond
+
+// admitPinned takes a turn for a statement of an open transaction if one becomes
+// free soon. The statement runs in any case: those that hold the turns may wait
+// for locks of this transaction, and then only its end frees them.
+func (e *execution) admitPinned(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pinnedWait)
+	defer cancel()
+	_ = e.admit(ctx, true)
+}
+
 func (e *execution) admit(ctx context.Context, pinned bool) error {
 	class, ok := e.pool().cfg.Directory.Catalog().Class(e.req.GetService(), e.req.GetClass())
 	if !ok {
@@ -190,6 +213,7 @@
 		return backend.Answer{}, result.Errorf(result.Cancelled, "the caller cancelled the request")
 	}
 	began := time.Now()
+	e.asked = e.now()
 	a, err := conn.Run(ctx, b, after, e.maxAnswer(), e.outcome.Send)
 	e.service += time.Since(began)
 	e.u.leaveDatabase(&e.running)
