--- a/cmd/geraniumbeam-standin/database.go
+++ b/cmd/geraniumbeam-standin/database.go
@@ -30,6 +30,7 @@
 	ApplyLag         time.Duration     `yaml:"apply_lag" default:"0s" help:"Time for which a replica holds entries back."`
 	Overrides        map[string]string `yaml:"overrides" help:"Addresses to dial in place of others, as host:port=host:port."`
 	Unsafe           bool              `yaml:"unsafe" help:"Allow promotion without a raise of the term."`
+	DataDir          string            `yaml:"data_dir" help:"Directory that keeps log, term and role for the next process. Without it a restarted process has no data."`
 	LogLevel         string            `yaml:"log_level" default:"info" help:"debug, info, warn or error."`
 }
 
@@ -59,6 +60,7 @@
 		ApplyLag:         c.ApplyLag,
 		Overrides:        c.Overrides,
 		Unsafe:           c.Unsafe,
+		DataDir:          c.DataDir,
 		Log:              telemetry.Part(log, telemetry.PartStandin),
 	})
 	stop := context.AfterFunc(ctx, s.Close)
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -38,7 +38,8 @@
 	// Overrides replaces addresses before dialing, so that a test can route
 	// replication through a link of its own.
 	Overrides map[string]string
-	Unsafe    bool // promotion without a raise of the term
+	Unsafe    bool   // promotion without a raise of the term
+	DataDir   string // keeps log, term and role for the next process; empty: nothing is kept
 	Log       zerolog.Logger
 }
 
@@ -91,6 +92,7 @@
 	reader *engine
 
 	openErr  error
+	disk     *disk
 	connMu   sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]struct{}
@@ -128,7 +130,9 @@
 	} else if s.upstream = cfg.Peers[cfg.Primary]; s.upstream == "" {
 		s.role = backend.RoleFenced
 	}
-	s.openErr = s.openEngines()
+	if s.openErr = s.openEngines(); s.openErr == nil {
+		s.openErr = s.load()
+	}
 	return s
 }
 
@@ -223,6 +227,10 @@
 		s.writer.close()
 		s.reader, s.writer = nil, nil
 	}
+	if s.disk != nil {
+		_ = s.disk.file.Close()
+		s.disk = nil
+	}
 }
 
 // Crash stops the database without notice to its clients and keeps what a
