Find deaths by probes, suspicion and refutation

The platform's list lags by seconds, and a dead instance's databases must be served within 2 s.

Each instance probes every 400 ms, alternately its ring successor and a random one of 16 partners. Random probes alone were ruled out: with probability e^-k an instance is not probed for k periods, which exceeds 2 s too often. Partners are a fixed set because a random peer of a data centre of 400 would need a new connection for each probe. Deaths and departures have a queue of their own and are pushed to three peers twice; one round left out 6 % of the peers. An instance that hears nobody keeps its deaths to itself.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,18 +1,31 @@
 // Package membership finds out which instances are live, suspected, leaving or
 // dead, and tells the directory.
+//
+// Each instance probes one other of its data centre per period, directly and
+// then through helpers. A member that does not answer is suspected; it may
+// refute the suspicion with a higher incarnation until the suspicion window
+// ends. Updates travel with the probes. Two relays per data centre exchange
+// with the other data centres. The platform's lagging list is the seed.
+//
+// Invariants: what membership says is a hint. The work and traffic of an
+// instance do not grow with the fleet, except with the number of changes.
 package membership
 
 import (
 	"context"
+	"expvar"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/directory"
 	"geraniumbeam/internal/events"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/platform"
+	"geraniumbeam/internal/telemetry"
 	"geraniumbeam/internal/wire"
 )
 
@@ -29,47 +42,225 @@
 	// Observe receives the configuration digest of each peer that is heard;
 	// it is confsync.Sync.Observe and must not block.
 	Observe func(peer ownership.Instance, digest, version uint64)
-	// OnLeaving is called once when the platform's list marks this instance as
-	// leaving.
+	// OnLeaving is called when the platform's list begins to mark this
+	// instance as leaving.
 	OnLeaving func()
 }
 
-// Membership is one instance's part.
-type Membership struct{ cfg Config }
+// tickPeriod bounds the delay of decisions that depend on time only.
+const tickPeriod = 50 * time.Millisecond
+
+// Membership runs a State: it sends messages, answers peers and feeds the
+// directory.
+type Membership struct {
+	cfg   Config
+	log   zerolog.Logger
+	clock clock.Clock
+	vars  *expvar.Map
+	wake  chan struct{}
+	sends sync.WaitGroup
+
+	mu        sync.Mutex
+	state     *State
+	published uint64
+	stopped   bool
+}
 
 // New returns a Membership that does nothing until Run.
-func New(cfg Config) *Membership { return &Membership{cfg: cfg} }
+func New(cfg Config) *Membership {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Real{}
+	}
+	now := cfg.Clock.Now()
+	return &Membership{
+		cfg:   cfg,
+		log:   telemetry.Part(cfg.Log, telemetry.PartMembership),
+		clock: cfg.Clock,
+		vars:  new(expvar.Map).Init(),
+		wake:  make(chan struct{}, 1),
+		state: NewState(cfg.Directory.Self(), uint64(now.UnixMilli()), cfg.Seed, now),
+	}
+}
 
-// Run takes the live instances from the platform's list until ctx ends.
+// Run takes part in the protocol until ctx ends.
 func (m *Membership) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { m.runTicks(ctx); return nil })
+	g.Go(func() error { m.runSeeds(ctx); return nil })
+	g.Go(func() error { m.runHints(ctx); return nil })
+	err := g.Wait()
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
+	m.sends.Wait()
+	return err
+}
+
+// Vars returns the counters: messages sent, failed and received, and changes
+// of status.
+func (m *Membership) Vars() expvar.Var { return m.vars }
+
+// Members returns all known instances for status reports, sorted by name.
+func (m *Membership) Members() []*wire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return toWire(m.state.Members())
+}
+
+func (m *Membership) runTicks(ctx context.Context) {
 	for {
-		if list, err := m.cfg.Platform.Instances(ctx); err == nil {
-			var live []ownership.Instance
-			for _, in := range list {
-				if !in.Leaving {
-					live = append(live, ownership.Instance{Name: in.Name, Address: in.Address, DataCentre: in.DataCentre})
-				}
-			}
-			m.cfg.Directory.SetLive(live, false)
+		m.mu.Lock()
+		actions := m.state.Tick(m.clock.Now())
+		m.mu.Unlock()
+		m.publish()
+		for _, a := range actions {
+			m.start(ctx, a)
 		}
 		select {
-		case <-time.After(time.Second):
+		case <-m.clock.After(tickPeriod):
+		case <-m.wake:
 		case <-ctx.Done():
-			return nil
+			return
 		}
 	}
 }
 
+// start sends an action in the background.
+func (m *Membership) start(ctx context.Context, a Action) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return
+	}
+	m.sends.Go(func() { m.send(ctx, a) })
+}
+
+// send sends one action and takes its result. It returns whether the receiver
+// answered and what.
+func (m *Membership) send(ctx context.Context, a Action) (reached, ok bool) {
+	digest, version := m.cfg.Directory.Digest()
+	call, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	m.vars.Add("sent", 1)
+	resp, err := m.cfg.Clients.Peer(a.To.Address).Gossip(call, &wire.GossipRequest{
+		From: m.cfg.Directory.Self().Name, Updates: toWire(a.Updates), Hints: hintsToWire(a.Hints),
+		RelayTarget: a.Target, CatalogDigest: digest, CatalogVersion: version,
+	})
+	if ctx.Err() != nil {
+		return false, false
+	}
+	if err != nil {
+		m.vars.Add("failed", 1)
+	}
+	reached, ok = err == nil, resp.GetOk()
+	m.mu.Lock()
+	m.state.Result(m.clock.Now(), a, reached, ok, fromWire(resp.GetUpdates()))
+	m.mu.Unlock()
+	m.publish()
+	if reached {
+		m.learn(hintsFromWire(resp.GetHints()))
+		m.observe(a.To.Instance(), resp.GetCatalogDigest(), resp.GetCatalogVersion())
+	}
+	m.wakeUp()
+	return reached, ok
+}
+
+func (m *Membership) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Membership) observe(peer ownership.Instance, digest, version uint64) {
+	if m.cfg.Observe != nil {
+		m.cfg.Observe(peer, digest, version)
+	}
+}
+
 // Gossip implements the method of wire.Peer.
-func (m *Membership) Gossip(context.Context, *wire.GossipRequest) (*wire.GossipResponse, error) {
+func (m *Membership) Gossip(ctx context.Context, req *wire.GossipRequest) (*wire.GossipResponse, error) {
+	m.vars.Add("received", 1)
+	m.mu.Lock()
+	reply := m.state.Receive(m.clock.Now(), req.GetFrom(), fromWire(req.GetUpdates()))
+	sender, known := m.state.Member(req.GetFrom())
+	m.mu.Unlock()
+	m.publish()
+	m.learn(hintsFromWire(req.GetHints()))
+	if known {
+		m.observe(sender.Instance(), req.GetCatalogDigest(), req.GetCatalogVersion())
+	}
+	m.wakeUp()
+
+	ok := true
+	if target := req.GetRelayTarget(); target != "" {
+		ok = m.probeFor(ctx, target, &reply)
+	}
 	digest, version := m.cfg.Directory.Digest()
-	return &wire.GossipResponse{Ok: true, CatalogDigest: digest, CatalogVersion: version}, nil
+	return &wire.GossipResponse{
+		Ok: ok, Updates: toWire(reply.Updates), Hints: hintsToWire(reply.Hints),
+		CatalogDigest: digest, CatalogVersion: version,
+	}, nil
 }
 
-// Leave announces that this instance is leaving.
-func (m *Membership) Leave(context.Context) {
-	m.cfg.Directory.SetLive(m.cfg.Directory.Live(), true)
+// probeFor probes target on behalf of a peer and adds what is believed of it
+// to the reply, such as its refutation of a suspicion.
+func (m *Membership) probeFor(ctx context.Context, target string, reply *Reply) bool {
+	m.mu.Lock()
+	a, known := m.state.ProbeFor(target)
+	m.mu.Unlock()
+	if !known {
+		return false
+	}
+	reached, _ := m.send(ctx, a)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if t, ok := m.state.Member(target); ok {
+		reply.Updates = append(reply.Updates, t)
+	}
+	return reached
 }
 
-// Members returns all known instances for status reports, sorted by name.
-func (m *Membership) Members() []*wire.Member { return nil }
+// Leave announces to peers that this instance is leaving, and returns when
+// they answered or ctx ended.
+func (m *Membership) Leave(ctx context.Context) {
+	m.mu.Lock()
+	actions := m.state.Leave(m.clock.Now())
+	m.mu.Unlock()
+	m.publish()
+	var wg sync.WaitGroup
+	for _, a := range actions {
+		wg.Go(func() { m.send(ctx, a) })
+	}
+	wg.Wait()
+}
+
+// publish gives changes to the directory, the events and the log.
+func (m *Membership) publish() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if live, version := m.state.Live(); version != m.published {
+		m.published = version
+		m.cfg.Directory.SetLive(live, m.state.Self().Status == Leaving)
+	}
+	for _, e := range m.state.TakeEvents() {
+		m.vars.Add(e.Status.String(), 1)
+		m.record(e)
+	}
+}
+
+func (m *Membership) record(e Event) {
+	m.log.Debug().Str("member", e.Name).Stringer("status", e.Status).Str("source", e.Source).Msg("member changed")
+	if e.Status == Suspect || (e.Known && e.Was == Suspect && e.Status == Alive) {
+		return
+	}
+	if e.Status == Dead {
+		m.cfg.Clients.Forget(e.Address)
+	}
+	if m.cfg.Events != nil {
+		m.cfg.Events.Record(events.Event{
+			Kind: events.KindMembership,
+			Text: "instance " + e.Name + " of " + e.DataCentre + " is " + e.Status.String() + ", learned from " + e.Source,
+		})
+	}
+}
--- /dev/null
+++ b/internal/membership/state.go
@@ -0,0 +1,273 @@
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"geraniumbeam/internal/ownership"
+)
+
+// Timing of the protocol.
+const (
+	// ProbePeriod is the time between two probes of an instance. Every second
+	// one goes to the ring successor, so that each instance is probed at
+	// least every 2 periods; the others go to a random partner.
+	ProbePeriod = 400 * time.Millisecond
+	// probeTimeout and indirectTimeout bound the direct and the relayed probe
+	// in a data centre, remoteFactor times as much is allowed between them.
+	probeTimeout    = 150 * time.Millisecond
+	indirectTimeout = 250 * time.Millisecond
+	remoteFactor    = 2
+	// suspectWindow is the least time between suspicion and death. With the
+	// wait for a probe and the two timeouts it stays below 2 s.
+	suspectWindow = 600 * time.Millisecond
+	// remoteWindow is suspectWindow for members of other data centres, whose
+	// links lose more.
+	remoteWindow = 3 * time.Second
+	// roundPeriod is the time between two attempts to reach a suspect. Without
+	// helpers, evidence takes more attempts.
+	roundPeriod      = 100 * time.Millisecond
+	aloneRoundPeriod = 60 * time.Millisecond
+	// relayPeriod is the time between two exchanges of a relay with other data
+	// centres.
+	relayPeriod = 500 * time.Millisecond
+	// unverifiedSuspicion is when a suspicion of others that nobody settled is
+	// checked here.
+	unverifiedSuspicion = 3 * time.Second
+	// pauseGap is a time between two ticks that shows that this instance was
+	// paused; failures from before it prove nothing.
+	pauseGap = time.Second
+	// loneAfter is the time without an answer after which an instance asks the
+	// platform for peers.
+	loneAfter = 3 * time.Second
+	// linkStale is the time without contact after which data centres exchange
+	// their members in full.
+	linkStale = 5 * time.Second
+	// deadProbePeriod is how often a relay tries a dead member, to find the
+	// other side after a partition.
+	deadProbePeriod = 2 * time.Second
+	// forgetAfter is when a dead or leaving member is forgotten. It exceeds
+	// the lag of the platform's list.
+	forgetAfter = 10 * time.Minute
+)
+
+// Limits on state and messages.
+const (
+	// evidence is the number of failed attempts that a death needs. Without
+	// helpers, with 30 % of probes lost, a false death has probability
+	// 0.3^14, below 1e-7, per suspicion.
+	evidence       = 14
+	helpers        = 2
+	maxChecks      = 64
+	maxUpdates     = 8
+	maxUpdateBytes = 480
+	maxPush        = 32
+	maxPushBytes   = 1920
+	maxHints       = 4
+	maxHintBytes   = 160
+	queueLimit     = 4096
+	hintLimit      = 256
+	partnerCount   = 16
+	pushWidth      = 3
+	pushRounds     = 2 // one round of width 3 leaves out 6 % of the peers
+	pushGap        = 50 * time.Millisecond
+	// partnerRotation is how often one partner is replaced.
+	partnerRotation = 30 * time.Second
+)
+
+type record struct {
+	Member
+	heard   time.Time // last proof of life
+	changed time.Time // last change of status
+	listed  listing   // what the platform's list said last
+	private bool      // a death that is not passed on
+}
+
+// State is the pure part of membership: it takes messages, results and the
+// time, and returns messages to send. It is not safe for concurrent use.
+//
+// Invariants: an instance declares a peer dead only after failed attempts of
+// its own during the whole suspicion window, and a member's incarnation never
+// decreases.
+type State struct {
+	self    Member
+	random  *rand.Rand
+	members map[string]*record // without self
+	checks  map[string]*check
+	news    *queue[Member] // deaths and departures, sent before the rest
+	updates *queue[Member]
+	hints   *queue[Hint]
+	spread  map[string]Hint  // last hint passed on, by group
+	links   map[string]*link // by other data centre
+
+	lastTick, nextProbe, nextRelay, nextDead time.Time
+	nextPush, nextRotation, lastHeard        time.Time
+
+	probes   int // sent, alternates ring and random
+	relays   int // exchanges, rotates data centres
+	rolling  int // cursor for records sent in passing
+	urgent   int // rounds of pushes that are due
+	events   []Event
+	dirty    bool
+	version  uint64
+	view     view
+	partners []string
+	listed   listing // what the platform's list said last of this instance
+}
+
+// view is derived from the members.
+type view struct {
+	live    []ownership.Instance            // with self unless leaving
+	ring    []string                        // other members of the own data centre that serve, in hash order
+	next    int                             // index of the ring successor
+	remote  map[string][]ownership.Instance // serving members by other data centre
+	centres []string                        // other data centres, sorted
+	names   []string                        // all members, sorted
+	rank    int                             // rank among the own relays, -1 if none
+}
+
+// Event is a change of status that is worth recording.
+type Event struct {
+	Member
+	Was    Status
+	Known  bool // the member was known before
+	Source string
+}
+
+// NewState returns the state of an instance that knows only itself.
+func NewState(self ownership.Instance, incarnation, seed uint64, now time.Time) *State {
+	s := &State{
+		self: Member{
+			Name: self.Name, Address: self.Address, DataCentre: self.DataCentre, Incarnation: incarnation,
+		},
+		random:  rand.New(rand.NewPCG(seed, xxhash.Sum64String(self.Name))),
+		members: make(map[string]*record),
+		checks:  make(map[string]*check),
+		news:    newQueue[Member](queueLimit),
+		updates: newQueue[Member](queueLimit),
+		hints:   newQueue[Hint](hintLimit),
+		spread:  make(map[string]Hint),
+		links:   make(map[string]*link),
+		dirty:   true,
+	}
+	s.lastTick, s.lastHeard = now, now
+	s.nextProbe = now.Add(time.Duration(s.random.Int64N(int64(ProbePeriod))))
+	s.nextRelay = now.Add(time.Duration(s.random.Int64N(int64(relayPeriod))))
+	s.nextRotation = now.Add(partnerRotation)
+	s.enqueue(s.self)
+	return s
+}
+
+// Self returns the claim about this instance.
+func (s *State) Self() Member { return s.self }
+
+// Live returns the instances that serve, sorted by name, and a number that
+// changes with it. The caller must not modify the slice.
+func (s *State) Live() ([]ownership.Instance, uint64) {
+	s.refresh()
+	return s.view.live, s.version
+}
+
+// Members returns all known members and self, sorted by name.
+func (s *State) Members() []Member {
+	return s.selected(func(*record) bool { return true })
+}
+
+func (s *State) selected(want func(*record) bool) []Member {
+	out := []Member{s.self}
+	for _, r := range s.members {
+		if want(r) {
+			out = append(out, r.Member)
+		}
+	}
+	slices.SortFunc(out, byName)
+	return out
+}
+
+// Member returns what is known of a member.
+func (s *State) Member(name string) (Member, bool) {
+	if name == s.self.Name {
+		return s.self, true
+	}
+	r, ok := s.members[name]
+	if !ok {
+		return Member{}, false
+	}
+	return r.Member, true
+}
+
+// TakeEvents returns the changes since the last call.
+func (s *State) TakeEvents() []Event {
+	out := s.events
+	s.events = nil
+	return out
+}
+
+// refresh derives the view after changes.
+func (s *State) refresh() {
+	if !s.dirty {
+		return
+	}
+	s.dirty = false
+	s.version++
+	v := view{remote: make(map[string][]ownership.Instance), rank: -1}
+	var local []ownership.Instance
+	if s.self.serves() {
+		v.live = append(v.live, s.self.Instance())
+		local = append(local, s.self.Instance())
+	}
+	for _, r := range s.members {
+		v.names = append(v.names, r.Name)
+		if !r.serves() {
+			continue
+		}
+		in := r.Instance()
+		v.live = append(v.live, in)
+		if r.DataCentre == s.self.DataCentre {
+			v.ring = append(v.ring, r.Name)
+			local = append(local, in)
+		} else {
+			v.remote[r.DataCentre] = append(v.remote[r.DataCentre], in)
+		}
+	}
+	instanceOrder := func(a, b ownership.Instance) int { return cmp.Compare(a.Name, b.Name) }
+	slices.SortFunc(v.live, instanceOrder)
+	slices.Sort(v.names)
+	slices.SortFunc(v.ring, ringOrder)
+	v.next, _ = slices.BinarySearchFunc(v.ring, s.self.Name, ringOrder)
+	for dc, list := range v.remote {
+		slices.SortFunc(list, instanceOrder)
+		v.centres = append(v.centres, dc)
+	}
+	slices.Sort(v.centres)
+	v.rank = slices.IndexFunc(ownership.Order(relayKey(s.self.DataCentre), local),
+		func(in ownership.Instance) bool { return in.Name == s.self.Name })
+	if v.rank >= Relays {
+		v.rank = -1
+	}
+	s.view = v
+	s.keepPartners()
+}
+
+// ringOrder does not follow the names: neighbours by name tend to share a rack.
+func ringOrder(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
+
+// keepPartners drops partners that do not serve and fills up from the ring.
+func (s *State) keepPartners() {
+	s.partners = slices.DeleteFunc(s.partners, func(n string) bool {
+		r, ok := s.members[n]
+		return !ok || !r.serves() || r.DataCentre != s.self.DataCentre
+	})
+	want := min(partnerCount, len(s.view.ring))
+	for tries := 0; len(s.partners) < want && tries < 8*partnerCount; tries++ {
+		if n := s.view.ring[s.random.IntN(len(s.view.ring))]; !slices.Contains(s.partners, n) {
+			s.partners = append(s.partners, n)
+		}
+	}
+}
