--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,7 +38,7 @@
 	// DefaultMaxQueued.
 	MaxQueued int
 	// Seed seeds the spread of retry-after values; equal seeds and inputs
-	// give equal decisions.
+	// give equal decisions. 0 means a random seed.
 	Seed uint64
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Real{}
 	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64() // queues must not send callers back in step
+	}
 	return &Queue{clk: cfg.Clock, start: cfg.Clock.Now(), core: newCore(cfg)}
 }
 
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -51,6 +51,7 @@
 	p.Title.Text = "Share of the objective used"
 	p.Y.Label.Text = "percent"
 	p.Y.Min = 0
+	p.Y.Max = 1.1 * r.highest()
 	p.Legend.Top = true
 	labels := make([]string, len(r.Burns))
 	for i, b := range r.Burns {
@@ -105,3 +106,12 @@
 	p.Legend.Add("objective used up", limit)
 	return nil
 }
+
+// highest is the largest percentage to draw, the line at 100 % included.
+func (r *Report) highest() float64 {
+	top := 100.0
+	for _, b := range r.Burns {
+		top = max(top, 100*b.Used)
+	}
+	return top
+}
