Measure the failover gap over repeated kills and cuts

Change: TestFailoverGap loses the primary by kill and by cut and compares what callers were told with the group's data; databases keep their log on disk.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -139,7 +139,7 @@
 // databaseArgs routes replication between the databases of a group through
 // links of their own.
 func (c *cluster) databaseArgs(t testing.TB, g standin.SeedGroup, self standin.SeedDatabase) []string {
-	args := []string{"database", "--name", self.Name, "--listen", self.Address, "--primary", g.Primary}
+	args := []string{"database", "--name", self.Name, "--listen", self.Address, "--primary", g.Primary, "--data-dir", filepath.Join(c.dir, self.Name)}
 	for _, d := range g.Databases {
 		args = append(args, "--peers", d.Name+"="+d.Address)
 		if d.Name == self.Name {
--- a/test/failover_test.go
+++ b/test/failover_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -112,3 +113,66 @@
 		t.Errorf("write %s was refused as not run and was run", id)
 	}
 }
+
+// failoverAim is the design's aim for a change of primary.
+const failoverAim = 3 * time.Second
+
+// Guards against a change of primary that takes too long. Each round kills the
+// primary's process, or cuts it off in every third round, waits for the first
+// acknowledged write and brings it back.
+func TestFailoverGap(t *testing.T) {
+	rounds := 3
+	if long {
+		rounds = 30
+	}
+	c := startCluster(t, options{delay: 4 * time.Millisecond})
+	l := startLedger(t, c, failoverGroup, c.order, 1)
+	var gaps []time.Duration
+	for i := range rounds {
+		c.waitRejoined(t, failoverGroup)
+		start := time.Now()
+		waitFor(t, 20*time.Second, "writes are acknowledged", func() bool {
+			_, ok := l.acknowledgedAfter(start)
+			return ok
+		})
+		gaps = append(gaps, c.loseAndRestorePrimary(t, l, i%3 == 2))
+	}
+	l.finish()
+	c.waitRejoined(t, failoverGroup)
+	c.waitConverged(t, failoverGroup)
+	slices.Sort(gaps)
+	t.Logf("%d failovers: median %v, slowest %v; aim %v", rounds, gaps[rounds/2].Round(time.Millisecond), gaps[rounds-1].Round(time.Millisecond), failoverAim)
+	if slowest := gaps[rounds-1]; slowest > failoverBound {
+		t.Errorf("slowest failover took %v, want at most %v", slowest, failoverBound)
+	}
+	v := l.check(t, failoverGroup)
+	for _, id := range append(v.lost, v.ranAnyway...) {
+		t.Errorf("write %s contradicts what its caller was told", id)
+	}
+}
+
+// loseAndRestorePrimary makes the primary fail and returns the time until the
+// first acknowledged write that was sent afterwards.
+func (c *cluster) loseAndRestorePrimary(t *testing.T, l *ledger, cut bool) time.Duration {
+	t.Helper()
+	old := c.primary(t, failoverGroup)
+	at := time.Now()
+	if cut {
+		c.links.cutLinks(t, func(l link) bool { return l.from == old || l.to == old })
+	} else {
+		c.databases[old].kill(t)
+	}
+	var first time.Time
+	waitFor(t, 60*time.Second, "a write is acknowledged", func() bool {
+		// Answers that were on their way when the primary failed don't count.
+		var ok bool
+		first, ok = l.acknowledgedAfter(at.Add(50 * time.Millisecond))
+		return ok
+	})
+	if cut {
+		c.links.heal(t)
+	} else {
+		c.databases[old].start(t)
+	}
+	return first.Sub(at)
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -101,13 +101,14 @@
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	class := catalog.Class{Name: "default", Service: "hut-ledger", Rank: catalog.RankNormal, ServedIn: catalog.Duration(time.Second)}
+	name := class.ObjectName()
 	wg.Go(func() {
 		for {
 			select {
 			case <-done:
 				return
 			default:
-				w.poll(c, platform.KindClass, class.ObjectName())
+				w.poll(c, platform.KindClass, name)
 			}
 		}
 	})
