--- a/internal/directory/objects.go
+++ b/internal/directory/objects.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -17,7 +18,7 @@
 type objectKey struct{ kind, name string }
 
 // Apply takes objects that are newer than those held and returns the objects
-// that were applied. An object that is not valid is reported and not applied;
+// that were applied. Each object that is not valid is reported and not applied;
 // the older one stays in force.
 func (d *Directory) Apply(objects []platform.Object) (applied []platform.Object, err error) {
 	d.mu.Lock()
@@ -30,7 +31,7 @@
 			continue
 		}
 		if e := d.store(o); e != nil {
-			err = fmt.Errorf("object %s/%s version %d: %w", o.Kind, o.Name, o.Version, e)
+			err = errors.Join(err, fmt.Errorf("object %s/%s version %d: %w", o.Kind, o.Name, o.Version, e))
 			continue
 		}
 		if held {
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -17,6 +17,10 @@
 	pingTimeout = 1 * time.Second
 	idleTimeout = 2 * time.Minute
 
+	// controlIdleTimeout exceeds the time in which membership visits each of
+	// its partners, so that their connections stay open.
+	controlIdleTimeout = 30 * time.Second
+
 	headerTimeout = 10 * time.Second
 )
 
@@ -26,7 +30,8 @@
 // Clients keeps one HTTP/2 connection to each instance and makes clients for
 // its services. It is safe for concurrent use.
 type Clients struct {
-	dial func(address string) string // address translation, may be nil
+	dial    func(address string) string // address translation, may be nil
+	control bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -45,6 +50,15 @@
 	return &Clients{dial: translate, peers: make(map[string]*peer)}
 }
 
+// NewControlClients is NewClients for control messages. Their connections send
+// no pings and close sooner: each control call has its own short timeout, and
+// pings on connections to many peers would cost more than the calls.
+func NewControlClients(translate func(string) string) *Clients {
+	c := NewClients(translate)
+	c.control = true
+	return c
+}
+
 // Pool returns the Pool client of the instance at address.
 func (c *Clients) Pool(address string) Pool { return c.get(address).pool }
 
@@ -80,7 +94,7 @@
 	if p, ok := c.peers[address]; ok {
 		return p
 	}
-	p := newPeer(c.target(address))
+	p := newPeer(c.target(address), c.control)
 	c.peers[address] = p
 	return p
 }
@@ -92,13 +106,17 @@
 	return c.dial(address)
 }
 
-func newPeer(target string) *peer {
+func newPeer(target string, control bool) *peer {
 	t := &http.Transport{
 		Protocols:       unencryptedHTTP2(),
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: readIdle, PingTimeout: pingTimeout},
 	}
+	if control {
+		t.HTTP2 = nil
+		t.IdleConnTimeout = controlIdleTimeout
+	}
 	h := &http.Client{Transport: t}
 	base := "http://" + target
 	return &peer{
