--- a/internal/pool/keys.go
+++ b/internal/pool/keys.go
@@ -96,8 +96,8 @@
 	return k.finish(ctx, first, a)
 }
 
-// begin opens the transaction and inserts the key. The table is created if this
-// unit has not used it at the primary's term: a new primary may lack it.
+// begin opens the transaction and inserts the key. The table is created unless
+// this unit saw it committed at the primary's term: a new primary may lack it.
 func (k *keyedRun) begin(ctx context.Context) (backend.Answer, error) {
 	seen, _ := k.e.u.look()
 	create := ""
@@ -122,7 +122,6 @@
 		k.e.u.keyed.Store(0)
 		return a, k.refuse(ctx, keyError(a.SQLState))
 	}
-	k.e.u.keyed.Store(a.Before.Term)
 	return a, nil
 }
 
@@ -132,7 +131,7 @@
 func keyError(sqlState string) error {
 	switch sqlState {
 	case "55P03", "40001", "40P01", "57014", "23505":
-		return result.Errorf(result.KeyInUse, "a request with the same key is running (SQLSTATE %s)", sqlState)
+		return result.Errorf(result.KeyInUse, "another transaction holds the key or its table (SQLSTATE %s)", sqlState)
 	}
 	return result.Errorf(result.Internal, "the request key could not be stored (SQLSTATE %s)", sqlState)
 }
@@ -155,7 +154,11 @@
 		return a, err
 	}
 	k.open = a.TransactionStatus != statusIdle
+	k.e.u.keyed.Store(a.After.Term)
 	k.e.resp.Replayed = true
+	// The answer reports the write of the first run: it counts as one that has
+	// to be confirmed and raises the floor.
+	a.Before.Last = backend.Position{}
 	a.Messages, a.SQLState = messages, ""
 	return a, nil
 }
@@ -191,6 +194,7 @@
 	if end.Tag != "COMMIT" || end.SQLState != "" {
 		return end, k.refuse(ctx, result.Errorf(result.RolledBack, "the commit failed with %s (SQLSTATE %s)", end.Tag, end.SQLState))
 	}
+	k.e.u.keyed.Store(end.After.Term)
 	a.Before, a.After, a.TransactionStatus = first.Before, end.After, statusIdle
 	return a, nil
 }
--- a/internal/pool/replica.go
+++ b/internal/pool/replica.go
@@ -31,7 +31,7 @@
 	if err := e.checkFloor(a.Before); err != nil {
 		return err
 	}
-	if e.req.GetBound() == wire.ReadBound_READ_BOUND_AGE && !e.u.ages.prove(e.began, e.now(), e.maxAge(), a.Before) {
+	if e.req.GetBound() == wire.ReadBound_READ_BOUND_AGE && !e.u.ages.prove(e.asked, e.now(), e.maxAge(), a.Before) {
 		if !e.req.GetMarkStale() {
 			return result.Errorf(result.TooOld, "the data on %s cannot be proved to be at most %v old", e.u.db.Name, e.maxAge())
 		}
@@ -128,10 +128,7 @@
 		}
 		period := min(max(h.shortest/samplesPerAge, minSamplePeriod), maxSamplePeriod)
 		h.mu.Unlock()
-		select {
-		case <-h.u.pool.cfg.Clock.After(period):
-		case <-h.u.ctx.Done():
-		}
+		h.u.pause(period)
 	}
 }
 
