Start the two candidates from the test

Cause: TestTwoCandidatesAtOnce timed out once in four runs under load, because an instance had promoted before the other one suspected. Change: the instances do not start candidates themselves in this test.

--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -182,6 +182,11 @@
 func TestTwoCandidatesAtOnce(t *testing.T) {
 	c := startCluster(t, nil)
 	c.settled()
+	for _, in := range c.instances { // the test starts the candidates
+		in.Runner.mu.Lock()
+		in.watches[groupName].next = time.Now().Add(time.Hour)
+		in.Runner.mu.Unlock()
+	}
 	if err := c.databases["a"].Crash(); err != nil {
 		t.Fatal(err)
 	}
