Shorten the time to a new primary

Ruled out: thresholds of 600 ms, which gave a false alarm in 6 of 1000 simulated runs of ten minutes with 30 % loss. Change: ages of 800 ms, a look at the statuses every 50 ms, no wait for the lost primary while the others answer, and the platform is told while the others begin to follow.

--- a/internal/failover/doc.go
+++ b/internal/failover/doc.go
@@ -21,9 +21,11 @@
 }
 
 // DefaultThresholds keep the time to a new primary under 3 s. Databases send
-// heartbeats every 100 ms, so a replica has missed ten of them.
+// heartbeats every 100 ms. With 30 % of heartbeats, probes and votes lost, ages
+// of 600 ms gave a false alarm in 6 of 1000 simulated runs of ten minutes, and
+// 700 ms in none.
 var DefaultThresholds = Thresholds{
-	PrimaryAge: 1 * time.Second,
-	Missed:     1 * time.Second,
+	PrimaryAge: 800 * time.Millisecond,
+	Missed:     800 * time.Millisecond,
 	Settle:     1500 * time.Millisecond,
 }
--- a/internal/failover/election.go
+++ b/internal/failover/election.go
@@ -10,7 +10,7 @@
 // Delays of candidates. The owner of the database with the highest position
 // acts first; the others give it time to take the term.
 const (
-	maxJitter = 100 * time.Millisecond
+	maxJitter = 50 * time.Millisecond
 	rankDelay = 250 * time.Millisecond
 	minRetry  = 200 * time.Millisecond
 	maxRetry  = 1 * time.Second
--- a/internal/failover/gather.go
+++ b/internal/failover/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"geraniumbeam/internal/backend"
@@ -46,9 +47,10 @@
 }
 
 // gather runs f on all handles at once. It returns the successful replies once
-// all have answered, or grace after need of them succeeded, or with ctx.
-// Handles that answer later are closed and must not be used again.
-func (r *Runner) gather(ctx context.Context, handles []*handle, need int, grace time.Duration,
+// all have answered, or grace after need of them succeeded, or with ctx. The
+// database lost is expected not to answer: with need replies it is not waited
+// for. Handles that answer later are closed and must not be used again.
+func (r *Runner) gather(ctx context.Context, handles []*handle, need int, grace time.Duration, lost string,
 	f func(context.Context, backend.Control) (backend.Status, error),
 ) map[string]reply {
 	ctx, cancel := context.WithCancel(ctx)
@@ -60,7 +62,10 @@
 		})
 	}
 	out := make(map[string]reply)
-	received := 0
+	received, waiting := 0, len(handles)
+	if slices.ContainsFunc(handles, func(h *handle) bool { return h.db.Name == lost }) {
+		waiting--
+	}
 	defer func() {
 		cancel()
 		r.running.Go(func() {
@@ -70,10 +75,13 @@
 		})
 	}()
 	var enough <-chan time.Time
-	for received < len(handles) {
+	for received < len(handles) && (waiting > 0 || len(out) < need) {
 		select {
 		case a := <-answers:
 			received++
+			if a.h.db.Name != lost {
+				waiting--
+			}
 			if a.err == nil {
 				out[a.h.db.Name] = a
 			}
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -50,7 +50,8 @@
 	if err := p.reach(ctx); err != nil {
 		return err
 	}
-	raising, promoted := false, false
+	raising := false
+	var following <-chan int // set once a database was promoted
 	for ctx.Err() == nil {
 		switch step := p.plan.Step(); step {
 		case StepRead, StepReadBack:
@@ -66,28 +67,34 @@
 		case StepPromote:
 			p.promote(ctx)
 		case StepPublish:
-			if !promoted {
-				promoted = true
-				p.announce(ctx)
+			if following == nil {
+				following = p.announce(ctx)
 			}
 			p.write(ctx)
-		case StepDone:
-			return nil
-		case StepAbandoned:
-			if promoted {
-				p.r.cfg.Log.Warn().Err(p.plan.Err()).Str("group", p.group).Msg("the platform was not told of the new primary")
-				return nil
-			}
-			if g := p.plan.Group(); g.Term > p.suspicion.view.Term {
-				p.r.cfg.Directory.LearnPrimary(p.group, g.Term, g.Primary)
-			}
-			return p.plan.Err()
+		case StepDone, StepAbandoned:
+			return p.finish(following)
 		}
 	}
-	if promoted {
-		return nil
+	p.plan.Abandon(fmt.Errorf("out of time: %w", ctx.Err()))
+	return p.finish(following)
+}
+
+// finish reports the outcome. A promotion counts as done even if the platform
+// was not told: the primary's owner makes up for it.
+func (p *promotion) finish(following <-chan int) error {
+	if following == nil {
+		if g := p.plan.Group(); g.Term > p.suspicion.view.Term {
+			p.r.cfg.Directory.LearnPrimary(p.group, g.Term, g.Primary)
+		}
+		return p.plan.Err()
 	}
-	return fmt.Errorf("out of time: %w", ctx.Err())
+	followers := <-following
+	p.endPhase("redirect")
+	p.report(followers)
+	if err := p.plan.Err(); err != nil {
+		p.r.cfg.Log.Warn().Err(err).Str("group", p.group).Msg("the platform was not told of the new primary")
+	}
+	return nil
 }
 
 // reach connects to a majority before a term is taken, because a term that is
@@ -96,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	need := Majority(len(p.suspicion.group.Databases))
-	replies := p.r.gather(ctx, p.r.handles(p.suspicion.group.Databases), need, reachGrace,
+	replies := p.r.gather(ctx, p.r.handles(p.suspicion.group.Databases), need, reachGrace, p.suspicion.view.Primary,
 		func(ctx context.Context, c backend.Control) (backend.Status, error) { return c.Status(ctx) })
 	p.keep(replies)
 	if len(replies) < need {
@@ -197,7 +204,7 @@
 	if len(p.handles) >= need {
 		all = slices.Collect(maps.Values(p.handles)) // the others did not answer just now
 	}
-	replies := p.r.gather(ctx, all, need, reachGrace,
+	replies := p.r.gather(ctx, all, need, reachGrace, p.suspicion.view.Primary,
 		func(ctx context.Context, c backend.Control) (backend.Status, error) {
 			if p.r.cfg.NoFencing {
 				return c.Status(ctx)
@@ -234,13 +241,12 @@
 	}
 }
 
-// announce tells this instance of the new primary and makes the others
-// follow it. Databases that do not answer are repaired by their owners.
-func (p *promotion) announce(ctx context.Context) {
+// announce tells this instance of the new primary and makes the others follow
+// it, while the platform is told. The channel gives the number of followers.
+// Databases that do not answer are repaired by their owners.
+func (p *promotion) announce(ctx context.Context) <-chan int {
 	term, chosen := p.plan.Term(), p.plan.Chosen()
 	p.r.cfg.Directory.LearnPrimary(p.group, term, chosen)
-	ctx, cancel := context.WithTimeout(ctx, databaseTimeout)
-	defer cancel()
 	var followers []*handle
 	address := ""
 	for _, h := range p.all() {
@@ -249,20 +255,22 @@
 		} else {
 			followers = append(followers, h)
 		}
-	}
-	need := Majority(len(followers)+1) - 1
-	replies := p.r.gather(ctx, followers, need, reachGrace,
-		func(ctx context.Context, c backend.Control) (backend.Status, error) {
-			return followPrimary(ctx, c, term, address)
-		})
-	for _, h := range followers {
 		delete(p.handles, h.db.Name)
 	}
-	for name, a := range replies {
-		p.handles[name] = a.h
-	}
-	p.endPhase("redirect")
-	p.report(len(replies))
+	done := make(chan int, 1)
+	p.r.running.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, databaseTimeout)
+		defer cancel()
+		replies := p.r.gather(ctx, followers, Majority(len(followers)+1)-1, reachGrace, p.suspicion.view.Primary,
+			func(ctx context.Context, c backend.Control) (backend.Status, error) {
+				return followPrimary(ctx, c, term, address)
+			})
+		for _, a := range replies {
+			a.h.close()
+		}
+		done <- len(replies)
+	})
+	return done
 }
 
 // followPrimary raises the term first: the database may have missed it.
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -18,7 +18,7 @@
 )
 
 // tick is the interval between looks at the statuses of owned databases.
-const tick = 100 * time.Millisecond
+const tick = 50 * time.Millisecond
 
 // Pools gives the Pool clients of other instances; *wire.Clients does.
 type Pools interface {
