Report a keyed batch on a replaced primary as not run

Cause: trials with a change of primary every 100 to 500 ms against three stand-in databases passed the database's error 25006 on to a caller although the batch could run on the next primary, and called a deadline in the first step of a keyed batch a database that is down.

Ruled out: taking the status before the first step as the status before the batch; commits of others would then count as this batch's write.

Change: a keyed batch that failed while the term changed is not primary, not run; a deadline is a deadline; the first step needs one status.

--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -52,6 +52,13 @@
 			}
 		}
 	})
+	b.Run("write with key", func(b *testing.B) {
+		for b.Loop() {
+			if resp := cl.run("UPDATE huts SET holder = 'y' WHERE id = 1", func(r *wire.ExecuteRequest) { r.RequestKey = r.GetRequestId() }); resp.GetFailure() != nil {
+				b.Fatal(resp.GetFailure())
+			}
+		}
+	})
 }
 
 // BenchmarkPoolOnly shows the pool's own time and allocations: the database is
--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"geraniumbeam/internal/admission"
@@ -221,7 +222,11 @@
 }
 
 func (e *execution) fail(err error) {
-	f := e.outcome.Fail(result.DatabaseDown, err)
+	notRun := result.DatabaseDown
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		notRun = result.DeadlineBeforeRun
+	}
+	f := e.outcome.Fail(notRun, err)
 	if f.Ran == result.RanNo && e.u.wasCancelled(&e.running) {
 		f = result.Errorf(result.Cancelled, "the caller cancelled the request")
 	}
--- a/internal/pool/keys.go
+++ b/internal/pool/keys.go
@@ -110,7 +110,7 @@
 			"SELECT class, answer FROM %s WHERE key = %s",
 		keysTable, key, quote(k.className()), k.e.now().UnixMilli(), keysTable, key)
 	k.open = true
-	a, err := k.step(ctx, sql)
+	a, err := k.e.run(ctx, k.conn, backend.Batch{Messages: simpleQuery(sql)}, false)
 	if err != nil {
 		k.e.outcome.Finish(outcome.NoEffect) // COMMIT was not sent
 		return a, err
@@ -177,6 +177,11 @@
 			return end, err
 		}
 		k.open = end.TransactionStatus != statusIdle
+		if end.After.Role != backend.RolePrimary || end.After.Term != first.Before.Term {
+			// The error may only say that the transaction's primary is gone.
+			k.e.outcome.Finish(outcome.NoEffect)
+			return end, result.Errorf(result.NotPrimary, "database %s is %s at term %d", k.e.u.db.Name, end.After.Role, end.After.Term)
+		}
 		a.After, a.TransactionStatus = end.After, statusIdle
 		setIdle(a.Messages)
 		return a, nil
@@ -213,7 +218,7 @@
 	return cause
 }
 
-// step runs a simple query of the proxy's own.
+// step runs a simple query that ends the transaction.
 func (k *keyedRun) step(ctx context.Context, sql string) (backend.Answer, error) {
 	return k.e.run(ctx, k.conn, backend.Batch{Messages: simpleQuery(sql)}, true)
 }
