Verify the primary for reads of an age and for senders that know a higher term

Cause: a read with a bound on its age that met a primary was answered without proof; a sender that knew of a higher term still ended with an unknown outcome.

Ruled out: refusing on the sender's term alone, because its candidate may not have reached a majority.

Change: such reads and batches need a verified replica first; a read with an unknown floor is refused by a replica.

--- a/internal/pool/confirmer.go
+++ b/internal/pool/confirmer.go
@@ -108,17 +108,20 @@
 	return <-cw.verdict // settled at the same moment
 }
 
-// reachable waits for a replica if none answered lately. A batch that is sent to an
-// isolated primary could only end with an unknown outcome; held back, it is not
-// run and can be sent to the next primary.
-func (c *confirmer) reachable(ctx context.Context) bool {
+// reachable waits for a replica at the primary's term if none answered lately or
+// if the sender knows of a higher term. A batch that is sent to a replaced
+// primary could only end with an unknown outcome; held back, it is not run and
+// can be sent to the next primary. The sender's term alone decides nothing: its
+// candidate may not have reached a majority.
+func (c *confirmer) reachable(ctx context.Context, hint uint64) bool {
+	seen, _ := c.u.look()
 	silent := c.silent.Load()
-	if silent == 0 || c.u.pool.cfg.Clock.Now().UnixNano()-silent < doubtAfter.Nanoseconds() {
+	answered := silent == 0 || c.u.pool.cfg.Clock.Now().UnixNano()-silent < doubtAfter.Nanoseconds()
+	if answered && hint <= seen.status.Term {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, doubtWait)
 	defer cancel()
-	seen, _ := c.u.look()
 	return c.wait(ctx, seen.status.Term, confirm.Wait{NotBefore: c.sequence.Add(1)}) == confirm.Confirmed
 }
 
--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -133,7 +133,7 @@
 
 // mayConfirm reports whether a batch on the primary has a chance to be confirmed.
 func (e *execution) mayConfirm(ctx context.Context) bool {
-	return !e.req.GetWantPrimary() || e.pool().cfg.Settings.Unsafe.NoConfirmation || e.u.confirm.reachable(ctx)
+	return !e.req.GetWantPrimary() || e.pool().cfg.Settings.Unsafe.NoConfirmation || e.u.confirm.reachable(ctx, e.req.GetTermHint())
 }
 
 // prepare starts what the read needs besides the database's answer.
--- a/internal/pool/execute_test.go
+++ b/internal/pool/execute_test.go
@@ -33,6 +33,18 @@
 	cl := newCluster(t, option{})
 	cl.b.set(func(d *fakeDB) { d.status.Term, d.status.Role = 4, backend.RoleFenced })
 	cl.c.set(func(d *fakeDB) { d.status.Term, d.status.Role = 4, backend.RoleFenced })
+	cl.eventually("the raise is seen", func() bool {
+		for _, s := range cl.q.Statuses("g") {
+			if s.GetTerm() != 4 {
+				return false
+			}
+		}
+		return true
+	})
+	cl.want("write of a sender that knows", cl.run("write", func(r *wire.ExecuteRequest) { r.TermHint = 4 }), result.Unverified, result.RanNo)
+	cl.want("read of an age", cl.run("read", func(r *wire.ExecuteRequest) {
+		r.WantPrimary, r.Bound, r.MaxAgeMs = false, wire.ReadBound_READ_BOUND_AGE, 60_000
+	}), result.Unverified, result.RanNo)
 	cl.want("write", cl.run("write", nil), result.OutcomeUnknown, result.RanUnknown)
 	cl.want("verified read", cl.run("read", func(r *wire.ExecuteRequest) { r.Verify = true }), result.Unverified, result.RanNo)
 
@@ -136,6 +148,7 @@
 	cl.want("at the floor", cl.run("read", on(10)), 0, 0)
 	cl.want("below the floor", cl.run("read", on(11)), result.BehindFloor, result.RanNo)
 	cl.want("write", cl.run("write", on(10)), result.NotPrimary, result.RanNo)
+	cl.want("unknown floor", cl.run("read", func(r *wire.ExecuteRequest) { on(0)(r); r.Verify = true }), result.Unverified, result.RanNo)
 	cl.want("begin", cl.run("begin", on(10)), result.NotSupported, result.RanNo)
 	cl.b.set(func(d *fakeDB) {
 		d.during = func(d *fakeDB) { d.setStatus(backend.Status{Term: 4, Role: backend.RolePrimary}) }
--- a/internal/pool/primary.go
+++ b/internal/pool/primary.go
@@ -30,6 +30,11 @@
 	if err := e.checkFloor(a.Before); err != nil && !wrote {
 		return err
 	}
+	if e.read == 0 && e.req.GetBound() == wire.ReadBound_READ_BOUND_AGE {
+		// The read was meant for a replica. An isolated primary's data may be
+		// of any age.
+		e.read = e.u.confirm.beginVerified()
+	}
 	if err := e.confirm(ctx, a, true); err != nil {
 		return err
 	}
--- a/internal/pool/replica.go
+++ b/internal/pool/replica.go
@@ -25,6 +25,8 @@
 		return failure
 	case a.Before.Role != backend.RoleReplica:
 		return result.Errorf(result.DatabaseDown, "database %s is %s and follows no primary", e.u.db.Name, a.Before.Role)
+	case e.req.GetVerify():
+		return result.Errorf(result.Unverified, "database %s is a replica: a read with an unknown floor needs the primary", e.u.db.Name)
 	case a.SQLState == sqlStateReadOnly:
 		return result.Errorf(result.NotPrimary, "database %s is a replica and refused a write", e.u.db.Name)
 	}
