--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -1,11 +1,13 @@
 package wire
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +19,10 @@
 	pingTimeout = 1 * time.Second
 	idleTimeout = 2 * time.Minute
 
+	// controlIdleTimeout exceeds the time in which membership visits each of
+	// its partners, so that their connections stay open.
+	controlIdleTimeout = 30 * time.Second
+
 	headerTimeout = 10 * time.Second
 )
 
@@ -26,7 +32,8 @@
 // Clients keeps one HTTP/2 connection to each instance and makes clients for
 // its services. It is safe for concurrent use.
 type Clients struct {
-	dial func(address string) string // address translation, may be nil
+	dial    func(address string) string // address translation, may be nil
+	control bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -45,6 +52,15 @@
 	return &Clients{dial: translate, peers: make(map[string]*peer)}
 }
 
+// NewControlClients is NewClients for control messages. Their connections send
+// no pings and close sooner: each control call has its own short timeout, and
+// pings on connections to many peers would cost more than the calls.
+func NewControlClients(translate func(string) string) *Clients {
+	c := NewClients(translate)
+	c.control = true
+	return c
+}
+
 // Pool returns the Pool client of the instance at address.
 func (c *Clients) Pool(address string) Pool { return c.get(address).pool }
 
@@ -80,7 +96,7 @@
 	if p, ok := c.peers[address]; ok {
 		return p
 	}
-	p := newPeer(c.target(address))
+	p := newPeer(c.target(address), c.control)
 	c.peers[address] = p
 	return p
 }
@@ -92,13 +108,17 @@
 	return c.dial(address)
 }
 
-func newPeer(target string) *peer {
+func newPeer(target string, control bool) *peer {
 	t := &http.Transport{
 		Protocols:       unencryptedHTTP2(),
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     dial,
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: readIdle, PingTimeout: pingTimeout},
 	}
+	if control {
+		t.HTTP2 = nil
+		t.IdleConnTimeout = controlIdleTimeout
+	}
 	h := &http.Client{Transport: t}
 	base := "http://" + target
 	return &peer{
@@ -111,16 +131,18 @@
 
 // Server serves the internal protocol on one listener.
 type Server struct {
-	http *http.Server
+	http     *http.Server
+	lastPool atomic.Int64 // time of the last Pool call, nanoseconds of the Unix time
 }
 
 // NewServer returns a server for the given services; a nil service is not
 // served.
 func NewServer(pool Pool, p Peer, admin Admin) *Server {
+	server := &Server{}
 	mux := http.NewServeMux()
 	if pool != nil {
 		s := NewPoolServer(pool)
-		mux.Handle(s.PathPrefix(), s)
+		mux.Handle(s.PathPrefix(), server.notePoolCalls(s))
 	}
 	if p != nil {
 		s := NewPeerServer(p)
@@ -130,13 +152,38 @@
 		s := NewAdminServer(admin)
 		mux.Handle(s.PathPrefix(), s)
 	}
-	return &Server{http: &http.Server{
+	server.http = &http.Server{
 		Handler:           http.MaxBytesHandler(mux, MaxMessage),
 		Protocols:         unencryptedHTTP2(),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		IdleTimeout:       idleTimeout,
 		ReadHeaderTimeout: headerTimeout,
-	}}
+	}
+	return server
+}
+
+func (s *Server) notePoolCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.lastPool.Store(time.Now().UnixNano())
+		next.ServeHTTP(w, r)
+	})
+}
+
+// WaitQuiet returns when no Pool call arrived for d. A draining instance calls
+// it before Shutdown: a call that arrives while a connection closes could not
+// be told from one that was processed.
+func (s *Server) WaitQuiet(ctx context.Context, d time.Duration) error {
+	for {
+		quiet := time.Since(time.Unix(0, s.lastPool.Load()))
+		if quiet >= d {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("peers still send work: %w", ctx.Err())
+		case <-time.After(d - quiet):
+		}
+	}
 }
 
 func unencryptedHTTP2() *http.Protocols {
@@ -147,12 +194,16 @@
 
 // Serve accepts connections until Shutdown or Close.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(greetingListener{l})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fmt.Errorf("serve internal protocol: %w", err)
 }
 
+// Shutdown stops accepting calls and waits until those in flight are answered.
+// A peer whose call arrives later learns that it was not processed.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
 // Close closes the listener and all connections.
 func (s *Server) Close() error { return s.http.Close() }
