--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -38,9 +38,11 @@
 	// Overrides replaces addresses before dialing, so that a test can route
 	// replication through a link of its own.
 	Overrides map[string]string
-	Unsafe    bool   // promotion without a raise of the term
-	DataDir   string // keeps log, term and role for the next process; empty: nothing is kept
-	Log       zerolog.Logger
+	Unsafe    bool // promotion without a raise of the term
+	// CompactEvery is the number of entries between snapshots; 0 means 20000.
+	CompactEvery int
+	DataDir      string // keeps log, term and role for the next process; empty: nothing is kept
+	Log          zerolog.Logger
 }
 
 func (c Config) dial(address string) string {
@@ -77,16 +79,19 @@
 	writer    *engine       // used by the holder of writeLock
 	writerAt  backend.Position
 
-	mu          sync.Mutex // taken before readMu
-	term        uint64
-	role        backend.Role
-	log         replicaLog
-	upstream    string
-	heard       time.Time
-	leaving     bool
-	unsafe      bool
-	failCommits int64
-	changed     chan struct{}
+	mu   sync.Mutex // taken before readMu
+	term uint64
+	role backend.Role
+	log  replicaLog
+	// Content at the base of the log (nil at its beginning) and at a later
+	// position, where the base moves next.
+	baseSnapshot, nextSnapshot *snapshot
+	upstream                   string
+	heard                      time.Time
+	leaving                    bool
+	unsafe                     bool
+	failCommits                int64
+	changed                    chan struct{}
 
 	readMu sync.Mutex
 	reader *engine
