--- a/internal/pool/transaction.go
+++ b/internal/pool/transaction.go
@@ -15,7 +15,7 @@
 const (
 	// keepAliveLapse is how long a transaction lives without a sign of its
 	// entry. With the maintenance interval it stays within the bound of 2 s.
-	keepAliveLapse = 1800 * time.Millisecond
+	keepAliveLapse = 1400 * time.Millisecond
 	// maxIdle bounds the time between two statements of a transaction, because
 	// an open transaction holds a connection that others need.
 	maxIdle = time.Minute
