--- a/internal/pool/doc.go
+++ b/internal/pool/doc.go
@@ -14,6 +14,9 @@
 //     only when the database reported role primary and one term before and
 //     after the batch, and the position after it is confirmed. Statements
 //     within a transaction need no confirmation, the end of it does.
+//   - A batch for the primary is held back, and then refused as not run, while
+//     no replica answers or the sender knows of a higher term, until a replica
+//     is seen at the primary's term.
 //   - An answer from a replica is given only if the replica held the floor
 //     before the batch, and the age is proved or marked as not proved.
 //   - A failure says "not run" only if no byte was sent, or the database proved
