Test a keyed batch whose primary is replaced between its steps

Change: a test that raises and promotes the database before the batch and before the commit.

Measured: it fails without the check of the term and passes with it; go test -race -count=3 ./internal/pool passes.

--- a/internal/pool/keys_test.go
+++ b/internal/pool/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"strings"
 	"sync"
@@ -172,3 +173,57 @@
 		t.Errorf("after the lifetime: %v", resp)
 	}
 }
+
+// hookConn calls before with the number of the batch that it is about to run.
+type hookConn struct {
+	backend.Conn
+	runs   int
+	before func(run int)
+}
+
+func (c *hookConn) Run(ctx context.Context, b backend.Batch, after bool, limit int, sent func()) (backend.Answer, error) {
+	c.runs++
+	c.before(c.runs)
+	return c.Conn.Run(ctx, b, after, limit, sent)
+}
+
+// Guards against "not run" or a plain answer for a keyed batch whose primary was
+// replaced between its steps: 2 is the batch itself, 3 stores the answer and
+// commits.
+func TestRequestKeyAcrossTerms(t *testing.T) {
+	for _, at := range []int{2, 3} {
+		cl := newStandInCluster(t, option{})
+		u := cl.p.unit("a")
+		conn, err := u.backend.Connect(u.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		hook := &hookConn{Conn: conn, before: func(run int) {
+			if run != at {
+				return
+			}
+			c, err := u.backend.Control(u.ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := c.Raise(u.ctx, 4); err != nil {
+				t.Error(err)
+			}
+			if _, err := c.Promote(u.ctx, 4); err != nil {
+				t.Error(err)
+			}
+		}}
+		u.conns.mu.Lock()
+		u.conns.idle = append(u.conns.idle, idleConn{conn: hook}) // taken first
+		u.conns.total++
+		u.conns.mu.Unlock()
+		resp := cl.run("INSERT INTO huts VALUES (1, 'x')", keyed("k"))
+		if resp.GetFailure().GetRan() != wire.Ran_RAN_NO || resp.GetFailure() == nil || hook.runs < at {
+			t.Errorf("term changed before batch %d: %v after %d batches", at, resp, hook.runs)
+		}
+		if s, err := u.prober.status(u.ctx); err != nil || s.Last != (backend.Position{Term: 4, Offset: 3}) {
+			t.Errorf("the log ends at %v, err %v: want the first entry, the table and the promotion", s.Last, err)
+		}
+	}
+}
