--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -59,7 +59,7 @@
 	Tag               string // last CommandComplete tag
 	SQLState          string // of the first ErrorResponse, empty: none
 	Before            Status
-	After             Status // zero for replica reads
+	After             Status // zero unless Run was told to query it
 }
 
 // Conn is one connection to a database. It is used by one goroutine at a time.
