Benchmark statements direct and through an instance in one process

Cause: the added latency of the proxy is a stated aim and needs a repeatable figure. Change: BenchmarkStatement on the development deployment.

--- /dev/null
+++ b/internal/devcluster/bench_test.go
@@ -0,0 +1,56 @@
+package devcluster
+
+import (
+	"context"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/rs/zerolog"
+)
+
+func startBench(b *testing.B) *Cluster {
+	b.Helper()
+	c, err := Start(Config{ListenCallers: "127.0.0.1:0", Log: zerolog.Nop()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		if err := c.Stop(); err != nil {
+			b.Error(err)
+		}
+	})
+	if err := c.WaitReady(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	return c
+}
+
+func benchStatement(b *testing.B, url, sql string) {
+	b.Helper()
+	ctx := context.Background()
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close(ctx)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := conn.Exec(ctx, sql); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkStatement compares one caller's statements direct to a database and
+// through an instance, all in one process.
+func BenchmarkStatement(b *testing.B) {
+	c := startBench(b)
+	const (
+		read  = "SELECT body FROM greetings WHERE id = 'first'"
+		write = "UPDATE greetings SET body = 'hello' WHERE id = 'first'"
+	)
+	b.Run("direct-read", func(b *testing.B) { benchStatement(b, c.DatabaseURL(0), read) })
+	b.Run("proxy-read", func(b *testing.B) { benchStatement(b, c.URL(), read) })
+	b.Run("direct-write", func(b *testing.B) { benchStatement(b, c.DatabaseURL(0), write) })
+	b.Run("proxy-write", func(b *testing.B) { benchStatement(b, c.URL(), write) })
+}
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -43,6 +43,7 @@
 	platform    *platform.Server
 	platformURL string
 	databases   []*database.Server
+	addresses   []string // of the databases
 	daemons     []*daemon.Daemon
 	callers     []string
 	stop        context.CancelFunc
@@ -105,6 +106,7 @@
 			Log:             log,
 		})
 		c.databases = append(c.databases, s)
+		c.addresses = append(c.addresses, l.Addr().String())
 		c.run(func() error { return s.Serve(l) })
 	}
 }
@@ -208,6 +210,11 @@
 	return "postgres://demo@" + c.callers[0] + "/" + serviceName + "?sslmode=disable"
 }
 
+// DatabaseURL returns a connection string for database i, past the proxy.
+func (c *Cluster) DatabaseURL(i int) string {
+	return "postgres://demo@" + c.addresses[i] + "/" + serviceName + "?sslmode=disable"
+}
+
 // WaitReady waits until the deployment answers a statement.
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
