--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"geraniumbeam/internal/admission"
@@ -132,7 +133,7 @@
 
 // mayConfirm reports whether a batch on the primary has a chance to be confirmed.
 func (e *execution) mayConfirm(ctx context.Context) bool {
-	return !e.req.GetWantPrimary() || e.pool().cfg.Settings.Unsafe.NoConfirmation || e.u.confirm.reachable(ctx)
+	return !e.req.GetWantPrimary() || e.pool().cfg.Settings.Unsafe.NoConfirmation || e.u.confirm.reachable(ctx, e.req.GetTermHint())
 }
 
 // prepare starts what the read needs besides the database's answer.
@@ -221,7 +222,11 @@
 }
 
 func (e *execution) fail(err error) {
-	f := e.outcome.Fail(result.DatabaseDown, err)
+	notRun := result.DatabaseDown
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		notRun = result.DeadlineBeforeRun
+	}
+	f := e.outcome.Fail(notRun, err)
 	if f.Ran == result.RanNo && e.u.wasCancelled(&e.running) {
 		f = result.Errorf(result.Cancelled, "the caller cancelled the request")
 	}
