Find a lost primary earlier with rarely updated statuses

Cause: with the pool's statuses, up to 250 ms old and 1 s old at a standby, detection took 1.2 to 1.4 s: old statuses of standbys outvoted the active owners, and a failed vote was repeated only after 100 to 200 ms. Change: the age of a repeated status is extrapolated by at most 250 ms, the active owner's evidence replaces its standby's, votes are repeated sooner and do not wait for instances that are cut off, and a group settles for 1 s after a change of term.

--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -20,8 +20,7 @@
 func (r *Runner) campaign(ctx context.Context, w *watch) {
 	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	began := r.cfg.Clock.Now()
-	err := r.tryPromote(ctx, w, began)
+	err := r.tryPromote(ctx, w)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.busy = false
@@ -43,7 +42,8 @@
 	group directory.Group
 	view  View
 	own   Ballot
-	age   time.Duration // longest time for which an owned replica has not heard from the primary
+	at    time.Time
+	age   time.Duration // at that time, longest time for which an owned replica has not heard from the primary
 }
 
 // suspect reads the group's state; ok is false if nothing is suspected now.
@@ -51,7 +51,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock.Now()
-	s.view, s.own = w.detector.View(), w.ballot(now)
+	s.at, s.view, s.own = now, w.detector.View(), w.ballot(now)
 	for _, e := range s.own.Evidence {
 		if e.Status.Role != backend.RolePrimary {
 			s.age = max(s.age, e.Status.PrimaryAge)
@@ -62,7 +62,7 @@
 }
 
 // tryPromote asks for votes and carries out a plan if a majority agrees.
-func (r *Runner) tryPromote(ctx context.Context, w *watch, began time.Time) error {
+func (r *Runner) tryPromote(ctx context.Context, w *watch) error {
 	r.pause(ctx, r.withElection(w, (*Election).Jitter))
 	s, ok := r.suspect(w)
 	if !ok {
@@ -89,7 +89,7 @@
 	p := &promotion{
 		r: r, group: w.group, suspicion: s,
 		plan:   NewPlan(s.view.Term, r.cfg.Self.Name, uuid.NewString(), r.cfg.NoFencing),
-		phases: []phase{{"detection", s.age + detected.Sub(began)}},
+		phases: []phase{{"detection", s.age + detected.Sub(s.at)}},
 		mark:   detected,
 	}
 	return p.run(ctx)
--- a/internal/failover/detector.go
+++ b/internal/failover/detector.go
@@ -60,9 +60,24 @@
 type sighting struct {
 	reached time.Time // last successful call, or the first attempt
 	status  backend.Status
+	since   time.Time // when status was first received, or a call failed
 	known   bool
 }
 
+// maxAgeing bounds how far a replica's PrimaryAge is extrapolated. The pool
+// waits up to 250 ms for the next status of a database without news.
+const maxAgeing = 250 * time.Millisecond
+
+// aged returns the status with the PrimaryAge that a replica would report now
+// if it had heard nothing since. A candidate checks with fresh statuses.
+func (s *sighting) aged(now time.Time) backend.Status {
+	st := s.status
+	if st.Role != backend.RolePrimary {
+		st.PrimaryAge += min(now.Sub(s.since), maxAgeing)
+	}
+	return st
+}
+
 // NewDetector returns a detector that has seen nothing.
 func NewDetector(t Thresholds) *Detector {
 	return &Detector{thresholds: t, seen: make(map[string]*sighting)}
@@ -79,8 +94,12 @@
 			d.seen[o.Database] = s
 		}
 		if !o.Reachable {
+			s.since = now
 			continue
 		}
+		if !s.known || o.Status != s.status {
+			s.since = now
+		}
 		s.reached, s.status, s.known = now, o.Status, true
 		if o.Status.Term > v.Term {
 			v.Term, v.Primary = o.Status.Term, ""
@@ -115,7 +134,7 @@
 		if !s.known && now.Sub(s.reached) < d.thresholds.Missed {
 			continue // nothing is known yet
 		}
-		out = append(out, Evidence{Database: name, Reachable: reachable, Status: s.status})
+		out = append(out, Evidence{Database: name, Reachable: reachable, Status: s.aged(now)})
 	}
 	slices.SortFunc(out, func(a, b Evidence) int { return cmp.Compare(a.Database, b.Database) })
 	return out
--- a/internal/failover/detector_test.go
+++ b/internal/failover/detector_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/directory"
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/platform"
 )
 
 var members = []string{"a", "b", "c"}
@@ -151,33 +154,33 @@
 		lost    int
 	}{
 		{"isolated primary", known, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
-			{true, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
+			{"", true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{"", true, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
 		}, 2},
 		{"isolated replica", known, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("c", backend.RoleReplica, 3, 0)}},
+			{"", true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("c", backend.RoleReplica, 3, 0)}},
 		}, 1},
 		{"one of two owners reaches the primary", known, []Ballot{
-			{true, []Evidence{deadA, evidence("b", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
+			{"", true, []Evidence{deadA, evidence("b", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
 		}, 1},
 		{"instance that does not suspect", known, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
+			{"", true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
 		}, 1},
 		{"candidate died after the raise", none, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleFenced, 3, long)}},
-			{true, []Evidence{evidence("c", backend.RoleFenced, 3, long)}},
+			{"", true, []Evidence{evidence("b", backend.RoleFenced, 3, long)}},
+			{"", true, []Evidence{evidence("c", backend.RoleFenced, 3, long)}},
 		}, 2},
 		{"candidate died before the raise", none, []Ballot{
-			{true, []Evidence{evidence("a", backend.RolePrimary, 2, 0), evidence("b", backend.RoleReplica, 2, 0)}},
+			{"", true, []Evidence{evidence("a", backend.RolePrimary, 2, 0), evidence("b", backend.RoleReplica, 2, 0)}},
 		}, 2},
 		{"unreachable database while there is no primary", none, []Ballot{
-			{true, []Evidence{deadA, evidence("b", backend.RoleReplica, 2, 0)}},
+			{"", true, []Evidence{deadA, evidence("b", backend.RoleReplica, 2, 0)}},
 		}, 2},
-		{"unreachable replicas say nothing", known, []Ballot{{true, []Evidence{{Database: "b"}, {Database: "c"}, deadA}}}, 1},
+		{"unreachable replicas say nothing", known, []Ballot{{"", true, []Evidence{{Database: "b"}, {Database: "c"}, deadA}}}, 1},
 	} {
 		v := Tally(DefaultThresholds, c.view, c.ballots)
 		if v.Lost != c.lost || v.Majority != (c.lost >= 2) {
@@ -208,3 +211,48 @@
 		t.Errorf("view is %+v", v)
 	}
 }
+
+// Guards against a loss that is found late because the pool repeats an old
+// status, and against ages that grow without bound from one status.
+func TestDetectorAgesRepeatedStatuses(t *testing.T) {
+	d := NewDetector(DefaultThresholds)
+	now := time.Unix(0, 0)
+	st := backend.Status{Term: 1, Role: backend.RoleReplica, PrimaryAge: 700 * time.Millisecond}
+	look := func() time.Duration {
+		d.Observe(now, View{Term: 1, Primary: "a", Members: members}, []Observation{{"b", true, st}})
+		return d.Evidence(now)[0].Status.PrimaryAge
+	}
+	look()
+	for _, c := range []struct{ passed, want time.Duration }{{50, 750}, {50, 800}, {200, 950}} {
+		now = now.Add(c.passed * time.Millisecond)
+		if got := look(); got != c.want*time.Millisecond {
+			t.Errorf("age is %v, want %v ms", got, int64(c.want))
+		}
+	}
+	st.PrimaryAge = 20 * time.Millisecond
+	if got := look(); got != st.PrimaryAge {
+		t.Errorf("age is %v after a new status, want %v", got, st.PrimaryAge)
+	}
+}
+
+// Guards against a standby's old statuses that outvote the active owner.
+func TestVotePrefersActiveOwner(t *testing.T) {
+	self := ownership.Instance{Name: "x", DataCentre: "dc"}
+	other := ownership.Instance{Name: "y", DataCentre: "dc"}
+	r := &Runner{cfg: Config{Directory: directory.New(self)}}
+	r.cfg.Directory.SetLive([]ownership.Instance{self, other}, false)
+	db := platform.Database{Name: "b", DataCentre: "dc"}
+	owners := r.cfg.Directory.Owners(db)
+	standby := Ballot{From: owners[1].Name, Evidence: []Evidence{evidence("b", backend.RoleReplica, 1, 0)}}
+	active := Ballot{From: owners[0].Name, Suspect: true, Evidence: []Evidence{evidence("b", backend.RoleReplica, 1, time.Minute)}}
+	ballots := []Ballot{standby, active}
+	r.preferActive(directory.Group{Databases: []platform.Database{db}}, ballots)
+	if ballots[0].has("b") || !ballots[1].has("b") {
+		t.Errorf("ballots are %+v", ballots)
+	}
+	ballots = []Ballot{standby, {From: owners[0].Name}}
+	r.preferActive(directory.Group{Databases: []platform.Database{db}}, ballots)
+	if !ballots[0].has("b") {
+		t.Error("the standby's evidence was dropped although the active owner has none")
+	}
+}
--- a/internal/failover/doc.go
+++ b/internal/failover/doc.go
@@ -27,5 +27,5 @@
 var DefaultThresholds = Thresholds{
 	PrimaryAge: 800 * time.Millisecond,
 	Missed:     800 * time.Millisecond,
-	Settle:     1500 * time.Millisecond,
+	Settle:     1 * time.Second,
 }
--- a/internal/failover/election.go
+++ b/internal/failover/election.go
@@ -12,13 +12,14 @@
 const (
 	maxJitter = 50 * time.Millisecond
 	rankDelay = 250 * time.Millisecond
-	minRetry  = 200 * time.Millisecond
+	minRetry  = 50 * time.Millisecond
 	maxRetry  = 1 * time.Second
 )
 
 // Ballot is the evidence of one instance. It counts in favour of a candidate
 // only if the instance suspects the primary itself.
 type Ballot struct {
+	From     string // name of the instance
 	Suspect  bool
 	Evidence []Evidence
 }
--- a/internal/failover/vote.go
+++ b/internal/failover/vote.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"geraniumbeam/internal/directory"
+	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/platform"
 	"geraniumbeam/internal/wire"
 )
 
 // Bounds of a vote. After voteEnough, instances that did not answer are not
 // waited for if a majority of the databases has spoken against the primary:
-// they may have failed with it.
+// they may have failed with it. The candidate asks the databases themselves
+// before it acts.
 const (
-	voteEnough  = 150 * time.Millisecond
+	voteEnough  = 50 * time.Millisecond
 	voteTimeout = 400 * time.Millisecond
 )
 
@@ -21,20 +24,23 @@
 func (r *Runner) collectBallots(ctx context.Context, g directory.Group, v View, own Ballot) []Ballot {
 	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
 	defer cancel()
-	addresses := r.voters(g)
-	answers := make(chan Ballot, len(addresses))
-	for _, a := range addresses {
-		r.running.Go(func() { answers <- r.askVote(ctx, a, g.Name, v.Term) })
+	voters := r.voters(g)
+	answers := make(chan Ballot, len(voters))
+	for _, in := range voters {
+		r.running.Go(func() { answers <- r.askVote(ctx, in, g.Name, v.Term) })
 	}
+	own.From = r.cfg.Self.Name
 	ballots := []Ballot{own}
+	defer func() { r.preferActive(g, ballots) }()
 	enough := r.cfg.Clock.After(voteEnough)
-	for range addresses {
+	for range voters {
 		for waiting := true; waiting; {
 			select {
 			case b := <-answers:
 				ballots = append(ballots, b)
 				waiting = false
 			case <-enough:
+				r.preferActive(g, ballots)
 				if Tally(r.cfg.Thresholds, v, ballots).Majority {
 					return ballots
 				}
@@ -46,16 +52,50 @@
 	return ballots
 }
 
-// voters returns the addresses of the other instances that own databases of
-// the group.
-func (r *Runner) voters(g directory.Group) []string {
+// preferActive drops a standby's evidence on a database that the active owner
+// has evidence on: a standby looks less often.
+func (r *Runner) preferActive(g directory.Group, ballots []Ballot) {
+	for _, d := range g.Databases {
+		owners := r.cfg.Directory.Owners(d)
+		best := len(owners)
+		for _, b := range ballots {
+			if b.has(d.Name) {
+				best = min(best, ownerIndex(owners, b.From))
+			}
+		}
+		for i := range ballots {
+			if ownerIndex(owners, ballots[i].From) > best {
+				ballots[i].drop(d.Name)
+			}
+		}
+	}
+}
+
+// ownerIndex returns len(owners) for an instance that is no owner.
+func ownerIndex(owners []ownership.Instance, name string) int {
+	if i := slices.IndexFunc(owners, func(in ownership.Instance) bool { return in.Name == name }); i >= 0 {
+		return i
+	}
+	return len(owners)
+}
+
+func (b *Ballot) has(database string) bool {
+	return slices.ContainsFunc(b.Evidence, func(e Evidence) bool { return e.Database == database })
+}
+
+func (b *Ballot) drop(database string) {
+	b.Evidence = slices.DeleteFunc(slices.Clone(b.Evidence), func(e Evidence) bool { return e.Database == database })
+}
+
+// voters returns the other instances that own databases of the group.
+func (r *Runner) voters(g directory.Group) []ownership.Instance {
 	seen := map[string]bool{r.cfg.Self.Name: true}
-	var out []string
+	var out []ownership.Instance
 	for _, d := range g.Databases {
 		for _, in := range r.cfg.Directory.Owners(d) {
 			if !seen[in.Name] {
 				seen[in.Name] = true
-				out = append(out, in.Address)
+				out = append(out, in)
 			}
 		}
 	}
@@ -63,12 +103,12 @@
 }
 
 // askVote returns an empty ballot if the instance does not answer.
-func (r *Runner) askVote(ctx context.Context, address, group string, term uint64) Ballot {
-	resp, err := r.cfg.Clients.Pool(address).Vote(ctx, &wire.VoteRequest{Group: group, Term: term})
+func (r *Runner) askVote(ctx context.Context, in ownership.Instance, group string, term uint64) Ballot {
+	resp, err := r.cfg.Clients.Pool(in.Address).Vote(ctx, &wire.VoteRequest{Group: group, Term: term})
 	if err != nil {
 		return Ballot{}
 	}
-	b := Ballot{Suspect: resp.GetSuspect()}
+	b := Ballot{From: in.Name, Suspect: resp.GetSuspect()}
 	for _, s := range resp.GetDatabases() {
 		b.Evidence = append(b.Evidence, Evidence{Database: s.GetDatabase(), Reachable: s.GetReachable(), Status: wire.StatusOf(s)})
 	}
