Let writes of the stand-in overlap in the slots

Cause: a write held the writer for its service time, so autocommitted writes had the capacity of one slot. Change: the service time is spent in a slot before the writer is taken.

--- a/internal/standin/database/group_test.go
+++ b/internal/standin/database/group_test.go
@@ -215,6 +215,28 @@
 	eventually(t, "the slot is free", func() bool { n.slots.mu.Lock(); defer n.slots.mu.Unlock(); return n.slots.used == 0 })
 }
 
+// Guards against writes that are served one after the other although there
+// are two slots.
+func TestWritesShareSlots(t *testing.T) {
+	n := startGroup(t, nil)["a"]
+	slow, fast := connect(t, n), connect(t, n)
+	mustExec(t, fast, `CREATE TABLE track (id bigint)`)
+	mustExec(t, fast, `SELECT standin_set('service_time_us', 3600000000)`)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { _, err := slow.Exec(ctx, `INSERT INTO track VALUES (1)`, pgx.QueryExecModeExec); done <- err }()
+	eventually(t, "the first write is in its slot", func() bool { n.slots.mu.Lock(); defer n.slots.mu.Unlock(); return n.slots.used == 1 })
+	mustExec(t, fast, `SELECT standin_set('service_time_us', 0)`)
+	mustExec(t, fast, `INSERT INTO track VALUES (2)`)
+	cancel()
+	if err := <-done; err == nil {
+		t.Error("the first write ended in time")
+	}
+	if got := queryOne[int64](t, fast, `SELECT sum(id) FROM track`); got != 2 {
+		t.Errorf("sum is %d, want 2", got)
+	}
+}
+
 // Guards against cancel requests that do not stop a statement or that break
 // the connection.
 func TestCancel(t *testing.T) {
--- a/internal/standin/database/statement.go
+++ b/internal/standin/database/statement.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"geraniumbeam/internal/backend"
 )
 
 // prepared is a parsed statement.
@@ -88,25 +90,37 @@
 	if write && se.tx.readOnly {
 		return nil, errorf(stateReadOnly, "cannot execute %s in a read-only transaction", strings.ToUpper(p.text.keyword(0)))
 	}
-	// The writer is taken before the slot: a waiting statement must not keep
-	// the slot that the open transaction needs to finish.
-	if write || (se.tx.early && !se.tx.readOnly && se.server.isPrimary()) {
-		if err := se.openWrite(ctx); err != nil {
-			return nil, err
+	// The service time is spent in a slot before the writer is taken, so that
+	// statements of different transactions overlap, and a statement that waits
+	// for the writer does not keep a slot that the open transaction needs.
+	lock := write || (se.tx.early && !se.tx.readOnly && se.server.isPrimary())
+	if lock && se.tx.write == nil {
+		if st := se.server.status(); st.Role != backend.RolePrimary {
+			return nil, errNotPrimary(st.Role, st.Term)
 		}
 	}
-	if err := se.server.slots.acquire(ctx); err != nil {
+	if err := se.server.occupySlot(ctx, sleepTime(p.text.sql)); err != nil {
 		return nil, err
 	}
-	defer se.server.slots.release()
-	return se.runInSlot(ctx, p, args)
+	if lock {
+		if err := se.openWrite(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return se.runNow(ctx, p, args)
 }
 
-func (se *session) runInSlot(ctx context.Context, p *prepared, args []any) (*result, error) {
-	se.server.statements.Add(1)
-	if err := sleep(ctx, durationOf(&se.server.serviceTime)+sleepTime(p.text.sql)); err != nil {
-		return nil, err
+// occupySlot occupies a slot for the service time and extra.
+func (s *Server) occupySlot(ctx context.Context, extra time.Duration) error {
+	if err := s.slots.acquire(ctx); err != nil {
+		return err
 	}
+	defer s.slots.release()
+	s.statements.Add(1)
+	return sleep(ctx, durationOf(&s.serviceTime)+extra)
+}
+
+func (se *session) runNow(ctx context.Context, p *prepared, args []any) (*result, error) {
 	var rs *rowSet
 	var err error
 	if se.tx.write != nil {
