--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -144,7 +144,7 @@
 	if !b.reported {
 		out = appendError(out, "ERROR", e, b.id)
 	}
-	return c.write(appendReady(out, c.status()))
+	return c.reply(b, appendReady(out, c.status()))
 }
 
 // answer runs a batch and answers it. An error ends the connection.
@@ -178,7 +178,7 @@
 	if failure != nil {
 		err = c.refuse(b, out, failure)
 	} else {
-		err = c.write(out)
+		err = c.reply(b, out)
 	}
 	r.count(done, failure, c.s.now().Sub(start))
 	return err
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -45,7 +45,8 @@
 	floors      session.Floors
 	statements  map[string]*prepared
 	tx          *transaction
-	txFailed    bool // the transaction was ended here and the caller has not closed it yet
+	skip        error // refuses messages up to Sync after an error at a Flush
+	txFailed    bool  // the transaction was ended here and the caller has not closed it yet
 
 	inFlight atomic.Pointer[flight]
 
@@ -166,6 +167,19 @@
 	}
 }
 
+// reply sends the whole answer to a batch, which ends with ReadyForQuery. A
+// batch that was ended by Flush gets no ReadyForQuery, and after an error the
+// messages up to the Sync are skipped.
+func (c *caller) reply(b *batch, out []byte) error {
+	if b.flushed {
+		out = out[:len(out)-readyLength]
+		if firstError(out) != "" {
+			c.skip = result.Errorf(result.ProtocolViolation, "skipped after an error")
+		}
+	}
+	return c.write(out)
+}
+
 // write sends b whole or ends the connection.
 func (c *caller) write(b []byte) error {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -64,7 +64,7 @@
 		}
 		out = next
 	}
-	return c.write(appendReady(out, c.status()))
+	return c.reply(b, appendReady(out, c.status()))
 }
 
 func (c *caller) runOp(out []byte, op localOp) ([]byte, error) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -171,6 +171,9 @@
 
 // final adds what earlier attempts may have done to the last error.
 func (x *runner) final(e *result.Error) *result.Error {
+	if e.Code == result.InstanceDown && e.Ran == result.RanUnknown {
+		e = unknown(e)
+	}
 	if !x.maybeRan || x.r.harmless() || e.Ran == result.RanYes {
 		return e
 	}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -203,7 +203,7 @@
 	c.params.key = ""
 	out := rollbackAnswer(b)
 	c.applyEffects(b, out)
-	return c.write(appendReady(out, 'I'))
+	return c.reply(b, appendReady(out, 'I'))
 }
 
 func endsTransaction(b *batch) bool {
