Shorten the search for a primary and answer a lost BEGIN as rolled back

Cause: in the whole-path tests two BEGINs ended with an unknown outcome because the class had no retries left, although a BEGIN leaves nothing behind. The questions about a new primary added up to 250 ms to the gap of a failover.

Ruled out: a fixed interval of 50 ms, which at the size to design for is about 38,000 questions a second to the owners of one group.

Change: a lost BEGIN without retry budget is reported as rolled back. The questions are at most 100 ms apart. A test covers half a message.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -215,8 +215,7 @@
 	return encode(out, &pgproto3.ParameterStatus{Name: paramSession, Value: c.s.keys.Encode(c.floors)})
 }
 
-// retryAfter rounds advice up, so that a caller that waits exactly as told is
-// not too early.
+// retryAfter returns advice that is never zero, which would mean no advice.
 func retryAfter(d time.Duration) time.Duration { return max(d, time.Millisecond) }
 
 func appendReady(out []byte, status byte) []byte {
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// Guards against an unknown outcome of a BEGIN, which leaves nothing behind.
+func TestLostBeginWithoutBudget(t *testing.T) {
+	f := start(t, nil)
+	conn := f.connect("")
+	for f.server.budgets.Class("huts.default").Spend() {
+	}
+	f.cluster.lose(func(string, *wire.ExecuteRequest) bool { return true })
+	f.wantState(conn, "begin", "40000")
+	f.wantState(conn, "begin; insert into huts values (1)", "08007")
+}
+
 // Guards against "not run" for a repeated request whose first attempt may have
 // run.
 func TestRefusalAfterLostAnswerIsUnknown(t *testing.T) {
--- a/internal/entry/protocol_test.go
+++ b/internal/entry/protocol_test.go
@@ -161,6 +161,22 @@
 	}
 }
 
+// Guards against half a message that is run, or whose caller stays registered.
+func TestHalfMessage(t *testing.T) {
+	f := start(t, nil)
+	for _, half := range [][]byte{{'Q'}, {'Q', 0, 0}, append([]byte{'Q', 0, 0, 0, 90}, "insert into huts values (1)"...)} {
+		r := f.raw()
+		r.startup(ann())
+		r.until()
+		r.send(half...)
+		_ = r.conn.Close()
+	}
+	f.eventually("the end of the callers", func() bool { return f.server.Callers() == 0 })
+	if got := f.cluster.seen(); len(got) != 0 {
+		t.Errorf("calls %v", got)
+	}
+}
+
 // Guards against callers beyond the limit.
 func TestMaxConnections(t *testing.T) {
 	f := start(t, func(s *settings.Settings) { s.Callers.MaxConnections = 1 })
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -14,9 +14,10 @@
 	// minResolveInterval is the least time between two rounds of questions
 	// about one group, however many requests wait for its primary. It doubles
 	// with each round that learns nothing: at the size to design for about 600
-	// entries wait for the primary of a group at the same time.
+	// entries wait for the primary of a group at the same time, and their
+	// questions take time of the pools that also run the change of primary.
 	minResolveInterval = 50 * time.Millisecond
-	maxResolveInterval = 250 * time.Millisecond
+	maxResolveInterval = 100 * time.Millisecond
 	resolveTimeout     = 500 * time.Millisecond
 )
 
--- a/internal/entry/verdict.go
+++ b/internal/entry/verdict.go
@@ -60,7 +60,13 @@
 	if failure.Code == result.AnswerTooLarge || failure.Code == result.Cancelled || failure.Ran == result.RanYes {
 		return verdict{refused, failure}
 	}
-	if !x.repeatable(at) || !x.s.budgets.Class(x.r.class.ObjectName()).Spend() {
+	if !x.repeatable(at) {
+		return verdict{refused, unknown(failure)}
+	}
+	if !x.s.budgets.Class(x.r.class.ObjectName()).Spend() {
+		if x.r.begin {
+			return verdict{refused, result.Errorf(result.RolledBack, "the transaction was not started: %s", failure.Message)}
+		}
 		return verdict{refused, unknown(failure)}
 	}
 	x.maybeRan = x.maybeRan || !x.readOnlyAt(at)
