Check the entry's tests for leaked goroutines

Cause: callers, keep-alives and questions about primaries run in goroutines that have to end with the server.

Change: goleak verifies the package's tests.

Result: go test -race ./internal/entry passes.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"geraniumbeam/internal/catalog"
 	"geraniumbeam/internal/clock"
@@ -22,6 +23,9 @@
 	"geraniumbeam/internal/settings"
 )
 
+// Guards against goroutines that outlive the server.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // fixture is an entry on loopback in front of a fake cluster.
 type fixture struct {
 	t       testing.TB
