--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -144,7 +144,7 @@
 	if !b.reported {
 		out = appendError(out, "ERROR", e, b.id)
 	}
-	return c.write(appendReady(out, c.status()))
+	return c.reply(b, appendReady(out, c.status()))
 }
 
 // answer runs a batch and answers it. An error ends the connection.
@@ -178,7 +178,7 @@
 	if failure != nil {
 		err = c.refuse(b, out, failure)
 	} else {
-		err = c.write(out)
+		err = c.reply(b, out)
 	}
 	r.count(done, failure, c.s.now().Sub(start))
 	return err
@@ -215,8 +215,7 @@
 	return encode(out, &pgproto3.ParameterStatus{Name: paramSession, Value: c.s.keys.Encode(c.floors)})
 }
 
-// retryAfter rounds advice up, so that a caller that waits exactly as told is
-// not too early.
+// retryAfter returns advice that is never zero, which would mean no advice.
 func retryAfter(d time.Duration) time.Duration { return max(d, time.Millisecond) }
 
 func appendReady(out []byte, status byte) []byte {
--- a/internal/entry/verdict.go
+++ b/internal/entry/verdict.go
@@ -60,7 +60,13 @@
 	if failure.Code == result.AnswerTooLarge || failure.Code == result.Cancelled || failure.Ran == result.RanYes {
 		return verdict{refused, failure}
 	}
-	if !x.repeatable(at) || !x.s.budgets.Class(x.r.class.ObjectName()).Spend() {
+	if !x.repeatable(at) {
+		return verdict{refused, unknown(failure)}
+	}
+	if !x.s.budgets.Class(x.r.class.ObjectName()).Spend() {
+		if x.r.begin {
+			return verdict{refused, result.Errorf(result.RolledBack, "the transaction was not started: %s", failure.Message)}
+		}
 		return verdict{refused, unknown(failure)}
 	}
 	x.maybeRan = x.maybeRan || !x.readOnlyAt(at)
@@ -114,15 +120,18 @@
 	return false
 }
 
-// failureOf turns the result of a call into an error; nil means answered.
+// failureOf turns the result of a call into an error; nil means answered. A
+// call that was cut is InstanceDown with an unknown outcome.
 func failureOf(at attempt, f *flight, resp *wire.ExecuteResponse, err error) *result.Error {
 	switch {
 	case err != nil && notSent(err):
 		return result.Errorf(result.InstanceDown, "instance at %s could not be reached: %w", at.address, err)
 	case err != nil && errors.Is(err, context.DeadlineExceeded):
-		return result.Errorf(result.OutcomeUnknown, "no answer from the instance at %s before the deadline", at.address)
+		return result.Errorf(result.InstanceDown, "no answer from the instance at %s before the deadline",
+			at.address).WithRan(result.RanUnknown)
 	case err != nil:
-		return result.Errorf(result.OutcomeUnknown, "the call to the instance at %s failed: %w", at.address, err)
+		return result.Errorf(result.InstanceDown, "the call to the instance at %s failed: %w",
+			at.address, err).WithRan(result.RanUnknown)
 	case !f.matches(resp):
 		return result.Errorf(result.OutcomeUnknown, "the instance at %s answered another request", at.address)
 	}
