Send again what lost messages carried, and pass on every push

Two tests failed under load. A push could end at an instance that had the object from elsewhere, while instances below it in that tree had it from nobody; without gossip the change was lost (TestPushReachesAllInstances, 1 run of 5). A hint learned together with a new group was taken for configuration and not spread (TestHintsAndDigestsTravel, 1 run of 4).

An instance passes a push on even if it knew all objects, and both relays push at once; the second push costs about 0.9 KB per change and inner node. The directory marks what is newer than the configuration, and only that is spread as a hint. An update or hint in a lost message does not count as sent.

The platform-call bound of TestPushReachesAllInstances counted watches of the start that had not reached the platform yet; it waits for them now.

--- a/internal/confsync/push.go
+++ b/internal/confsync/push.go
@@ -21,10 +21,6 @@
 	maxForward   = 10000     // instances below one child
 )
 
-// secondDelay holds back the second relay, so that its push finds most
-// instances up to date and ends at the first level.
-const secondDelay = 300 * time.Millisecond
-
 // subtree is a child and the instances below it.
 type subtree struct {
 	child ownership.Instance
@@ -60,25 +56,15 @@
 	return out
 }
 
-// pushDown sends objects to the instances of the own data centre.
-func (s *Sync) pushDown(ctx context.Context, rank int, objects []platform.Object) {
+// pushDown sends objects to the instances of the own data centre. Each relay
+// does so with a tree of its own, so that one failed instance or relay does not
+// hold back others.
+func (s *Sync) pushDown(ctx context.Context, objects []platform.Object) {
 	targets := s.local()
 	s.shuffle(targets)
-	send := func() {
-		for _, part := range chunks(objects, maxPushBytes) {
-			s.forward(ctx, toWire(part), targets)
-		}
-	}
-	if rank == 0 {
-		send()
-		return
+	for _, part := range chunks(objects, maxPushBytes) {
+		s.forward(ctx, toWire(part), targets)
 	}
-	s.submit(func() {
-		s.sleep(ctx, secondDelay)
-		if ctx.Err() == nil {
-			send()
-		}
-	})
 }
 
 // forward queues one push per subtree.
@@ -121,17 +107,14 @@
 }
 
 // PushObjects implements the method of wire.Peer. It answers once the objects
-// are applied and passes them on afterwards. Objects that were all known are
-// not passed on: another push of the same objects has been here.
+// are applied and passes them on afterwards, also if all were known: the push
+// that brought them may have followed a tree with other instances below.
 func (s *Sync) PushObjects(_ context.Context, req *wire.PushObjectsRequest) (*wire.PushObjectsResponse, error) {
 	if len(req.GetForwardTo()) > maxForward {
 		return nil, result.Errorf(result.Invalid, "field forward_to has %d entries: want at most %d",
 			len(req.GetForwardTo()), maxForward)
 	}
-	applied := s.apply(fromWire(req.GetObjects()), req.GetFrom())
-	if len(applied) == 0 || len(req.GetForwardTo()) == 0 {
-		return &wire.PushObjectsResponse{}, nil
-	}
+	s.apply(fromWire(req.GetObjects()), req.GetFrom())
 	// The caller's context ends with the answer; pushTimeout bounds the calls.
 	s.forward(context.Background(), req.GetObjects(), s.resolve(req.GetForwardTo()))
 	return &wire.PushObjectsResponse{}, nil
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -116,10 +116,10 @@
 	}
 }
 
-func (s *Sync) relayRank() int {
+func (s *Sync) isRelay() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.relay
+	return s.relay >= 0
 }
 
 func (s *Sync) shuffle(in []ownership.Instance) {
@@ -132,8 +132,8 @@
 // new to it.
 func (s *Sync) take(ctx context.Context, objects []platform.Object, source string) []platform.Object {
 	applied := s.apply(objects, source)
-	if rank := s.relayRank(); rank >= 0 && len(applied) > 0 {
-		s.pushDown(ctx, rank, applied)
+	if s.isRelay() && len(applied) > 0 {
+		s.pushDown(ctx, applied)
 	}
 	return applied
 }
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,11 +28,9 @@
 type gate struct {
 	platform.API
 	closed atomic.Bool
-	calls  atomic.Int64
 }
 
 func (g *gate) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
-	g.calls.Add(1)
 	if g.closed.Load() {
 		return nil, 0, result.Errorf(result.PlatformDown, "cut off")
 	}
@@ -174,15 +173,11 @@
 	return out
 }
 
+// watching waits until all instances have started and the relays' watches wait
+// at the platform.
 func (f *fleet) watching() {
-	f.eventually("relays watch", func() bool {
-		for _, i := range f.relays() {
-			if f.gates[i].calls.Load() < int64(2*len(Kinds)) { // start and waiting watch
-				return false
-			}
-		}
-		return true
-	})
+	want := int64(len(Kinds) * (len(f.peers) + len(f.relays())))
+	f.eventually("relays watch", func() bool { return f.standin.Counts().Watches >= want })
 }
 
 func service(name string) []byte {
@@ -197,8 +192,10 @@
 	f.watching()
 	before := f.standin.Counts().Total()
 	for i := range 10 {
+		start := time.Now()
 		o := f.standin.PutObject(platform.KindService, "s", fmt.Appendf(nil, `{"name":"s","groups":["g%d"]}`, i))
 		f.everywhere(o.Version, func() {})
+		t.Logf("change %d in effect on all instances after %v", i, time.Since(start).Round(time.Millisecond))
 	}
 	calls := f.standin.Counts().Total() - before
 	if want := int64(10 * 2 * Relays); calls > want {
@@ -339,3 +336,70 @@
 		}
 	})
 }
+
+// Guards against a subtree that is lost because its first instance fails.
+func TestPushSkipsFailedChild(t *testing.T) {
+	f := newFleet(t, 3, "a")
+	f.peers[1].refuse.Store(true)
+	o := platform.Object{Kind: platform.KindService, Name: "s", Version: 7, Data: service("s")}
+	f.peers[0].pushSubtree(f.ctx, toWire([]platform.Object{o}), subtree{child: f.live[1], below: f.live[2:]})
+	if v := f.peers[2].cfg.Directory.Version(); v != 7 {
+		t.Fatalf("the instance below has version %d, want 7", v)
+	}
+}
+
+// Guards against a data centre without news after its relays died.
+func TestRelayTakesOver(t *testing.T) {
+	f := newFleet(t, 6, "a")
+	f.watching()
+	rest := slices.Clone(f.live)
+	for _, i := range slices.Backward(f.relays()) {
+		f.gates[i].closed.Store(true)
+		f.peers[i].refuse.Store(true)
+		rest = slices.Delete(rest, i, i+1)
+	}
+	for i, p := range f.peers {
+		if slices.Contains(rest, f.live[i]) {
+			p.cfg.Directory.SetLive(rest, false)
+		}
+	}
+	o := f.standin.PutObject(platform.KindService, "s", service("s"))
+	f.eventually("the others have it", func() bool {
+		for i, p := range f.peers {
+			if slices.Contains(rest, f.live[i]) && p.cfg.Directory.Version() < o.Version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against repairs that repeat in a loop, or that never compare all
+// versions, when a peer holds an object that is not valid here.
+func TestRepairBacksOff(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := peerDigest{digest: 1, version: 9}
+	var r repairState
+	if above, wanted := r.next(now, p, 2, 5); !above || !wanted {
+		t.Fatal("a peer that is ahead must be asked for higher versions first")
+	}
+	r.done(now, false)
+	fetches := 0
+	for range 600 {
+		now = now.Add(time.Second)
+		above, wanted := r.next(now, p, 2, 5)
+		if above {
+			t.Fatal("asked for higher versions again without progress")
+		}
+		if wanted {
+			fetches++
+			r.done(now, false)
+		}
+	}
+	if fetches < 10 || fetches > 20 {
+		t.Fatalf("%d repairs in ten minutes without progress, want 10 to 20", fetches)
+	}
+	if _, wanted := r.next(now, p, 1, 9); wanted || r.full {
+		t.Fatal("equal digests must end the repair")
+	}
+}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -77,7 +77,8 @@
 		}
 	case "show":
 		for _, g := range d.Groups() {
-			fmt.Fprintf(&b, "group %s term %d primary %q databases %d\n", g.Name, g.Term, g.Primary, len(g.Databases))
+			fmt.Fprintf(&b, "group %s term %d primary %q hinted %v databases %d\n",
+				g.Name, g.Term, g.Primary, g.Hinted, len(g.Databases))
 		}
 		for _, s := range d.Catalog().Services() {
 			fmt.Fprintf(&b, "service %s %v\n", s.Name, s.Groups)
--- a/internal/directory/objects.go
+++ b/internal/directory/objects.go
@@ -96,7 +96,7 @@
 func (d *Directory) mergeGroup(name string, v platform.Group) {
 	g := Group{Name: name, Term: v.Term, Primary: v.Primary, Databases: v.Databases}
 	if old, ok := d.groups[name]; ok && (old.Term > g.Term || (old.Term == g.Term && g.Primary == "")) {
-		g.Term, g.Primary = old.Term, old.Primary
+		g.Term, g.Primary, g.Hinted = old.Term, old.Primary, old.Hinted
 	}
 	d.groups[name] = g
 }
--- a/internal/membership/check.go
+++ b/internal/membership/check.go
@@ -34,7 +34,8 @@
 	Updates []Member
 	Hints   []Hint
 	Timeout time.Duration
-	check   *check // nil: a failure proves nothing
+	check   *check   // nil: a failure proves nothing
+	queued  []Member // the part of Updates that came from a queue
 }
 
 // Tick advances time and returns the messages to send.
@@ -235,6 +236,8 @@
 		s.merge(now, updates, a.To.Name)
 		s.heard(now, a.To.Name)
 		s.contact(now, a.To.DataCentre)
+	} else {
+		s.retry(a)
 	}
 	success := reached && ok
 	if success && a.Target != "" {
--- a/internal/membership/feeds.go
+++ b/internal/membership/feeds.go
@@ -84,28 +84,17 @@
 	}
 }
 
-// runHints spreads what this instance learns about primaries, from whatever
-// source.
+// runHints spreads what this instance learns about primaries by itself.
 func (m *Membership) runHints(ctx context.Context) {
-	known := make(map[string]Hint)
-	first := true
 	for {
 		changed := m.cfg.Directory.Changed()
 		for _, g := range m.cfg.Directory.Groups() {
-			h := Hint{Group: g.Name, Term: g.Term, Primary: g.Primary}
-			old, ok := known[g.Name]
-			if ok && old == h {
-				continue
+			if g.Hinted { // the configuration brings the rest
+				m.mu.Lock()
+				m.state.SpreadHint(Hint{Group: g.Name, Term: g.Term, Primary: g.Primary})
+				m.mu.Unlock()
 			}
-			known[g.Name] = h
-			if first || !ok {
-				continue // the configuration brings new groups
-			}
-			m.mu.Lock()
-			m.state.SpreadHint(h)
-			m.mu.Unlock()
 		}
-		first = false
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/membership/queue.go
+++ b/internal/membership/queue.go
@@ -44,6 +44,23 @@
 	q.byCount[e.sent] = append(q.byCount[e.sent], e)
 }
 
+// retry takes back the count of one sending that did not arrive. A value that
+// was replaced since stays replaced.
+func (q *queue[T]) retry(key string, same func(T) bool, value T, times int) {
+	old, ok := q.entries[key]
+	switch {
+	case !ok && len(q.entries) < q.limit:
+		e := &entry[T]{key: key, value: value, sent: times - 1}
+		q.entries[key] = e
+		q.push(e)
+	case ok && same(old.value) && old.sent > 0:
+		old.gone = true
+		e := &entry[T]{key: key, value: value, sent: old.sent - 1}
+		q.entries[key] = e
+		q.push(e)
+	}
+}
+
 func (q *queue[T]) dropMostSent() {
 	for i := len(q.byCount) - 1; i >= 0; i-- {
 		for len(q.byCount[i]) > 0 {
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -11,8 +11,33 @@
 	if to.DataCentre != s.self.DataCentre {
 		timeout *= remoteFactor
 	}
-	updates := append([]Member{s.self}, s.outgoing(to.Name, to.DataCentre, nil)...)
-	return Action{To: to, Timeout: timeout, Updates: updates, Hints: s.takeHints()}
+	queued := s.fromQueues(to.DataCentre, nil)
+	updates := append(append([]Member{s.self}, s.about(to.Name)...), queued...)
+	return Action{To: to, Timeout: timeout, Updates: updates, Hints: s.takeHints(), queued: queued}
+}
+
+// retry queues again what a lost message carried, unless it is out of date.
+func (s *State) retry(a Action) {
+	for _, m := range a.queued {
+		current, known := s.Member(m.Name)
+		if !known || current != m {
+			continue
+		}
+		same := func(old Member) bool { return old == m }
+		switch l := s.links[a.To.DataCentre]; {
+		case l != nil && a.To.DataCentre != s.self.DataCentre:
+			l.updates.retry(m.Name, same, m, remoteTimes)
+		case m.serves():
+			s.updates.retry(m.Name, same, m, s.times())
+		default:
+			s.news.retry(m.Name, same, m, s.times())
+		}
+	}
+	for _, h := range a.Hints {
+		if s.spread[h.Group] == h {
+			s.hints.retry(h.Group, func(old Hint) bool { return old == h }, h, s.times())
+		}
+	}
 }
 
 // enqueue lets a claim travel with the next messages.
@@ -26,22 +51,25 @@
 	s.updates.put(m.Name, m)
 }
 
-// outgoing returns the claims to send to a member: what is believed of the
-// receiver unless it is well, and the updates that were sent least often, but
-// not those that the receiver just sent.
-func (s *State) outgoing(to, dataCentre string, received []Member) []Member {
-	skip := func(m Member) bool { return slices.Contains(received, m) }
-	var out []Member
+// about returns what is believed of a receiver unless it is well, so that it
+// can refute it.
+func (s *State) about(to string) []Member {
 	if r, ok := s.members[to]; ok && r.Status != Alive {
-		out = append(out, r.Member)
+		return []Member{r.Member}
 	}
+	return nil
+}
+
+// fromQueues returns the updates that were sent least often, but not those
+// that the receiver just sent.
+func (s *State) fromQueues(dataCentre string, received []Member) []Member {
+	skip := func(m Member) bool { return slices.Contains(received, m) }
 	if l := s.links[dataCentre]; l != nil && dataCentre != s.self.DataCentre {
-		return append(out, l.updates.take(budget{maxUpdates, maxUpdateBytes, remoteTimes}, sizeOf, skip)...)
+		return l.updates.take(budget{maxUpdates, maxUpdateBytes, remoteTimes}, sizeOf, skip)
 	}
 	news := s.news.take(budget{maxUpdates, maxUpdateBytes, s.times()}, sizeOf, skip)
-	out = append(out, news...)
 	rest := budget{maxUpdates - len(news), maxUpdateBytes - totalSize(news), s.times()}
-	return append(out, s.updates.take(rest, sizeOf, skip)...)
+	return append(news, s.updates.take(rest, sizeOf, skip)...)
 }
 
 func totalSize(members []Member) int {
@@ -102,7 +130,7 @@
 	s.heard(now, from)
 	reply := Reply{Hints: s.takeHints()}
 	stale := s.contact(now, r.DataCentre)
-	reply.Updates = s.outgoing(from, r.DataCentre, updates)
+	reply.Updates = append(s.about(from), s.fromQueues(r.DataCentre, updates)...)
 	switch {
 	case (stranger || r.Incarnation-incarnation > restartGap) && r.serves():
 		reply.Updates = append(reply.Updates, s.selected(func(r *record) bool { return !r.private })...)
@@ -122,8 +150,10 @@
 	s.nextPush = now.Add(pushGap)
 	for range min(pushWidth, len(s.partners)) {
 		to := s.members[s.partners[s.random.IntN(len(s.partners))]].Member
-		updates := append([]Member{s.self}, s.news.take(budget{maxPush, maxPushBytes, s.times()}, sizeOf, nil)...)
-		out = append(out, Action{To: to, Timeout: probeTimeout, Updates: updates})
+		queued := s.news.take(budget{maxPush, maxPushBytes, s.times()}, sizeOf, nil)
+		out = append(out, Action{
+			To: to, Timeout: probeTimeout, Updates: append([]Member{s.self}, queued...), queued: queued,
+		})
 	}
 	return out
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -27,7 +27,7 @@
 	suspectWindow = 600 * time.Millisecond
 	// remoteWindow is suspectWindow for members of other data centres, whose
 	// links lose more.
-	remoteWindow = 3 * time.Second
+	remoteWindow = 1200 * time.Millisecond
 	// roundPeriod is the time between two attempts to reach a suspect. Without
 	// helpers, evidence takes more attempts.
 	roundPeriod      = 100 * time.Millisecond
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
+	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/platform"
 )
 
@@ -199,3 +201,110 @@
 		}
 	}
 }
+
+// Guards against a death on too little evidence: attempts without a result and
+// the time of a pause prove nothing.
+func TestDeathNeedsEvidence(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	s := NewState(ownership.Instance{Name: "a", Address: "10.0.0.1:1", DataCentre: "dc"}, 1, 1, now)
+	s.Seed(now, []platform.Instance{{Name: "b", Address: "10.0.0.2:1", DataCentre: "dc"}})
+	status := func() Status { m, _ := s.Member("b"); return m.Status }
+	var open []Action
+	wait := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(step)
+			open = append(open, s.Tick(now)...)
+		}
+	}
+	fail := func() {
+		t.Helper()
+		if len(open) == 0 {
+			t.Fatal("no attempt was made")
+		}
+		s.Result(now, open[0], false, false, nil)
+		open = open[1:]
+	}
+	for wait(ProbePeriod); status() != Suspect; wait(ProbePeriod) {
+		fail()
+	}
+	wait(2 * suspectWindow)
+	for i := range evidence - 1 {
+		fail()
+		if wait(step); status() != Suspect {
+			t.Fatalf("%v after %d failures", status(), i+1)
+		}
+	}
+	now = now.Add(time.Minute)
+	wait(step)
+	fail()
+	if wait(2 * suspectWindow); status() != Suspect {
+		t.Fatalf("%v after a pause and one failure", status())
+	}
+	for range evidence {
+		fail()
+	}
+	if wait(step); status() != Dead {
+		t.Fatalf("%v after %d failures in a window", status(), evidence)
+	}
+}
+
+// Guards against claims of others that outweigh an answer just received, and
+// against claims with an incarnation of the past.
+func TestDeathClaimIsChecked(t *testing.T) {
+	s := newSim(t, 1, 3, oneCentre)
+	s.run(2 * time.Second)
+	st, other := s.states["i000"], s.states["i001"].Self()
+	st.Receive(s.now, other.Name, []Member{other})
+	other.Status = Dead
+	st.Receive(s.now, "i002", []Member{s.states["i002"].Self(), other})
+	if m, _ := st.Member(other.Name); m.Status != Suspect {
+		t.Fatalf("%v after a death claim that contradicts a fresh answer, want suspect", m.Status)
+	}
+	s.until(10*time.Second, "the suspicion is refuted", func() bool {
+		m, _ := st.Member(other.Name)
+		return m.Status == Alive && m.Incarnation > other.Incarnation
+	})
+	st.Receive(s.now.Add(time.Hour), "i002", []Member{s.states["i002"].Self(), other})
+	if m, _ := st.Member(other.Name); m.Status != Alive {
+		t.Fatalf("%v after a claim with an older incarnation, want alive", m.Status)
+	}
+}
+
+// Guards against a data centre that returns after a partition and learns of
+// the changes only record by record.
+func TestSilentLinkExchangesInFull(t *testing.T) {
+	s := newSim(t, 1, 40, func(i int) string { return []string{"a", "b"}[i%2] })
+	st, remote := s.states["i000"], s.states["i001"].Self()
+	count := func(at time.Duration) int {
+		return len(st.Receive(s.now.Add(at), remote.Name, []Member{remote}).Updates)
+	}
+	if first, second, late := count(0), count(time.Second), count(time.Minute); first < 20 || second > maxUpdates || late < 20 {
+		t.Fatalf("replies of %d, %d and %d records, want all 20, few, all 20", first, second, late)
+	}
+}
+
+// Guards against updates and hints that are lost with the messages that
+// carried them.
+func TestLostMessagesAreSentAgain(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	s := NewState(ownership.Instance{Name: "a", Address: "10.0.0.1:1", DataCentre: "dc"}, 1, 1, now)
+	s.Seed(now, []platform.Instance{{Name: "b", Address: "10.0.0.2:1", DataCentre: "dc"}})
+	gone := Member{Name: "c", Address: "10.0.0.3:1", DataCentre: "dc", Incarnation: 4, Status: Leaving}
+	hint := Hint{Group: "g", Term: 2, Primary: "g-a"}
+	s.claim(now, gone, "d")
+	s.SpreadHint(hint)
+	to, _ := s.Member("b")
+	for range 100 {
+		s.Result(now, s.message(to, probeTimeout), false, false, nil)
+	}
+	a := s.message(to, probeTimeout)
+	if !slices.Contains(a.Updates, gone) || !slices.Contains(a.Hints, hint) {
+		t.Fatalf("after 100 lost messages the next has updates %v and hints %v", a.Updates, a.Hints)
+	}
+	for range 100 {
+		s.Result(now, s.message(to, probeTimeout), true, true, nil)
+	}
+	if a := s.message(to, probeTimeout); slices.Contains(a.Updates, gone) || len(a.Hints) > 0 {
+		t.Fatalf("after 100 answers the next message still has updates %v and hints %v", a.Updates, a.Hints)
+	}
+}
