Prefer the connection of a caller that was used last

Cause: requests went to all connections of a caller in turn.

Ruled out: fewer connections (admitted requests wait on them in the flood).

Change: idle connections are a stack; further ones open when none is idle.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -17,7 +17,9 @@
 	maxBackOff = time.Second
 )
 
-// caller sends the requests of one caller over a few connections.
+// caller sends the requests of one caller over a few connections. It prefers
+// the connection that was used last, as connection pools do, so that a calm
+// phase does not spread over connections that only a flood needs.
 type caller struct {
 	run        *run
 	class      int
@@ -25,7 +27,13 @@
 	name       string
 	arrivals   *arrivals
 	statements *statements
-	pending    chan pendingRequest
+	senders    sync.WaitGroup
+
+	mu      sync.Mutex
+	idle    []*sender // the one used last is at the end
+	opened  int
+	pending []pendingRequest // waiting for a sender
+	closed  bool
 }
 
 type pendingRequest struct {
@@ -42,53 +50,88 @@
 		statements: &statements{
 			scenario: &r.scenario, class: c, caller: name, run: r.id, rng: r.newRand(class, index, "statements"),
 		},
-		pending: make(chan pendingRequest, maxPending),
 	}
 }
 
 func (c *caller) spec() *Class { return &c.run.scenario.Classes[c.class] }
 
-// serve sends requests until the run's end and waits for their answers.
+// serve sends requests until the run's end and waits for their answers. It
+// hands over each request at its intended time and never waits for answers.
 func (c *caller) serve(ctx context.Context) {
-	var wg sync.WaitGroup
-	for i := range c.spec().Connections {
-		s := &sender{caller: c, next: c.index + i}
-		wg.Go(func() { s.run(ctx) })
-	}
-	c.schedule(ctx)
-	close(c.pending)
-	wg.Wait()
-}
-
-// schedule hands over each request at its intended time and never waits for
-// answers.
-func (c *caller) schedule(ctx context.Context) {
 	for {
 		t, ok := c.arrivals.next(c.run.scenario.Duration.Std())
 		if !ok || !c.run.sleepUntil(ctx, t) {
-			return
+			break
 		}
 		p := pendingRequest{c.statements.next(), t}
-		select {
-		case c.pending <- p:
-		default:
+		if !c.handOver(ctx, p) {
 			c.run.add(c.class, c.index, p.write, t, c.run.elapsed(), notSent, "too many waiting in the load tool")
 		}
 	}
+	c.close()
+	c.senders.Wait()
+}
+
+// handOver gives p to a sender or lets it wait; it reports false when too many
+// wait already.
+func (c *caller) handOver(ctx context.Context, p pendingRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch last := len(c.idle) - 1; {
+	case last >= 0:
+		c.idle[last].work <- p
+		c.idle = c.idle[:last]
+	case c.opened < c.spec().Connections:
+		s := &sender{caller: c, next: c.index + c.opened, work: make(chan pendingRequest, 1)}
+		s.work <- p
+		c.opened++
+		c.senders.Go(func() { s.run(ctx) })
+	case len(c.pending) < maxPending:
+		c.pending = append(c.pending, p)
+	default:
+		return false
+	}
+	return true
+}
+
+// release gives s its next request or makes it idle; after close it ends s.
+func (c *caller) release(s *sender) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case len(c.pending) > 0:
+		s.work <- c.pending[0]
+		c.pending = c.pending[1:]
+	case c.closed:
+		close(s.work)
+	default:
+		c.idle = append(c.idle, s)
+	}
+}
+
+func (c *caller) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, s := range c.idle {
+		close(s.work)
+	}
 }
 
 // sender sends a caller's requests over one connection at a time.
 type sender struct {
 	caller  *caller
-	next    int // index of the next address
+	work    chan pendingRequest // holds at most one
+	next    int                 // index of the next address
 	conn    *pgx.Conn
 	backOff time.Duration
 }
 
 func (s *sender) run(ctx context.Context) {
 	defer s.disconnect()
-	for p := range s.caller.pending {
+	for p := range s.work {
 		s.send(ctx, p)
+		s.caller.release(s)
 	}
 }
 
