Learn the primary from votes, test a candidate that dies before publishing

Cause: an instance that owns only the dead database asked for votes again and again although the answers named the new primary. Change: answers that show a primary are passed to the directory; a lost race is logged as information. Measured: go test -race -count=2 ./internal/failover passes.

--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/backend"
 	"geraniumbeam/internal/directory"
@@ -32,7 +34,11 @@
 	w.next = r.cfg.Clock.Now().Add(w.election.Retry())
 	if text := err.Error(); text != w.lastErr && ctx.Err() != context.Canceled {
 		w.lastErr = text
-		r.cfg.Log.Warn().Err(err).Str("group", w.group).Msg("no promotion")
+		level := zerolog.WarnLevel
+		if errors.Is(err, ErrSuperseded) || errors.Is(err, ErrFalseAlarm) {
+			level = zerolog.InfoLevel
+		}
+		r.cfg.Log.WithLevel(level).Err(err).Str("group", w.group).Msg("no promotion")
 		r.record(w.group, "", "no promotion: "+text)
 	}
 }
@@ -68,7 +74,15 @@
 	if !ok {
 		return ErrFalseAlarm
 	}
-	verdict := Tally(r.cfg.Thresholds, s.view, r.collectBallots(ctx, s.group, s.view, s.own))
+	ballots := r.collectBallots(ctx, s.group, s.view, s.own)
+	for _, b := range ballots {
+		for _, e := range b.Evidence {
+			if e.Reachable && e.Status.Role == backend.RolePrimary && e.Status.Term >= s.view.Term {
+				r.cfg.Directory.LearnPrimary(w.group, e.Status.Term, e.Database)
+			}
+		}
+	}
+	verdict := Tally(r.cfg.Thresholds, s.view, ballots)
 	if verdict.Term > s.view.Term {
 		r.cfg.Directory.LearnPrimary(w.group, verdict.Term, "")
 		return fmt.Errorf("a database is at term %d: %w", verdict.Term, ErrSuperseded)
--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -178,6 +178,30 @@
 	}
 }
 
+// Guards against a platform that never learns the primary because the
+// candidate died after the promotion.
+func TestCandidateDiesBeforePublishing(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	died := ""
+	c.platform.before = func(g platform.Group) error {
+		if g.Primary == "" || died != "" {
+			return nil
+		}
+		died = g.Candidate
+		c.instances[died].stop()
+		return errLost
+	}
+	if err := c.databases["a"].Crash(); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("the platform names the primary", func() bool { g := c.platform.group(t); return g.Term >= 2 && g.Primary != "" })
+	g := c.platform.group(t)
+	if s := c.status(g.Primary); s.Role != backend.RolePrimary || s.Term != g.Term {
+		t.Errorf("the platform names %s of term %d, which is %+v", g.Primary, g.Term, s)
+	}
+}
+
 // Guards against two candidates that both promote: one term, one primary.
 func TestTwoCandidatesAtOnce(t *testing.T) {
 	c := startCluster(t, nil)
