Hand over from a primary that is leaving

Cause: pools refuse new work on a leaving database, so a group whose primary was leaving took no writes at all. Ruled out: waiting for a loss, and a vote, since the primary itself says that it leaves. Change: after 0.5 s, if another database has the primary's position, the primary's owner takes a term and promotes it. If the others might lack an acknowledged write after the raise, the old primary is promoted again.

--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -19,10 +19,10 @@
 const campaignTimeout = 6 * time.Second
 
 // campaign is one attempt to replace the primary of a group.
-func (r *Runner) campaign(ctx context.Context, w *watch) {
+func (r *Runner) campaign(ctx context.Context, w *watch, attempt func(context.Context, *watch) error) {
 	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	err := r.tryPromote(ctx, w)
+	err := attempt(ctx, w)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.busy = false
@@ -109,6 +109,21 @@
 	return p.run(ctx)
 }
 
+// tryHandover replaces a primary that works and is leaving. No vote is needed:
+// the primary itself says so.
+func (r *Runner) tryHandover(ctx context.Context, w *watch) error {
+	s, _ := r.suspect(w)
+	if s.view.Primary == "" {
+		return ErrFalseAlarm
+	}
+	p := &promotion{
+		r: r, group: w.group, suspicion: s, handover: true,
+		plan: NewHandover(s.view.Term, s.view.Primary, r.cfg.Self.Name, uuid.NewString(), r.cfg.NoFencing),
+		mark: s.at,
+	}
+	return p.run(ctx)
+}
+
 // withElection reads a delay; Jitter and Retry change the random source.
 func (r *Runner) withElection(w *watch, f func(*Election) time.Duration) time.Duration {
 	r.mu.Lock()
--- a/internal/failover/detector.go
+++ b/internal/failover/detector.go
@@ -61,6 +61,7 @@
 	reached time.Time // last successful call, or the first attempt
 	status  backend.Status
 	since   time.Time // when status was first received, or a call failed
+	leaving time.Time // since when status says that the database is leaving
 	known   bool
 }
 
@@ -100,6 +101,12 @@
 		if !s.known || o.Status != s.status {
 			s.since = now
 		}
+		switch {
+		case !o.Status.Leaving:
+			s.leaving = time.Time{}
+		case s.leaving.IsZero():
+			s.leaving = now
+		}
 		s.reached, s.status, s.known = now, o.Status, true
 		if o.Status.Term > v.Term {
 			v.Term, v.Primary = o.Status.Term, ""
@@ -147,3 +154,15 @@
 	}
 	return slices.ContainsFunc(d.Evidence(now), func(e Evidence) bool { return d.thresholds.Lost(d.view, e) })
 }
+
+// handoverDelay gives short transactions on a leaving primary time to end. New
+// work is refused meanwhile.
+const handoverDelay = 500 * time.Millisecond
+
+// Handover reports whether the group's primary is observed here, works and is
+// leaving, so that another database should take over.
+func (d *Detector) Handover(now time.Time) bool {
+	s, ok := d.seen[d.view.Primary]
+	return ok && s.known && s.status.Role == backend.RolePrimary && s.status.Term == d.view.Term &&
+		!s.leaving.IsZero() && now.Sub(s.leaving) >= handoverDelay && now.Sub(d.changed) >= d.thresholds.Settle
+}
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -49,6 +49,7 @@
 	candidate string
 	nonce     string
 	noFencing bool
+	exclude   string // primary that is leaving and must not be chosen
 
 	version  uint64         // of the group object
 	group    platform.Group // as last read
@@ -65,6 +66,13 @@
 	return &Plan{suspected: suspected, candidate: candidate, nonce: nonce, noFencing: noFencing, raised: make(map[string]backend.Status)}
 }
 
+// NewHandover starts a plan that replaces a working primary which is leaving.
+func NewHandover(term uint64, primary, candidate, nonce string, noFencing bool) *Plan {
+	p := NewPlan(term, candidate, nonce, noFencing)
+	p.exclude = primary
+	return p
+}
+
 // Step returns what is to be done.
 func (p *Plan) Step() Step { return p.step }
 
@@ -204,18 +212,35 @@
 }
 
 // choose returns the raised database with the highest position. Among equals
-// one that is not leaving is preferred.
+// one that is not leaving is preferred. A primary that hands over is chosen
+// only if the others might lack an acknowledged write.
 func (p *Plan) choose() string {
-	names := p.Raised()
+	best := p.best(p.Raised())
+	if p.exclude == "" || best != p.exclude {
+		return best
+	}
+	others := slices.DeleteFunc(p.Raised(), func(name string) bool { return name == p.exclude })
+	if len(others) < WithoutPrimary(len(p.group.Databases)) {
+		return best
+	}
+	return p.best(others)
+}
+
+func (p *Plan) best(names []string) string {
 	return slices.MaxFunc(names, func(a, b string) int {
 		sa, sb := p.raised[a], p.raised[b]
 		return cmp.Or(sa.Last.Compare(sb.Last), -compareBool(p.leaving(a), p.leaving(b)), -cmp.Compare(a, b))
 	})
 }
 
+// WithoutPrimary returns how many of the other databases must be raised if the
+// primary is not to be chosen: an acknowledged write is on the primary and on
+// at least Majority(n)-1 others, and one of these must be among the raised.
+func WithoutPrimary(n int) int { return n - Majority(n) + 1 }
+
 func (p *Plan) leaving(name string) bool {
 	i := slices.IndexFunc(p.group.Databases, func(d platform.Database) bool { return d.Name == name })
-	return p.raised[name].Leaving || (i >= 0 && p.group.Databases[i].Leaving)
+	return name == p.exclude || p.raised[name].Leaving || (i >= 0 && p.group.Databases[i].Leaving)
 }
 
 func compareBool(a, b bool) int {
--- a/internal/failover/plan_test.go
+++ b/internal/failover/plan_test.go
@@ -75,7 +75,12 @@
 			suspected = m.pick().term
 		}
 		m.next++
-		m.plans = append(m.plans, NewPlan(suspected, fmt.Sprint("candidate", m.next), fmt.Sprint("nonce", m.next), m.noFencing))
+		candidate, nonce := fmt.Sprint("candidate", m.next), fmt.Sprint("nonce", m.next)
+		p := NewPlan(suspected, candidate, nonce, m.noFencing)
+		if m.object.Primary != "" && m.draw(3) == 0 {
+			p = NewHandover(suspected, m.object.Primary, candidate, nonce, m.noFencing)
+		}
+		m.plans = append(m.plans, p)
 	case 1:
 		if d := m.pick(); d.role == backend.RolePrimary {
 			m.next++
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -28,6 +28,7 @@
 	r         *Runner
 	group     string
 	suspicion suspicion
+	handover  bool // the primary works and is leaving
 	plan      *Plan
 	handles   map[string]*handle // databases that answered
 	phases    []phase
@@ -103,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	need := Majority(len(p.suspicion.group.Databases))
-	replies := p.r.gather(ctx, p.r.handles(p.suspicion.group.Databases), need, reachGrace, p.suspicion.view.Primary,
+	replies := p.r.gather(ctx, p.r.handles(p.suspicion.group.Databases), need, reachGrace, p.lost(),
 		func(ctx context.Context, c backend.Control) (backend.Status, error) { return c.Status(ctx) })
 	p.keep(replies)
 	if len(replies) < need {
@@ -119,12 +120,40 @@
 			healthy++
 		}
 	}
+	if p.handover {
+		return p.successor(replies)
+	}
 	if healthy >= need {
 		return ErrFalseAlarm
 	}
 	return nil
 }
 
+// lost is the database that is not waited for.
+func (p *promotion) lost() string {
+	if p.handover {
+		return ""
+	}
+	return p.suspicion.view.Primary
+}
+
+// successor checks that a database which is not leaving has all that the
+// primary has, so that a handover cuts off next to nothing.
+func (p *promotion) successor(replies map[string]reply) error {
+	primary, ok := replies[p.suspicion.view.Primary]
+	if !ok {
+		return fmt.Errorf("primary %s is leaving and did not answer", p.suspicion.view.Primary)
+	}
+	for name, a := range replies {
+		db, _ := p.suspicion.group.Database(name)
+		if name != p.suspicion.view.Primary && !db.Leaving && !a.status.Leaving && a.status.Last == primary.status.Last {
+			p.r.record(p.group, p.suspicion.view.Primary, fmt.Sprintf("the primary of term %d is leaving; candidate", p.suspicion.view.Term))
+			return nil
+		}
+	}
+	return fmt.Errorf("primary %s is leaving and no other database has its position", p.suspicion.view.Primary)
+}
+
 func (p *promotion) keep(replies map[string]reply) {
 	p.handles = make(map[string]*handle)
 	for name, a := range replies {
@@ -204,7 +233,7 @@
 	if len(p.handles) >= need {
 		all = slices.Collect(maps.Values(p.handles)) // the others did not answer just now
 	}
-	replies := p.r.gather(ctx, all, need, reachGrace, p.suspicion.view.Primary,
+	replies := p.r.gather(ctx, all, need, reachGrace, p.lost(),
 		func(ctx context.Context, c backend.Control) (backend.Status, error) {
 			if p.r.cfg.NoFencing {
 				return c.Status(ctx)
@@ -261,7 +290,7 @@
 	p.r.running.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, databaseTimeout)
 		defer cancel()
-		replies := p.r.gather(ctx, followers, Majority(len(followers)+1)-1, reachGrace, p.suspicion.view.Primary,
+		replies := p.r.gather(ctx, followers, Majority(len(followers)+1)-1, reachGrace, p.lost(),
 			func(ctx context.Context, c backend.Control) (backend.Status, error) {
 				return followPrimary(ctx, c, term, address)
 			})
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -116,13 +116,28 @@
 		w.detector.Observe(now, viewOf(g), round)
 		r.learn(g, w.detector.View())
 		r.repair(ctx, now, g, w.detector, round)
-		if !w.busy && !now.Before(w.next) && w.detector.Suspect(now) {
-			w.busy = true
-			r.running.Go(func() { r.campaign(ctx, w) })
+		if w.busy || now.Before(w.next) {
+			continue
+		}
+		attempt := r.tryPromote
+		if !w.detector.Suspect(now) {
+			if !w.detector.Handover(now) || !r.ownsPrimary(g) {
+				continue
+			}
+			attempt = r.tryHandover
 		}
+		w.busy = true
+		r.running.Go(func() { r.campaign(ctx, w, attempt) })
 	}
 }
 
+// ownsPrimary reports whether this instance is the active owner of the
+// group's primary.
+func (r *Runner) ownsPrimary(g directory.Group) bool {
+	db, ok := g.Database(g.Primary)
+	return ok && r.cfg.Directory.OwnerIndex(db) == 0
+}
+
 func (r *Runner) refreshIndex() {
 	if r.stale != nil {
 		select {
--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// Guards against a group that takes no writes while its primary is leaving.
+func TestLeavingPrimaryHandsOver(t *testing.T) {
+	c := startCluster(t, nil)
+	c.settled()
+	last := c.status("a").Last
+	c.exec("a", `SELECT standin_set('leaving', 1)`)
+	primary, term := c.awaitPrimary(1, "a", "b", "c")
+	if primary == "a" {
+		t.Fatal("the leaving database was promoted")
+	}
+	if got := c.status(primary).Last; got.Offset <= last.Offset {
+		t.Errorf("the new primary ends at %v, the old one had %v", got, last)
+	}
+	c.awaitFollowing("a", term, c.status(primary).Last)
+	if c.promotionEvents("is leaving; candidate") != 1 {
+		t.Errorf("%d handovers were started, want 1", c.promotionEvents("is leaving; candidate"))
+	}
+}
+
 // Guards against two candidates that both promote: one term, one primary.
 func TestTwoCandidatesAtOnce(t *testing.T) {
 	c := startCluster(t, nil)
