Benchmark a call between two instances

Cause: the added latency of the proxy needs to be split by hop. Change: BenchmarkCall in internal/wire.

--- a/internal/wire/transport_test.go
+++ b/internal/wire/transport_test.go
@@ -59,3 +59,23 @@
 		t.Fatalf("error %v is not a dial error", err)
 	}
 }
+
+// BenchmarkCall measures one call between two instances over loopback.
+func BenchmarkCall(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := NewServer(nil, nil, statusServer{})
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	c := NewClients(nil)
+	defer c.Close()
+	admin := c.Admin(l.Addr().String())
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := admin.Status(context.Background(), &StatusRequest{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
