--- a/internal/failover/detector.go
+++ b/internal/failover/detector.go
@@ -60,9 +60,25 @@
 type sighting struct {
 	reached time.Time // last successful call, or the first attempt
 	status  backend.Status
+	since   time.Time // when status was first received, or a call failed
+	leaving time.Time // since when status says that the database is leaving
 	known   bool
 }
 
+// maxAgeing bounds how far a replica's PrimaryAge is extrapolated. The pool
+// waits up to 250 ms for the next status of a database without news.
+const maxAgeing = 250 * time.Millisecond
+
+// aged returns the status with the PrimaryAge that a replica would report now
+// if it had heard nothing since. A candidate checks with fresh statuses.
+func (s *sighting) aged(now time.Time) backend.Status {
+	st := s.status
+	if st.Role != backend.RolePrimary {
+		st.PrimaryAge += min(now.Sub(s.since), maxAgeing)
+	}
+	return st
+}
+
 // NewDetector returns a detector that has seen nothing.
 func NewDetector(t Thresholds) *Detector {
 	return &Detector{thresholds: t, seen: make(map[string]*sighting)}
@@ -79,8 +95,18 @@
 			d.seen[o.Database] = s
 		}
 		if !o.Reachable {
+			s.since = now
 			continue
 		}
+		if !s.known || o.Status != s.status {
+			s.since = now
+		}
+		switch {
+		case !o.Status.Leaving:
+			s.leaving = time.Time{}
+		case s.leaving.IsZero():
+			s.leaving = now
+		}
 		s.reached, s.status, s.known = now, o.Status, true
 		if o.Status.Term > v.Term {
 			v.Term, v.Primary = o.Status.Term, ""
@@ -115,7 +141,7 @@
 		if !s.known && now.Sub(s.reached) < d.thresholds.Missed {
 			continue // nothing is known yet
 		}
-		out = append(out, Evidence{Database: name, Reachable: reachable, Status: s.status})
+		out = append(out, Evidence{Database: name, Reachable: reachable, Status: s.aged(now)})
 	}
 	slices.SortFunc(out, func(a, b Evidence) int { return cmp.Compare(a.Database, b.Database) })
 	return out
@@ -128,3 +154,15 @@
 	}
 	return slices.ContainsFunc(d.Evidence(now), func(e Evidence) bool { return d.thresholds.Lost(d.view, e) })
 }
+
+// handoverDelay gives short transactions on a leaving primary time to end. New
+// work is refused meanwhile.
+const handoverDelay = 500 * time.Millisecond
+
+// Handover reports whether the group's primary is observed here, works and is
+// leaving, so that another database should take over.
+func (d *Detector) Handover(now time.Time) bool {
+	s, ok := d.seen[d.view.Primary]
+	return ok && s.known && s.status.Role == backend.RolePrimary && s.status.Term == d.view.Term &&
+		!s.leaving.IsZero() && now.Sub(s.leaving) >= handoverDelay && now.Sub(d.changed) >= d.thresholds.Settle
+}
