--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,7 @@
 
 	dir     *directory.Directory
 	clients *wire.Clients
+	control *wire.Clients // for membership and configuration
 	events  *events.Ring
 	metrics *metrics.Registry
 
@@ -69,6 +70,7 @@
 		log:      log,
 		dir:      directory.New(self),
 		clients:  wire.NewClients(cfg.Dial),
+		control:  wire.NewControlClients(cfg.Dial),
 		metrics:  metrics.NewRegistry(cfg.Instance, cfg.DataCentre),
 		platform: platform.NewClient(cfg.Platform, platform.Options{}),
 		drainReq: make(chan struct{}),
@@ -84,7 +86,7 @@
 func (d *Daemon) buildFleet(seed uint64) {
 	d.conf = confsync.New(confsync.Config{
 		Directory: d.dir,
-		Clients:   d.clients,
+		Clients:   d.control,
 		Platform:  d.platform,
 		Log:       telemetry.Part(d.log, telemetry.PartConfsync),
 		Events:    d.events,
@@ -93,7 +95,7 @@
 	})
 	d.members = membership.New(membership.Config{
 		Directory: d.dir,
-		Clients:   d.clients,
+		Clients:   d.control,
 		Platform:  d.platform,
 		Log:       telemetry.Part(d.log, telemetry.PartMembership),
 		Events:    d.events,
@@ -219,6 +221,7 @@
 	defer cancel()
 	defer l.Close()
 	defer d.clients.Close()
+	defer d.control.Close()
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.inner.Serve(l.Inner) })
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -25,7 +25,6 @@
 	"geraniumbeam/internal/events"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/platform"
-	"geraniumbeam/internal/telemetry"
 	"geraniumbeam/internal/wire"
 )
 
@@ -74,7 +73,7 @@
 	now := cfg.Clock.Now()
 	return &Membership{
 		cfg:   cfg,
-		log:   telemetry.Part(cfg.Log, telemetry.PartMembership),
+		log:   cfg.Log,
 		clock: cfg.Clock,
 		vars:  new(expvar.Map).Init(),
 		wake:  make(chan struct{}, 1),
