End calls to a primary that was replaced

Cause: callers on the connected side waited until their 2 s deadline for a primary that was cut off, although another one had taken over after 1 s. Ruled out: the promotion itself, whose events show about 1 s; ending the calls at once, because a planned handover answers its last calls a little later. Change: calls to primaries are listed; 150 ms after the directory learns a primary at a higher term, those to other databases end with an unknown outcome or are repeated where that is allowed. The new test hangs without the change.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -36,6 +36,8 @@
 	discard   bool // calls are not kept
 	// intercept may replace the answer to a call; nil, nil lets it run.
 	intercept func(address string, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error)
+	// interceptContext, if set, gets each call instead and ends it with an error.
+	interceptContext func(ctx context.Context, req *wire.ExecuteRequest) error
 }
 
 func newFakeCluster() *fakeCluster {
@@ -83,10 +85,10 @@
 	return fmt.Errorf("call: %w", &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("refused by %s", address)})
 }
 
-func (p *fakePool) Execute(_ context.Context, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error) {
+func (p *fakePool) Execute(ctx context.Context, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error) {
 	f := p.f
 	f.mu.Lock()
-	intercept := f.intercept
+	intercept, interceptContext := f.intercept, f.interceptContext
 	if !f.discard {
 		f.calls, f.addresses = append(f.calls, req), append(f.addresses, p.address)
 	}
@@ -95,6 +97,9 @@
 	if isDown {
 		return nil, errDial(p.address)
 	}
+	if interceptContext != nil {
+		return nil, interceptContext(ctx, req)
+	}
 	if intercept != nil {
 		if resp, err := intercept(p.address, req); resp != nil || err != nil {
 			return resp, err
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -337,6 +337,10 @@
 	f.sending(pool, req)
 	ctx, cancel := context.WithTimeout(s.ctx, max(0, deadline.Sub(s.now()))+answerGrace)
 	defer cancel()
+	if req.GetWantPrimary() {
+		remove := s.primaryCalls.add(req.GetGroup(), &primaryCall{database: req.GetDatabase(), term: at.term, stop: cancel})
+		defer remove()
+	}
 	resp, err := pool.Execute(ctx, req)
 	if err != nil {
 		return nil, err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -54,7 +54,9 @@
 	loads    *loads
 	health   *health
 	resolver *resolver
-	open     *transactions
+
+	primaryCalls *primaryCalls
+	open         *transactions
 
 	ids     atomic.Uint64
 	idStart string
@@ -76,12 +78,15 @@
 // New returns a server that accepts no connection yet.
 func New(cfg Config) *Server {
 	s := &Server{
-		cfg:       cfg,
-		keys:      session.NewKeys(cfg.Settings.SessionKey, cfg.Settings.PreviousSessionKeys...),
-		budgets:   retry.NewBudgets(),
-		loads:     newLoads(),
-		health:    newHealth(),
-		open:      newTransactions(),
+		cfg:     cfg,
+		keys:    session.NewKeys(cfg.Settings.SessionKey, cfg.Settings.PreviousSessionKeys...),
+		budgets: retry.NewBudgets(),
+		loads:   newLoads(),
+		health:  newHealth(),
+		open:    newTransactions(),
+
+		primaryCalls: newPrimaryCalls(),
+
 		idStart:   fmt.Sprintf("%s-%x", cfg.Settings.Instance, rand.Uint32()),
 		callers:   make(map[uint32]*caller),
 		listeners: make(map[net.Listener]struct{}),
@@ -111,6 +116,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	s.background.Go(func() { s.keepAlive(ctx) })
+	s.background.Go(func() { s.stopSuperseded(ctx) })
 	for {
 		conn, err := l.Accept()
 		if err != nil && isTemporary(err) {
