Keep members of a large data centre that is cut off

Relays declared the relays of an unreachable data centre dead, two at a time, and after an hour of partition all its members; on return each had to refute its death by itself, a few per message.

Deaths in a data centre with more than four instances are found by its own instances only; relays exchange with a random member every fourth time in case both relays are gone. Letting a relay's list override foreign deaths was ruled out, because others could not tell it from an older claim.

A test covers the start from peers while the platform is down.

--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -242,3 +242,31 @@
 		t.Fatal("equal digests must end the repair")
 	}
 }
+
+// Guards against a restarted instance that has no configuration, or an older
+// one, because the platform is down or answers with older state.
+func TestStartTakesHighestOfPeers(t *testing.T) {
+	f := newFleet(t, 4, "a", "b")
+	f.watching()
+	for _, g := range f.gates {
+		g.closed.Store(true)
+	}
+	for i, p := range f.peers[1:] {
+		p.apply([]platform.Object{{
+			Kind: platform.KindService, Name: "s", Version: uint64(5 + i), Data: service("s"),
+		}}, "test")
+	}
+	d := directory.New(f.live[0])
+	d.SetLive(f.live, false)
+	s := New(Config{Directory: d, Clients: f.peers[0].cfg.Clients, Platform: f.gates[0], Log: zerolog.Nop()})
+	defer s.pushes.StopAndWait()
+	s.start(f.ctx)
+	select {
+	case <-s.Loaded():
+	default:
+		t.Fatal("not loaded although peers answered")
+	}
+	if v := d.Version(); v != 7 {
+		t.Fatalf("version %d, want the highest of the peers, 7", v)
+	}
+}
--- a/internal/membership/check.go
+++ b/internal/membership/check.go
@@ -158,6 +158,10 @@
 		}
 	case stageIndirect:
 		if c.pending == 0 {
+			if len(s.view.remote[r.DataCentre]) > smallCentre {
+				delete(s.checks, c.name)
+				return out
+			}
 			s.suspect(now, c, r.Member)
 			out = s.round(now, c, r.Member, out)
 		}
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -86,6 +86,9 @@
 	order := ownership.Order(relayKey(dataCentre), list)
 	turn := s.relays / len(s.view.centres)
 	peer := order[turn%min(Relays, len(order))]
+	if turn%4 == 3 {
+		peer = list[s.random.IntN(len(list))] // in case that both relays are gone
+	}
 	n := len(out)
 	out = s.begin(peer.Name, out)
 	if len(out) == n {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -72,9 +72,14 @@
 	queueLimit     = 4096
 	hintLimit      = 256
 	partnerCount   = 16
-	pushWidth      = 3
-	pushRounds     = 2 // one round of width 3 leaves out 6 % of the peers
-	pushGap        = 50 * time.Millisecond
+	// smallCentre is the number of instances up to which other data centres
+	// find the deaths of a data centre. The instances of a larger one find
+	// them by themselves; a partition must not make hundreds look dead that
+	// would have to refute it one by one afterwards.
+	smallCentre = 4
+	pushWidth   = 3
+	pushRounds  = 2 // one round of width 3 leaves out 6 % of the peers
+	pushGap     = 50 * time.Millisecond
 	// partnerRotation is how often one partner is replaced.
 	partnerRotation = 30 * time.Second
 )
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -117,6 +117,25 @@
 	}
 }
 
+// Guards against mass deaths in a partition between larger data centres, and
+// against a death on one side that stays unknown to the other afterwards.
+func TestPartitionOfLargeDataCentres(t *testing.T) {
+	for seed := range uint64(seeds) {
+		s := newSim(t, seed, 24, func(i int) string { return []string{"a", "b", "c"}[i%3] })
+		s.run(3 * time.Second)
+		s.cut = func(a, b Member) bool { return (a.DataCentre == "a") != (b.DataCentre == "a") }
+		dead := s.names[4] // in b
+		s.down[dead] = true
+		s.run(time.Minute)
+		s.cut = func(Member, Member) bool { return false }
+		took := s.until(30*time.Second, "all agree again", s.agree)
+		t.Logf("seed %d: healed after %v", seed, took)
+		if len(s.deaths) != 1 || s.deaths[dead] == 0 {
+			t.Errorf("seed %d: declared dead: %v, want only %s", seed, s.deaths, dead)
+		}
+	}
+}
+
 // Guards against deaths that an instance claims which was cut off or paused.
 func TestCutOffInstanceDoesNoHarm(t *testing.T) {
 	for seed := range uint64(seeds) {
