Compare idle memory after garbage collections

Cause: the idle mode took the lowest of ten samples. An instance that had served before kept its garbage in the first figure, and a run against geraniumbeam-dev gave -239 bytes of heap per connection.

Ruled out: reading NextGC (changes only with a collection); asking the instance to collect (needs an endpoint).

Change: read the counters until the instance has collected twice, or warn.

--- a/cmd/geraniumbeam-load/main.go
+++ b/cmd/geraniumbeam-load/main.go
@@ -134,7 +134,7 @@
 	Service     string        `required:"" help:"Service name."`
 	Class       string        `help:"Class of the connections."`
 	Connections int           `default:"1000" help:"Connections to open."`
-	Hold        time.Duration `default:"20s" help:"How long to hold them while memory is sampled."`
+	Hold        time.Duration `default:"60s" help:"How long to wait for a garbage collection, before and with the connections."`
 }
 
 func (c *idleCmd) Run(ctx context.Context, e *env) error {
--- a/internal/load/idle.go
+++ b/internal/load/idle.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"golang.org/x/sync/errgroup"
 
 	"geraniumbeam/internal/result"
 )
@@ -20,17 +21,18 @@
 	Service     string
 	Class       string
 	Connections int
-	// Hold is how long the connections stay open while the memory is sampled.
+	// Hold bounds the wait for a garbage collection before the connections are
+	// opened and while they are open.
 	Hold    time.Duration
 	Command string
 }
 
 const (
-	maxIdle      = 25000
-	maxHold      = 30 * time.Minute
-	idleOpeners  = 64
-	idleSamples  = 10
-	settleBefore = 2 * time.Second
+	maxIdle     = 25000
+	maxHold     = 30 * time.Minute
+	idleOpeners = 64
+	samplePause = 2 * time.Millisecond
+	settle      = 10 * time.Second // for the last answers
 )
 
 // IdleReport is the memory of instances per idle connection.
@@ -40,6 +42,7 @@
 	Failed      int            `json:"failed"`
 	FirstError  string         `json:"first_error,omitempty"`
 	Instances   []InstanceIdle `json:"instances"`
+	Warnings    []string       `json:"warnings,omitempty"`
 	// HeapPerConnection and TotalPerConnection are heap and stacks in use over all instances; the stack is part of the second. They
 	// include the load tool itself if it runs in the same process.
 	HeapPerConnection  Float `json:"heap_bytes_per_connection"`
@@ -55,8 +58,7 @@
 }
 
 // Idle opens connections, holds them and reports heap and stack per
-// connection. Garbage makes single samples too high, so the lowest of several
-// samples counts.
+// connection, each after a garbage collection.
 func Idle(ctx context.Context, o IdleOptions) (*IdleReport, error) {
 	switch {
 	case o.Connections < 1 || o.Connections > maxIdle:
@@ -64,7 +66,7 @@
 	case o.Hold <= 0 || o.Hold > maxHold:
 		return nil, result.Errorf(result.Invalid, "hold has value %v: want more than 0 and at most %v", o.Hold, maxHold)
 	}
-	before, err := lowest(ctx, o.Vars, settleBefore)
+	before, lateBefore, err := liveHeaps(ctx, o.Vars, o.Hold)
 	if err != nil {
 		return nil, err
 	}
@@ -74,11 +76,14 @@
 			closeConn(c)
 		}
 	}()
-	after, err := lowest(ctx, o.Vars, o.Hold)
+	after, lateAfter, err := liveHeaps(ctx, o.Vars, o.Hold)
 	if err != nil {
 		return nil, err
 	}
 	rep := &IdleReport{Command: o.Command, Connections: len(conns), Failed: failed}
+	for _, a := range append(lateBefore, lateAfter...) {
+		rep.Warnings = append(rep.Warnings, fmt.Sprintf("instance %s did not collect garbage; its figure is not exact", a))
+	}
 	if first != nil {
 		rep.FirstError = first.Error()
 	}
@@ -99,27 +104,62 @@
 	return rep, nil
 }
 
-// lowest samples the memory of all instances over d and keeps, per instance,
-// the sample with the smallest heap.
-func lowest(ctx context.Context, vars []string, d time.Duration) ([]memory, error) {
-	best := make([]memory, len(vars))
-	for n := range idleSamples {
-		for i, a := range vars {
-			m, err := fetchMemory(ctx, a)
-			if err != nil {
-				return nil, err
-			}
-			if n == 0 || m.HeapAlloc < best[i].HeapAlloc {
-				best[i] = m
-			}
+// liveHeaps returns the memory of all instances after a garbage collection.
+// Between collections the heap holds garbage of earlier work, which can exceed
+// what the connections use. Reading the counters allocates in the instance, so
+// reading them often brings the collection about. Instances that did not
+// collect within d are named in late.
+func liveHeaps(ctx context.Context, vars []string, d time.Duration) (out []memory, late []string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, d+settle)
+	defer cancel()
+	out = make([]memory, len(vars))
+	collected := make([]bool, len(vars))
+	var g errgroup.Group
+	for i, a := range vars {
+		g.Go(func() error {
+			m, ok, err := liveHeap(ctx, a, d)
+			out[i], collected[i] = m, ok
+			return err
+		})
+	}
+	if err = g.Wait(); err != nil {
+		return nil, nil, err
+	}
+	for i, ok := range collected {
+		if !ok {
+			late = append(late, vars[i])
+		}
+	}
+	return out, late, nil
+}
+
+// liveHeap returns the smallest heap that was seen after a collection, and
+// false with the last sample if there was none within d.
+func liveHeap(ctx context.Context, address string, d time.Duration) (memory, bool, error) {
+	first, err := fetchMemory(ctx, address)
+	if err != nil {
+		return memory{}, false, err
+	}
+	best, found := first, false
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		m, err := fetchMemory(ctx, address)
+		if err != nil {
+			return memory{}, false, err
+		}
+		switch {
+		case m.NumGC == first.NumGC:
+			best = m
+		case !found || m.HeapAlloc < best.HeapAlloc:
+			best, found = m, true
 		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(d / idleSamples):
+		// Two collections show the heap without objects of the first one that
+		// were still being finalised.
+		if m.NumGC >= first.NumGC+2 {
+			return best, true, nil
 		}
+		time.Sleep(samplePause)
 	}
-	return best, nil
+	return best, found, nil
 }
 
 func openIdle(ctx context.Context, o IdleOptions) (conns []*pgx.Conn, failed int, first error) {
@@ -165,5 +205,8 @@
 		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t\n", i.Address, i.HeapBefore, i.HeapAfter, i.StackAdded)
 	}
 	fmt.Fprintf(tw, "per connection\t\t%.0f\t%.0f\t\n", r.HeapPerConnection, r.TotalPerConnection-r.HeapPerConnection)
+	for _, m := range r.Warnings {
+		fmt.Fprintln(tw, "warning:", m)
+	}
 	return tw.Flush()
 }
