Prove the operators' commands and refuse a file before storing any of it

Both were compared byte by byte with what the platform holds, so an equal object in another encoding counted as a change. An unknown field was reported without what is allowed, a bad duration without the field, an unknown service without line and field. check refused every file with classes only. get printed 72h0m0s, and a class was stored with an empty "reads".

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -40,8 +40,20 @@
 // Duration is a time.Duration that reads and writes as text such as 1.5s.
 type Duration time.Duration
 
+// String returns the shortest text that UnmarshalText reads, such as 72h.
+func (d Duration) String() string {
+	s := time.Duration(d).String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
 // MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(b []byte) error {
@@ -53,10 +65,10 @@
 	return nil
 }
 
-// UnmarshalYAML reads a duration and names the line in errors.
+// UnmarshalYAML reads a duration and names line and field in errors.
 func (d *Duration) UnmarshalYAML(node ast.Node) error {
 	if err := d.UnmarshalText([]byte(node.GetToken().Value)); err != nil {
-		return fmt.Errorf("line %d: %w", node.GetToken().Position.Line, err)
+		return fmt.Errorf("line %d: field %s: %w", node.GetToken().Position.Line, strings.TrimPrefix(node.GetPath(), "$."), err)
 	}
 	return nil
 }
@@ -106,7 +118,7 @@
 	Description string   `yaml:"description,omitempty" json:"description,omitempty"`
 	Rank        Rank     `yaml:"rank" json:"rank" validate:"required,oneof=urgent normal background"`
 	ServedIn    Duration `yaml:"served_within" json:"served_within" validate:"gt=0"`
-	Reads       Reads    `yaml:"reads,omitempty" json:"reads,omitempty"`
+	Reads       Reads    `yaml:"reads,omitempty" json:"reads,omitzero"`
 	// Repeatable allows the proxy to run a request again after its outcome
 	// became unknown.
 	Repeatable bool `yaml:"repeatable,omitempty" json:"repeatable,omitempty"`
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"reflect"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -18,10 +17,7 @@
 
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
-		return name
-	})
+	v.RegisterTagNameFunc(yamlName)
 	return v
 }
 
@@ -106,12 +102,6 @@
 	}
 }
 
-// Manifest is an operators' file: services and classes.
-type Manifest struct {
-	Services []Service `yaml:"services,omitempty" json:"services,omitempty" validate:"dive"`
-	Classes  []Class   `yaml:"classes,omitempty" json:"classes,omitempty" validate:"dive"`
-}
-
 // DecodeStrict reads YAML into out and refuses unknown fields. Errors name line
 // and column.
 func DecodeStrict(data []byte, out any) error {
@@ -120,41 +110,11 @@
 	if errors.Is(err, io.EOF) {
 		return result.Errorf(result.Invalid, "the file is empty")
 	}
+	if message, ok := unknownField(err, data, out); ok {
+		return result.Errorf(result.Invalid, "%s", message)
+	}
 	if err != nil {
 		return result.Errorf(result.Invalid, "%s", yaml.FormatError(err, false, true))
 	}
 	return nil
 }
-
-// ParseManifest reads an operators' file strictly and checks each object and
-// the references between them. known holds the services that exist already.
-func ParseManifest(data []byte, known *Snapshot) (Manifest, error) {
-	var m Manifest
-	if err := DecodeValid(data, &m); err != nil {
-		return m, err
-	}
-	services := make(map[string]bool)
-	for _, s := range m.Services {
-		if services[s.Name] {
-			return m, result.Errorf(result.Invalid, "service %q is defined twice", s.Name)
-		}
-		services[s.Name] = true
-	}
-	classes := make(map[string]bool)
-	for _, c := range m.Classes {
-		if classes[c.ObjectName()] {
-			return m, result.Errorf(result.Invalid, "class %q of service %q is defined twice", c.Name, c.Service)
-		}
-		classes[c.ObjectName()] = true
-		if services[c.Service] {
-			continue
-		}
-		if known != nil {
-			if _, ok := known.Service(c.Service); ok {
-				continue
-			}
-		}
-		return m, result.Errorf(result.Invalid, "class %q: service %q does not exist", c.Name, c.Service)
-	}
-	return m, nil
-}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"geraniumbeam/internal/catalog"
 	"geraniumbeam/internal/platform"
 	"geraniumbeam/internal/result"
-	"geraniumbeam/internal/wire"
 )
 
 // change is one object of a manifest beside what the platform holds.
@@ -27,15 +22,42 @@
 
 func (c change) label() string { return c.kind + " " + c.name }
 
-func (c change) same() bool { return string(c.current.Data) == string(c.data) }
+// same reports whether the platform holds the wanted value. Both are compared
+// in the same encoding, because another client may write an object differently.
+func (c change) same() bool {
+	if len(c.current.Data) == 0 {
+		return false
+	}
+	current, err := canonical(c.kind, c.current.Data)
+	return err == nil && string(current) == string(c.data)
+}
+
+// canonical decodes an object and encodes it the way Apply does.
+func canonical(kind string, data []byte) ([]byte, error) {
+	var v any
+	var err error
+	switch kind {
+	case platform.KindService:
+		v, err = catalog.DecodeService(data)
+	default:
+		v, err = catalog.DecodeClass(data)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(v)
+}
 
 // Check reads a manifest and reports errors without a running system.
 func (e *Env) Check(data []byte) error {
-	m, err := catalog.ParseManifest(data, nil)
+	m, elsewhere, err := catalog.CheckManifest(data)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUsage, err)
 	}
 	e.printf("%d services and %d classes are valid.\n", len(m.Services), len(m.Classes))
+	if len(elsewhere) > 0 {
+		e.printf("Not in the file, so apply checks that they exist: services %s.\n", strings.Join(elsewhere, ", "))
+	}
 	return nil
 }
 
@@ -45,11 +67,16 @@
 	if err != nil {
 		return err
 	}
+	differ := false
 	for _, c := range changes {
 		if !c.same() {
+			differ = true
 			e.printDiff(c.label(), c.current.Data, c.data)
 		}
 	}
+	if !differ {
+		e.printf("Nothing would change.\n")
+	}
 	return nil
 }
 
@@ -70,27 +97,57 @@
 	if err != nil {
 		return err
 	}
-	var highest uint64
-	for _, c := range changes {
+	if err := e.checkExpected(changes, opts.Expect); err != nil {
+		return err
+	}
+	var stored []platform.Object
+	for i, c := range changes {
 		if c.same() {
 			e.printf("%s is unchanged at version %d.\n", c.label(), c.current.Version)
+			stored = append(stored, c.current)
 			continue
 		}
-		if opts.Expect != 0 && c.current.Version > opts.Expect {
-			e.printDiff(c.label(), c.current.Data, c.data)
-			return result.Errorf(result.Conflict, "%s has version %d, expected at most %d", c.label(), c.current.Version, opts.Expect)
-		}
-		stored, err := e.put(ctx, c)
+		o, err := e.put(ctx, c)
 		if err != nil {
+			e.printUnstored(changes[i:])
 			return err
 		}
-		highest = max(highest, stored.Version)
-		e.printf("%s is stored as version %d.\n", c.label(), stored.Version)
+		stored = append(stored, o)
+		e.printf("%s is stored as version %d.\n", c.label(), o.Version)
+	}
+	if !opts.Wait {
+		return nil
+	}
+	return e.waitInForce(ctx, stored, opts.Timeout)
+}
+
+// checkExpected refuses the whole file, before anything is stored, if an object
+// that it changes is newer than expected.
+func (e *Env) checkExpected(changes []change, expected uint64) error {
+	if expected == 0 {
+		return nil
+	}
+	var newer []string
+	for _, c := range changes {
+		if !c.same() && c.current.Version > expected {
+			e.printDiff(c.label(), c.current.Data, c.data)
+			newer = append(newer, fmt.Sprintf("%s has version %d", c.label(), c.current.Version))
+		}
 	}
-	if !opts.Wait || highest == 0 {
+	if len(newer) == 0 {
 		return nil
 	}
-	return e.waitInForce(ctx, highest, opts.Timeout)
+	return result.Errorf(result.Conflict, "%s, expected at most %d; nothing was stored", strings.Join(newer, ", "), expected)
+}
+
+// printUnstored names the changes that a failure left out. The platform stores
+// one object at a time, so the file can be applied again to complete it.
+func (e *Env) printUnstored(changes []change) {
+	for _, c := range changes {
+		if !c.same() {
+			e.printf("%s is not stored.\n", c.label())
+		}
+	}
 }
 
 // put stores one object. When the platform's answer is lost it reads the
@@ -106,8 +163,10 @@
 		e.printDiff(c.label(), stored.Data, c.data)
 		return stored, fmt.Errorf("apply %s: %w", c.label(), err)
 	}
-	if back, berr := e.Platform.Get(ctx, c.kind, c.name); berr == nil && string(back.Data) == string(c.data) {
-		return back, nil
+	if back, berr := e.Platform.Get(ctx, c.kind, c.name); berr == nil {
+		if (change{kind: c.kind, data: c.data, current: back}).same() {
+			return back, nil
+		}
 	}
 	return stored, fmt.Errorf("apply %s: %w", c.label(), err)
 }
@@ -144,171 +203,3 @@
 	}
 	return out, nil
 }
-
-// objects are what the platform holds.
-type objects []platform.Object
-
-func (e *Env) held(ctx context.Context) (objects, error) {
-	var out objects
-	for _, kind := range []string{platform.KindService, platform.KindClass} {
-		list, _, err := e.Platform.List(ctx, kind)
-		if err != nil {
-			return nil, fmt.Errorf("list %s objects: %w", kind, err)
-		}
-		out = append(out, list...)
-	}
-	return out, nil
-}
-
-func (o objects) find(kind, name string) platform.Object {
-	for _, v := range o {
-		if v.Kind == kind && v.Name == name && !v.Deleted {
-			return v
-		}
-	}
-	return platform.Object{}
-}
-
-func (o objects) snapshot() *catalog.Snapshot {
-	var services []catalog.Service
-	var classes []catalog.Class
-	for _, v := range o {
-		switch {
-		case v.Deleted:
-		case v.Kind == platform.KindService:
-			if s, err := catalog.DecodeService(v.Data); err == nil {
-				services = append(services, s)
-			}
-		case v.Kind == platform.KindClass:
-			if c, err := catalog.DecodeClass(v.Data); err == nil {
-				classes = append(classes, c)
-			}
-		}
-	}
-	return catalog.NewSnapshot(services, classes)
-}
-
-// Get prints the configuration as a manifest, which Apply accepts.
-func (e *Env) Get(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	held, err := e.held(ctx)
-	if err != nil {
-		return err
-	}
-	s := held.snapshot()
-	b, err := yaml.Marshal(catalog.Manifest{Services: s.Services(), Classes: s.Classes("")})
-	if err != nil {
-		return fmt.Errorf("encode manifest: %w", err)
-	}
-	e.printf("%s", b)
-	return nil
-}
-
-// ExplainClass prints in sentences what the system does for a class.
-func (e *Env) ExplainClass(ctx context.Context, name string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	held, err := e.held(ctx)
-	if err != nil {
-		return err
-	}
-	found := false
-	for _, c := range held.snapshot().Classes("") {
-		if c.Name == name || c.ObjectName() == name {
-			e.printf("%s", catalog.Describe(c))
-			found = true
-		}
-	}
-	if !found {
-		return result.Errorf(result.NotFound, "class %q does not exist; known: %s", name, held.snapshot().ClassNames(""))
-	}
-	return nil
-}
-
-// pollInterval is the time between two questions to the instances in
-// waitInForce.
-const pollInterval = 100 * time.Millisecond
-
-// waitInForce returns when every instance has applied version, or names those
-// that have not after timeout.
-func (e *Env) waitInForce(ctx context.Context, version uint64, timeout time.Duration) error {
-	ts, err := e.targets(ctx)
-	if err != nil {
-		return err
-	}
-	start := time.Now()
-	for {
-		late := e.behind(ctx, ts, version)
-		if len(late) == 0 {
-			e.printf("Version %d is in force on %d instances after %v.\n", version, len(ts), time.Since(start).Round(time.Millisecond))
-			return nil
-		}
-		if time.Since(start) >= timeout {
-			return fmt.Errorf("%w: version %d is not in force on %s", ErrUnreachable, version, strings.Join(late, ", "))
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(pollInterval):
-		}
-	}
-}
-
-func (e *Env) behind(ctx context.Context, ts []target, version uint64) []string {
-	var late []string
-	for _, a := range askAll(ctx, e, ts, func(ctx context.Context, c wire.Admin) (*wire.StatusResponse, error) {
-		return c.Status(ctx, &wire.StatusRequest{})
-	}) {
-		switch {
-		case a.err != nil:
-			late = append(late, a.target.name+" (no answer)")
-		case a.value.GetCatalogVersion() < version:
-			late = append(late, fmt.Sprintf("%s (version %d)", a.target.name, a.value.GetCatalogVersion()))
-		}
-	}
-	slices.Sort(late)
-	return late
-}
-
-// printDiff prints the fields that differ between two JSON objects.
-func (e *Env) printDiff(label string, current, wanted []byte) {
-	var a, b map[string]any
-	if err := errors.Join(decode(current, &a), decode(wanted, &b)); err != nil {
-		e.printf("%s: %v\n", label, err)
-		return
-	}
-	e.printf("%s:\n", label)
-	for _, k := range fieldNames(a, b) {
-		was, will := fmt.Sprint(a[k]), fmt.Sprint(b[k])
-		if was == will {
-			continue
-		}
-		if _, ok := a[k]; ok {
-			e.printf("  - %s: %s\n", k, was)
-		}
-		if _, ok := b[k]; ok {
-			e.printf("  + %s: %s\n", k, will)
-		}
-	}
-}
-
-func decode(data []byte, out *map[string]any) error {
-	if len(data) == 0 {
-		return nil
-	}
-	return json.Unmarshal(data, out)
-}
-
-func fieldNames(ms ...map[string]any) []string {
-	var names []string
-	for _, m := range ms {
-		for k := range m {
-			if !slices.Contains(names, k) {
-				names = append(names, k)
-			}
-		}
-	}
-	slices.Sort(names)
-	return names
-}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -35,7 +35,7 @@
 }
 
 // ErrUsage marks wrong input.
-var ErrUsage = errors.New("bad usage")
+var ErrUsage = errors.New("bad input")
 
 // ErrUnreachable marks a platform or an instance that did not answer.
 var ErrUnreachable = errors.New("unreachable")
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -86,6 +86,13 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// terminatedCode returns the exit code of a process that ended by itself.
+func (p *process) terminatedCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.ExitCode()
+}
+
 func (p *process) running() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
