Explain refused requests and changes of primary from all instances

Cause: the ring buffer held events of requests and of groups together, so an overload of 4096 refusals pushed a change of primary out of it, and the timeline of a group was filled with single requests. Errors that were found before a request was made (unknown class, bad parameter, damaged message) carried no request id and left no event. Entry and pool named the class of a request differently (SERVICE.CLASS and CLASS). Events were fragments such as "attempt 3 at 127.0.0.1:7601" or "primary of term 2, 1 followers".

Ruled out: ownership changes were already recorded by the pool; their text now says whether requests come to the instance or it is the standby.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -67,14 +67,19 @@
 // maxEvents bounds the events in one answer.
 const maxEvents = 1000
 
-// Events implements wire.Admin.
+// Events implements wire.Admin. Without a request id it returns the decisions
+// that belong to no request.
 func (s *Service) Events(_ context.Context, req *wire.EventsRequest) (*wire.EventsResponse, error) {
 	limit := int(req.GetLimit())
 	if limit == 0 || limit > maxEvents {
 		limit = maxEvents
 	}
 	resp := &wire.EventsResponse{}
-	for _, e := range s.cfg.Events.Find(req.GetRequestId(), req.GetGroup(), limit) {
+	found := s.cfg.Events.Decisions(req.GetGroup(), limit)
+	if req.GetRequestId() != "" {
+		found = s.cfg.Events.Find(req.GetRequestId(), req.GetGroup(), limit)
+	}
+	for _, e := range found {
 		resp.Events = append(resp.Events, &wire.Event{
 			TimeUnixMicro: e.Time.UnixMicro(),
 			Instance:      e.Instance,
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"time"
 
 	"geraniumbeam/internal/result"
@@ -38,11 +39,17 @@
 	}
 	need := seconds(waitMargin*wait.Seconds() + cq.cost.mean + devMargin*cq.cost.dev)
 	if need > deadline-now {
-		return refusal{result.Overloaded, "the deadline cannot be met", c.retryAfter(wait)}, false
+		return refusal{
+			result.Overloaded,
+			fmt.Sprintf("about %s are needed for the queue and the work, %s are left until the deadline", round(need), round(deadline-now)),
+			c.retryAfter(wait),
+		}, false
 	}
 	return refusal{}, true
 }
 
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
 // rankWait estimates the wait of a new request of a caller that has none
 // waiting.
 func (c *core) rankWait(now time.Duration, rank int) time.Duration {
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -156,11 +156,22 @@
 		}
 		s.log.Debug().Str("kind", o.Kind).Str("name", o.Name).Uint64("version", o.Version).
 			Str("source", source).Msg("object applied")
-		s.record(events.Event{Text: "applied " + describe(o) + " from " + source})
+		s.record(appliedEvent(o, source))
 	}
 	return applied
 }
 
+func appliedEvent(o platform.Object, source string) events.Event {
+	e := events.Event{Text: "applied " + describe(o) + " from " + source}
+	switch o.Kind {
+	case platform.KindGroup:
+		e.Group = o.Name
+	case platform.KindClass:
+		e.Class = o.Name
+	}
+	return e
+}
+
 func (s *Sync) record(e events.Event) {
 	if s.cfg.Events != nil {
 		e.Kind = events.KindConfiguration
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -1,14 +1,11 @@
 package ctl
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"strings"
 	"text/tabwriter"
-	"time"
 
-	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/wire"
 )
 
@@ -100,65 +97,6 @@
 	}
 }
 
-// Explain prints what happened to a request, from all instances that answer.
-func (e *Env) Explain(ctx context.Context, request string) error {
-	return e.history(ctx, &wire.EventsRequest{RequestId: request}, "request "+request)
-}
-
-// Timeline prints the recorded decisions about a group.
-func (e *Env) Timeline(ctx context.Context, group string, limit int) error {
-	return e.history(ctx, &wire.EventsRequest{Group: group, Limit: uint32(limit)}, "group "+group)
-}
-
-func (e *Env) history(ctx context.Context, req *wire.EventsRequest, subject string) error {
-	ts, err := e.targets(ctx)
-	if err != nil {
-		return err
-	}
-	var all []*wire.Event
-	var silent []string
-	for _, a := range askAll(ctx, e, ts, func(ctx context.Context, c wire.Admin) (*wire.EventsResponse, error) {
-		return c.Events(ctx, req)
-	}) {
-		if a.err != nil {
-			silent = append(silent, a.target.name)
-			continue
-		}
-		all = append(all, a.value.GetEvents()...)
-	}
-	slices.SortStableFunc(all, func(a, b *wire.Event) int { return cmp.Compare(a.GetTimeUnixMicro(), b.GetTimeUnixMicro()) })
-	for _, ev := range all {
-		e.printf("%s  %s\n", time.UnixMicro(ev.GetTimeUnixMicro()).UTC().Format("15:04:05.000"), sentence(ev))
-	}
-	if len(all) == 0 {
-		e.printf("Nothing is recorded about %s.\n", subject)
-	}
-	for _, n := range silent {
-		e.printf("No answer from %s; its part may be missing.\n", n)
-	}
-	return unreachable(silent)
-}
-
-// sentence joins an event's fields to one line.
-func sentence(ev *wire.Event) string {
-	var b strings.Builder
-	b.WriteString("On " + ev.GetInstance())
-	for _, f := range []struct{ label, value string }{
-		{"group", ev.GetGroup()}, {"database", ev.GetDatabase()}, {"class", ev.GetClass()},
-	} {
-		if f.value != "" {
-			b.WriteString(", " + f.label + " " + f.value)
-		}
-	}
-	b.WriteString(": " + strings.TrimSuffix(ev.GetText(), ".") + " (" + ev.GetKind())
-	if ev.GetCode() != 0 {
-		c := result.Code(ev.GetCode())
-		b.WriteString(", " + c.String() + ", run: " + result.Lookup(c).Ran.String())
-	}
-	b.WriteString(").")
-	return b.String()
-}
-
 // Drain starts a graceful shutdown of the instance at address.
 func (e *Env) Drain(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -141,6 +141,9 @@
 	if c.tx != nil {
 		c.failTransaction()
 	}
+	if b.id == "" {
+		b.id = c.s.recordRefusal(e)
+	}
 	if !b.reported {
 		out = appendError(out, "ERROR", e, b.id)
 	}
@@ -169,10 +172,10 @@
 func (c *caller) runRemote(b *batch) error {
 	start := c.s.now()
 	r, err := c.newRequest(b, start)
-	b.id = r.id
 	if err != nil {
 		return c.refuse(b, nil, err)
 	}
+	b.id = r.id
 	done := c.s.run(c, r)
 	out, failure := c.complete(r, done)
 	if failure != nil {
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -128,7 +128,9 @@
 		return nil
 	}
 	b.reported = true
-	return c.write(appendError(nil, "ERROR", result.From(b.err), ""))
+	e := result.From(b.err)
+	b.id = c.s.recordRefusal(e)
+	return c.write(appendError(nil, "ERROR", e, b.id))
 }
 
 func (b *batch) query(c *caller, body []byte) {
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -201,7 +201,11 @@
 			c.s.cfg.Settings.Callers.StartupTimeout.Std())
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(goodbyeTimeout))
-	_, _ = c.conn.Write(appendError(nil, "FATAL", coded, ""))
+	id := ""
+	if coded.Code != result.ShuttingDown { // an instance that stops refuses all its callers
+		id = c.s.recordRefusal(coded)
+	}
+	_, _ = c.conn.Write(appendError(nil, "FATAL", coded, id))
 }
 
 func isTimeout(err error) bool {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -88,6 +88,14 @@
 	return done
 }
 
+// recordRefusal records an error that was found before a request was made of
+// what the caller sent, and returns the id that it is recorded under.
+func (s *Server) recordRefusal(e *result.Error) string {
+	id := s.requestID()
+	s.record(events.Event{Kind: events.KindRefusal, Request: id, Code: e.Code, Text: e.Message})
+	return id
+}
+
 func (s *Server) recordOutcome(r *request, done outcome) {
 	e := events.Event{
 		Request: r.id, Group: r.group, Database: done.at.target.Database.Name, Class: r.class.ObjectName(),
@@ -96,7 +104,7 @@
 	case done.err == nil && !done.resp.GetStale():
 		return
 	case done.err == nil:
-		e.Kind, e.Code, e.Text = events.KindStaleRead, result.StaleAnswer, "answered without proof of age"
+		e.Kind, e.Code, e.Text = events.KindStaleRead, result.StaleAnswer, "answered and marked stale, because the age of the data could not be proved"
 	case done.err.Ran == result.RanUnknown:
 		e.Kind, e.Code, e.Text = events.KindUnknown, done.err.Code, done.err.Message
 	case done.err.Code == result.Overloaded:
@@ -261,7 +269,7 @@
 		x.r.counters.Retries.Add(1)
 		x.s.record(events.Event{
 			Kind: events.KindRetry, Request: x.r.id, Group: x.r.group, Database: at.target.Database.Name,
-			Class: x.r.class.ObjectName(), Code: codeOf(x.last), Text: fmt.Sprintf("attempt %d at %s", x.attempts, at.address),
+			Class: x.r.class.ObjectName(), Code: codeOf(x.last), Text: retryText(x.attempts, at.address, x.last),
 		})
 	}
 	req := x.s.executeRequest(x.r, at)
@@ -277,6 +285,16 @@
 	return outcome{}, false
 }
 
+// retryText tells why there is another attempt. A pool that answered "not
+// owner" or "not primary" taught the entry where to go next.
+func retryText(attempt int, address string, last *result.Error) string {
+	text := fmt.Sprintf("attempt %d goes to the instance at %s", attempt, address)
+	if last != nil {
+		text += "; the one before failed: " + last.Message
+	}
+	return text
+}
+
 func codeOf(e *result.Error) result.Code {
 	if e == nil {
 		return 0
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -3,6 +3,7 @@
 package events
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -50,20 +51,53 @@
 	now      func() time.Time
 	sink     func(Event) // may be nil
 
-	mu   sync.Mutex
-	buf  []Event
-	next int
-	full bool
+	mu sync.Mutex
+	// requests holds the events of single requests, decisions all others, so
+	// that a burst of refused requests does not push out a change of primary.
+	requests  buffer
+	decisions buffer
+}
+
+// buffer holds the newest events.
+type buffer struct {
+	events []Event
+	next   int
+	full   bool
+}
+
+func (b *buffer) add(e Event) {
+	b.events[b.next] = e
+	b.next++
+	if b.next == len(b.events) {
+		b.next, b.full = 0, true
+	}
+}
+
+// ordered returns the events, oldest first. The result must not be changed.
+func (b *buffer) ordered() []Event {
+	if !b.full {
+		return b.events[:b.next]
+	}
+	return slices.Concat(b.events[b.next:], b.events[:b.next])
 }
 
 // DefaultSize is the number of events an instance keeps; with texts of about
 // 200 bytes it takes less than 2 MB.
 const DefaultSize = 4096
 
-// NewRing returns a ring of size events. sink, if not nil, also receives each
+// decisionShare is the part of a ring that holds events without a request. At
+// 12 changes of primary a day it covers days.
+const decisionShare = 4
+
+// NewRing returns a ring of size events, at least 2. sink, if not nil, also receives each
 // event, for logging; it must not block.
 func NewRing(instance string, size int, now func() time.Time, sink func(Event)) *Ring {
-	return &Ring{instance: instance, now: now, sink: sink, buf: make([]Event, size)}
+	decisions := max(1, size/decisionShare)
+	return &Ring{
+		instance: instance, now: now, sink: sink,
+		requests:  buffer{events: make([]Event, size-decisions)},
+		decisions: buffer{events: make([]Event, decisions)},
+	}
 }
 
 // Record implements Recorder. It sets Time and Instance.
@@ -71,10 +105,10 @@
 	e.Time = r.now()
 	e.Instance = r.instance
 	r.mu.Lock()
-	r.buf[r.next] = e
-	r.next++
-	if r.next == len(r.buf) {
-		r.next, r.full = 0, true
+	if e.Request != "" {
+		r.requests.add(e)
+	} else {
+		r.decisions.add(e)
 	}
 	r.mu.Unlock()
 	if r.sink != nil {
@@ -83,27 +117,40 @@
 }
 
 // Find returns up to limit of the newest events that match, oldest first. An
-// empty request or group matches all.
+// empty request or group matches all; limit 0 means no limit.
 func (r *Ring) Find(request, group string, limit int) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	out := match(r.requests.ordered(), request, group)
+	if request == "" {
+		out = append(out, match(r.decisions.ordered(), "", group)...)
+		slices.SortStableFunc(out, func(a, b Event) int { return a.Time.Compare(b.Time) })
+	}
+	return newest(out, limit)
+}
+
+// Decisions returns up to limit of the newest events about a group that belong
+// to no request, oldest first. An empty group matches all; limit 0 means no
+// limit.
+func (r *Ring) Decisions(group string, limit int) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return newest(match(r.decisions.ordered(), "", group), limit)
+}
+
+func match(in []Event, request, group string) []Event {
 	var out []Event
-	for _, e := range r.ordered() {
+	for _, e := range in {
 		if (request == "" || e.Request == request) && (group == "" || e.Group == group) {
 			out = append(out, e)
 		}
 	}
-	if limit > 0 && len(out) > limit {
-		out = out[len(out)-limit:]
-	}
 	return out
 }
 
-func (r *Ring) ordered() []Event {
-	if !r.full {
-		return r.buf[:r.next]
+func newest(in []Event, limit int) []Event {
+	if limit > 0 && len(in) > limit {
+		return in[len(in)-limit:]
 	}
-	out := make([]Event, 0, len(r.buf))
-	out = append(out, r.buf[r.next:]...)
-	return append(out, r.buf[:r.next]...)
+	return in
 }
--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -85,7 +85,7 @@
 		}
 	}
 	detected := r.cfg.Clock.Now()
-	r.record(w.group, s.view.Primary, fmt.Sprintf("%d of %d databases have lost the primary of term %d; candidate", verdict.Lost, len(s.view.Members), s.view.Term))
+	r.record(w.group, s.view.Primary, fmt.Sprintf("%d of %d databases have lost the primary of term %d; this instance starts to replace it", verdict.Lost, len(s.view.Members), s.view.Term))
 	p := &promotion{
 		r: r, group: w.group, suspicion: s,
 		plan:   NewPlan(s.view.Term, r.cfg.Self.Name, uuid.NewString(), r.cfg.NoFencing),
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -284,10 +284,13 @@
 func (p *promotion) report(followers int) {
 	parts := make([]string, len(p.phases))
 	line := p.r.cfg.Log.Info().Str("group", p.group).Str("primary", p.plan.Chosen()).Uint64("term", p.plan.Term()).Int("followers", followers)
+	var all time.Duration
 	for i, ph := range p.phases {
+		all += ph.took
 		parts[i] = fmt.Sprintf("%s %s", ph.name, ph.took.Round(time.Millisecond))
 		line = line.Dur(ph.name+"_ms", ph.took)
 	}
 	line.Msg("promoted a new primary")
-	p.r.record(p.group, p.plan.Chosen(), fmt.Sprintf("primary of term %d, %d followers; %s", p.plan.Term(), followers, strings.Join(parts, ", ")))
+	p.r.record(p.group, p.plan.Chosen(), fmt.Sprintf("became the primary of term %d with %d followers after %s; time per phase: %s",
+		p.plan.Term(), followers, all.Round(time.Millisecond), strings.Join(parts, ", ")))
 }
--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -241,10 +241,15 @@
 	}
 	e.pool().record(events.Event{
 		Kind: kind, Request: e.req.GetRequestId(), Group: e.u.group, Database: e.u.db.Name,
-		Class: e.req.GetClass(), Code: f.Code, Text: f.Message,
+		Class: e.className(), Code: f.Code, Text: f.Message,
 	})
 }
 
+// className names the class as the entry's events do.
+func (e *execution) className() string {
+	return catalog.Class{Service: e.req.GetService(), Name: e.req.GetClass()}.ObjectName()
+}
+
 func (e *execution) pool() *Pool    { return e.u.pool }
 func (e *execution) now() time.Time { return e.pool().cfg.Clock.Now() }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -182,7 +182,7 @@
 		next.start()
 		p.record(events.Event{
 			Kind: events.KindOwnership, Group: g.Name, Database: db.Name,
-			Text: "took the connections of the database",
+			Text: "took over the connections to the database: " + role(index),
 		})
 		if moved {
 			p.handOver(u)
@@ -192,13 +192,20 @@
 	u.update(g, db, index)
 }
 
+func role(index int) string {
+	if index == 0 {
+		return "requests for it come here"
+	}
+	return "standby for the instance that serves it"
+}
+
 // handOver ends a unit once its open transactions are done.
 func (p *Pool) handOver(u *unit) {
 	u.retire()
 	p.transactions.bound(u, p.cfg.Clock.Now().Add(p.cfg.Settings.DrainTimeout.Std()))
 	p.record(events.Event{
 		Kind: events.KindOwnership, Group: u.group, Database: u.db.Name,
-		Text: "gave the connections of the database up",
+		Text: "gave up the connections to the database; open transactions may end first",
 	})
 	p.mu.Lock()
 	p.retiring[u] = struct{}{}
--- a/internal/pool/replica.go
+++ b/internal/pool/replica.go
@@ -40,7 +40,7 @@
 		e.resp.Stale = true
 		e.pool().record(events.Event{
 			Kind: events.KindStaleRead, Request: e.req.GetRequestId(), Group: e.u.group, Database: e.u.db.Name,
-			Class: e.req.GetClass(), Code: result.StaleAnswer, Text: "answered without proof of age",
+			Class: e.className(), Code: result.StaleAnswer, Text: "answered, but the age of the data could not be proved",
 		})
 	}
 	e.answer(a, false)
