Publish the figures that alerts need, and say why an instance is not ready

Cause: /debug/vars held neither the counters of platform calls and gossip, which existed, nor any figure of pools and failover. /readyz answered "not ready" without a reason, and an instance whose configuration arrived while it was draining turned ready again. Events were logged under a part name that was the kind of the event, and ownership and drain only at level debug.

Change: sections platform, gossip, confsync, pool (queued, limit and connections per database), failover and events; /readyz gives the reason; all log lines are sentences, events are lines of part "events" with the field "event"; the daemon's shutdown, peer service and event log have files of their own.

--- a/internal/confsync/push.go
+++ b/internal/confsync/push.go
@@ -98,7 +98,7 @@
 			return
 		}
 		s.vars.Add("push_failed", 1)
-		s.log.Debug().Err(err).Str("peer", t.child.Name).Msg("push failed")
+		s.log.Debug().Err(err).Str("peer", t.child.Name).Msg("Push failed.")
 		if len(t.below) == 0 {
 			return
 		}
--- a/internal/confsync/relay.go
+++ b/internal/confsync/relay.go
@@ -58,7 +58,7 @@
 		s.relay = rank
 		s.mu.Unlock()
 		if was != rank {
-			s.log.Info().Int("rank", rank).Msg("relay rank changed")
+			s.log.Info().Int("rank", rank).Msg("Relay rank changed.")
 		}
 		switch {
 		case rank >= 0 && stop == nil:
@@ -101,7 +101,7 @@
 		}
 		if err != nil {
 			s.vars.Add("watch_failed", 1)
-			s.log.Debug().Err(err).Str("kind", kind).Msg("watch failed")
+			s.log.Debug().Err(err).Str("kind", kind).Msg("Watch failed.")
 			s.sleep(ctx, pause.NextBackOff())
 			continue
 		}
--- a/internal/confsync/repair.go
+++ b/internal/confsync/repair.go
@@ -118,7 +118,7 @@
 	s.vars.Add("fetched", 1)
 	resp, err := s.cfg.Clients.Peer(peer.Address).FetchObjects(call, &wire.FetchObjectsRequest{Have: have})
 	if err != nil {
-		s.log.Debug().Err(err).Str("peer", peer.Name).Msg("fetch failed")
+		s.log.Debug().Err(err).Str("peer", peer.Name).Msg("Fetch failed.")
 		return 0
 	}
 	return len(s.take(ctx, fromWire(resp.GetObjects()), peer.Name))
--- a/internal/confsync/start.go
+++ b/internal/confsync/start.go
@@ -36,7 +36,7 @@
 	for _, kind := range Kinds {
 		objects, _, err := s.cfg.Platform.Watch(ctx, kind, 0, 0)
 		if err != nil {
-			s.log.Info().Err(err).Str("kind", kind).Msg("no configuration from the platform yet")
+			s.log.Info().Err(err).Str("kind", kind).Msg("No configuration from the platform yet.")
 			return false
 		}
 		s.apply(objects, "platform")
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -145,17 +145,17 @@
 	applied, err := s.cfg.Directory.Apply(objects)
 	if err != nil {
 		s.vars.Add("rejected", 1)
-		s.log.Warn().Err(err).Str("source", source).Msg("object rejected; the older one stays in force")
+		s.log.Warn().Err(err).Str("source", source).Msg("Object rejected; the older one stays in force.")
 		s.record(events.Event{Code: result.Invalid, Text: err.Error()})
 	}
 	s.vars.Add("applied", int64(len(applied)))
 	for i, o := range applied {
 		if i == maxObjectEvents {
-			s.log.Info().Int("objects", len(applied)).Str("source", source).Msg("configuration applied")
+			s.log.Info().Int("objects", len(applied)).Str("source", source).Msg("Configuration applied.")
 			break
 		}
 		s.log.Debug().Str("kind", o.Kind).Str("name", o.Name).Uint64("version", o.Version).
-			Str("source", source).Msg("object applied")
+			Str("source", source).Msg("Object applied.")
 		s.record(appliedEvent(o, source))
 	}
 	return applied
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,7 @@
 	inner    *wire.Server
 	health   *telemetry.Server
 
+	readiness sync.Mutex // held while draining and the answer of /readyz change
 	draining  atomic.Bool
 	drainOnce sync.Once
 	drainReq  chan struct{}
@@ -238,6 +239,7 @@
 
 // serveCallers waits for a configuration before it accepts callers.
 func (d *Daemon) serveCallers(ctx context.Context, l net.Listener) error {
+	d.health.SetNotReady("no configuration is in force")
 	for {
 		changed := d.dir.Changed()
 		if len(d.dir.Catalog().Services()) > 0 && len(d.dir.Groups()) > 0 {
@@ -249,72 +251,7 @@
 			return ctx.Err()
 		}
 	}
-	d.health.SetReady(true)
+	d.setReady()
 	d.log.Info().Str("part", telemetry.PartDaemon).Str("address", l.Addr().String()).Msg("Accepting callers.")
 	return d.entry.Serve(ctx, l)
 }
-
-// awaitStop ends the instance when ctx ends or after a drain.
-func (d *Daemon) awaitStop(ctx context.Context, cancel context.CancelFunc) error {
-	defer func() {
-		cancel()
-		_ = d.inner.Close()
-		stop, done := context.WithTimeout(context.Background(), time.Second)
-		defer done()
-		d.health.Close(stop)
-	}()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-d.drainReq:
-	}
-	return d.drain(ctx)
-}
-
-// quietPeriod is the time without work from peers after which a draining
-// instance closes its listener. Peers retry a refused request within it.
-const quietPeriod = 300 * time.Millisecond
-
-// drain finishes what is in flight. Peers learn first, so that new work goes
-// elsewhere while the old work ends.
-func (d *Daemon) drain(ctx context.Context) error {
-	start := time.Now()
-	d.draining.Store(true)
-	d.health.SetReady(false)
-	d.events.Record(events.Event{Kind: events.KindDrain, Text: "graceful shutdown started"})
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout.Std())
-	defer cancel()
-	d.members.Leave(ctx)
-	err := d.entry.Drain(ctx)
-	err = errors.Join(err, d.pool.Drain(ctx), d.inner.WaitQuiet(ctx, quietPeriod), d.inner.Shutdown(ctx))
-	d.log.Info().Str("part", telemetry.PartDaemon).Dur("took", time.Since(start)).Err(err).Msg("Graceful shutdown is complete.")
-	return nil
-}
-
-// peerService joins membership and configuration to one wire.Peer.
-type peerService struct {
-	members *membership.Membership
-	conf    *confsync.Sync
-}
-
-// Gossip implements wire.Peer.
-func (p peerService) Gossip(ctx context.Context, req *wire.GossipRequest) (*wire.GossipResponse, error) {
-	return p.members.Gossip(ctx, req)
-}
-
-// PushObjects implements wire.Peer.
-func (p peerService) PushObjects(ctx context.Context, req *wire.PushObjectsRequest) (*wire.PushObjectsResponse, error) {
-	return p.conf.PushObjects(ctx, req)
-}
-
-// FetchObjects implements wire.Peer.
-func (p peerService) FetchObjects(ctx context.Context, req *wire.FetchObjectsRequest) (*wire.FetchObjectsResponse, error) {
-	return p.conf.FetchObjects(ctx, req)
-}
-
-func eventLogger(log zerolog.Logger) func(events.Event) {
-	return func(e events.Event) {
-		log.Debug().Str("part", string(e.Kind)).Str("request", e.Request).Str("group", e.Group).
-			Str("database", e.Database).Str("class", e.Class).Uint32("code", uint32(e.Code)).Msg(e.Text)
-	}
-}
--- /dev/null
+++ b/internal/daemon/peer.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"context"
+
+	"geraniumbeam/internal/confsync"
+	"geraniumbeam/internal/membership"
+	"geraniumbeam/internal/wire"
+)
+
+// peerService joins membership and configuration to one wire.Peer.
+type peerService struct {
+	members *membership.Membership
+	conf    *confsync.Sync
+}
+
+// Gossip implements wire.Peer.
+func (p peerService) Gossip(ctx context.Context, req *wire.GossipRequest) (*wire.GossipResponse, error) {
+	return p.members.Gossip(ctx, req)
+}
+
+// PushObjects implements wire.Peer.
+func (p peerService) PushObjects(ctx context.Context, req *wire.PushObjectsRequest) (*wire.PushObjectsResponse, error) {
+	return p.conf.PushObjects(ctx, req)
+}
+
+// FetchObjects implements wire.Peer.
+func (p peerService) FetchObjects(ctx context.Context, req *wire.FetchObjectsRequest) (*wire.FetchObjectsResponse, error) {
+	return p.conf.FetchObjects(ctx, req)
+}
--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -12,7 +12,12 @@
 	v.Set("catalog_version", expvar.Func(func() any { return d.dir.Version() }))
 	v.Set("state", expvar.Func(func() any { return d.state() }))
 	v.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
+	v.Set("platform", d.platform.Vars())
+	v.Set("gossip", d.members.Vars())
 	v.Set("confsync", d.conf.Vars())
+	v.Set("pool", d.pool.Vars())
+	v.Set("failover", d.failover.Vars())
+	v.Set("events", d.events.Vars())
 	v.Set("memstats", expvar.Func(memstats))
 }
 
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -82,6 +82,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	if _, err := pool.Cancel(ctx, &wire.CancelRequest{RequestId: f.id}); err != nil {
-		s.cfg.Log.Info().Err(err).Str("request", f.id).Msg("cancellation did not reach the pool")
+		s.cfg.Log.Info().Err(err).Str("request", f.id).Msg("Cancellation did not reach the pool.")
 	}
 }
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -86,7 +86,7 @@
 		asked.Go(func() {
 			resp, err := v.s.cfg.Clients.Pool(address).GroupStatus(ctx, &wire.GroupStatusRequest{Group: group})
 			if err != nil {
-				v.s.cfg.Log.Debug().Err(err).Str("group", group).Str("address", address).Msg("group status not received")
+				v.s.cfg.Log.Debug().Err(err).Str("group", group).Str("address", address).Msg("Group status not received.")
 				return
 			}
 			v.learn(group, resp)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -114,7 +114,7 @@
 	for {
 		conn, err := l.Accept()
 		if err != nil && isTemporary(err) {
-			s.cfg.Log.Warn().Err(err).Msg("caller not accepted")
+			s.cfg.Log.Warn().Err(err).Msg("Caller not accepted.")
 			<-s.cfg.Clock.After(acceptPause)
 			continue
 		}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -85,7 +85,7 @@
 		EntryInstance: s.cfg.Settings.Instance, TransactionIds: ids,
 	})
 	if err != nil {
-		s.cfg.Log.Info().Err(err).Str("address", address).Int("transactions", len(ids)).Msg("keep-alive failed")
+		s.cfg.Log.Info().Err(err).Str("address", address).Int("transactions", len(ids)).Msg("Keep-alive failed.")
 	}
 }
 
@@ -181,7 +181,7 @@
 			TransactionId: tx.id, Database: tx.at.target.Database.Name,
 		})
 		if err != nil {
-			c.s.cfg.Log.Info().Err(err).Str("transaction", tx.id).Msg("rollback did not reach the pool")
+			c.s.cfg.Log.Info().Err(err).Str("transaction", tx.id).Msg("Rollback did not reach the pool.")
 		}
 	})
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -3,6 +3,7 @@
 package events
 
 import (
+	"expvar"
 	"slices"
 	"sync"
 	"time"
@@ -51,6 +52,8 @@
 	now      func() time.Time
 	sink     func(Event) // may be nil
 
+	counts *expvar.Map // by kind
+
 	mu sync.Mutex
 	// requests holds the events of single requests, decisions all others, so
 	// that a burst of refused requests does not push out a change of primary.
@@ -95,15 +98,20 @@
 	decisions := max(1, size/decisionShare)
 	return &Ring{
 		instance: instance, now: now, sink: sink,
+		counts:    new(expvar.Map).Init(),
 		requests:  buffer{events: make([]Event, size-decisions)},
 		decisions: buffer{events: make([]Event, decisions)},
 	}
 }
 
+// Vars returns the number of events by kind since the start.
+func (r *Ring) Vars() expvar.Var { return r.counts }
+
 // Record implements Recorder. It sets Time and Instance.
 func (r *Ring) Record(e Event) {
 	e.Time = r.now()
 	e.Instance = r.instance
+	r.counts.Add(string(e.Kind), 1)
 	r.mu.Lock()
 	if e.Request != "" {
 		r.requests.add(e)
--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -21,6 +21,7 @@
 	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
 	began := r.cfg.Clock.Now()
+	r.vars.Add("attempts", 1)
 	err := r.tryPromote(ctx, w, began)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -30,10 +31,11 @@
 		w.lastErr = ""
 		return
 	}
+	r.vars.Add("failed", 1)
 	w.next = r.cfg.Clock.Now().Add(w.election.Retry())
 	if text := err.Error(); text != w.lastErr && ctx.Err() != context.Canceled {
 		w.lastErr = text
-		r.cfg.Log.Warn().Err(err).Str("group", w.group).Msg("no promotion")
+		r.cfg.Log.Warn().Err(err).Str("group", w.group).Msg("No promotion.")
 		r.record(w.group, "", "no promotion: "+text)
 	}
 }
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -92,7 +92,7 @@
 	p.endPhase("redirect")
 	p.report(followers)
 	if err := p.plan.Err(); err != nil {
-		p.r.cfg.Log.Warn().Err(err).Str("group", p.group).Msg("the platform was not told of the new primary")
+		p.r.cfg.Log.Warn().Err(err).Str("group", p.group).Msg("The platform was not told of the new primary.")
 	}
 	return nil
 }
@@ -290,7 +290,8 @@
 		parts[i] = fmt.Sprintf("%s %s", ph.name, ph.took.Round(time.Millisecond))
 		line = line.Dur(ph.name+"_ms", ph.took)
 	}
-	line.Msg("promoted a new primary")
+	p.r.vars.Add("promoted", 1)
+	line.Msg("Promoted a new primary.")
 	p.r.record(p.group, p.plan.Chosen(), fmt.Sprintf("became the primary of term %d with %d followers after %s; time per phase: %s",
 		p.plan.Term(), followers, all.Round(time.Millisecond), strings.Join(parts, ", ")))
 }
--- a/internal/failover/repair.go
+++ b/internal/failover/repair.go
@@ -81,10 +81,12 @@
 	defer h.close()
 	_, err := h.do(ctx, func(c backend.Control) (backend.Status, error) { return followPrimary(ctx, c, term, primary.Address) })
 	if err != nil {
-		r.cfg.Log.Warn().Err(err).Str("group", group).Str("database", db.Name).Msg("database could not be made to follow")
+		r.vars.Add("follow_failed", 1)
+		r.cfg.Log.Warn().Err(err).Str("group", group).Str("database", db.Name).Msg("Database could not be made to follow.")
 		return
 	}
-	r.cfg.Log.Info().Str("group", group).Str("database", db.Name).Uint64("term", term).Str("primary", primary.Name).Msg("database follows")
+	r.vars.Add("followed", 1)
+	r.cfg.Log.Info().Str("group", group).Str("database", db.Name).Uint64("term", term).Str("primary", primary.Name).Msg("Database follows.")
 	r.record(group, db.Name, fmt.Sprintf("was %s at term %d, now follows %s of term %d", before.Role, before.Term, primary.Name, term))
 }
 
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"sync"
 	"time"
 
@@ -51,6 +52,7 @@
 type Runner struct {
 	cfg     Config
 	running sync.WaitGroup
+	vars    *expvar.Map
 
 	mu      sync.Mutex
 	watches map[string]*watch // by group
@@ -74,9 +76,17 @@
 	if cfg.Thresholds == (Thresholds{}) {
 		cfg.Thresholds = DefaultThresholds
 	}
-	return &Runner{cfg: cfg, watches: make(map[string]*watch), repairs: make(map[string]*repair)}
+	r := &Runner{cfg: cfg, vars: new(expvar.Map).Init(), watches: make(map[string]*watch), repairs: make(map[string]*repair)}
+	for _, name := range []string{"attempts", "promoted", "failed", "followed", "follow_failed"} {
+		r.vars.Add(name, 0) // an alert needs the counter before the first event
+	}
+	return r
 }
 
+// Vars returns the counters: attempts to replace a primary, promotions, attempts
+// that failed, and databases that were made to follow or could not be.
+func (r *Runner) Vars() expvar.Var { return r.vars }
+
 // Run watches until ctx ends and returns after its last goroutine.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.running.Wait()
--- a/internal/membership/feeds.go
+++ b/internal/membership/feeds.go
@@ -55,7 +55,7 @@
 func (m *Membership) seed(ctx context.Context) bool {
 	list, err := m.cfg.Platform.Instances(ctx)
 	if err != nil {
-		m.log.Debug().Err(err).Msg("no instance list from the platform")
+		m.log.Debug().Err(err).Msg("No instance list from the platform.")
 		return false
 	}
 	m.mu.Lock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -250,7 +250,7 @@
 }
 
 func (m *Membership) record(e Event) {
-	m.log.Debug().Str("member", e.Name).Stringer("status", e.Status).Str("source", e.Source).Msg("member changed")
+	m.log.Debug().Str("member", e.Name).Stringer("status", e.Status).Str("source", e.Source).Msg("Member changed.")
 	if e.Status == Suspect || (e.Known && e.Was == Suspect && e.Status == Alive) {
 		return
 	}
--- a/internal/pool/follow.go
+++ b/internal/pool/follow.go
@@ -47,7 +47,7 @@
 		before, _ := u.look()
 		u.lose()
 		if before.known || !before.failed {
-			u.pool.cfg.Log.Warn().Err(err).Str("database", u.db.Name).Msg("database does not answer")
+			u.pool.cfg.Log.Warn().Err(err).Str("database", u.db.Name).Msg("Database does not answer.")
 			u.pool.record(events.Event{
 				Kind: events.KindMembership, Group: u.group, Database: u.db.Name,
 				Code: result.DatabaseDown, Text: "the database does not answer this instance and gets no new work from it",
@@ -74,7 +74,7 @@
 	defer c.Close()
 	s, err := u.call(0, c.Status)
 	if before, _ := u.look(); err == nil && before.failed {
-		u.pool.cfg.Log.Info().Str("database", u.db.Name).Msg("database answers again")
+		u.pool.cfg.Log.Info().Str("database", u.db.Name).Msg("Database answers again.")
 		u.pool.record(events.Event{
 			Kind: events.KindMembership, Group: u.group, Database: u.db.Name,
 			Text: fmt.Sprintf("the database answers again as %s of term %d", s.Role, s.Term),
--- a/internal/pool/running.go
+++ b/internal/pool/running.go
@@ -77,6 +77,6 @@
 		return
 	}
 	if err := conn.Cancel(ctx); err != nil {
-		u.pool.cfg.Log.Warn().Err(err).Str("database", u.db.Name).Str("request", id).Msg("cancel failed")
+		u.pool.cfg.Log.Warn().Err(err).Str("database", u.db.Name).Str("request", id).Msg("Cancel failed.")
 	}
 }
--- a/internal/pool/sweep.go
+++ b/internal/pool/sweep.go
@@ -56,7 +56,7 @@
 			lifetime = catalog.DefaultKeyLifetime
 		}
 		if err := u.removeOlder(c.ObjectName(), now.Add(-lifetime)); err != nil {
-			u.pool.cfg.Log.Warn().Err(err).Str("database", u.db.Name).Msg("removal of request keys failed")
+			u.pool.cfg.Log.Warn().Err(err).Str("database", u.db.Name).Msg("Removal of request keys failed.")
 			return
 		}
 	}
--- a/internal/standin/database/disk.go
+++ b/internal/standin/database/disk.go
@@ -123,7 +123,7 @@
 			s.log, s.baseSnapshot = replicaLog{base: r.Snapshot.At}, r.Snapshot
 		}
 	}
-	s.logger.Info().Uint64("term", s.term).Str("role", string(s.role)).Uint64("position", s.log.last().Offset).Msg("restored from the data directory")
+	s.logger.Info().Uint64("term", s.term).Str("role", string(s.role)).Uint64("position", s.log.last().Offset).Msg("Restored from the data directory.")
 	return s.rebuildLocked()
 }
 
--- a/internal/standin/database/replicationreceive.go
+++ b/internal/standin/database/replicationreceive.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		if err := s.followOnce(ctx, source); err != nil && ctx.Err() == nil {
-			s.logger.Debug().Err(err).Str("primary", source.address).Msg("replication interrupted")
+			s.logger.Debug().Err(err).Str("primary", source.address).Msg("Replication interrupted.")
 		}
 		_ = sleep(ctx, replicationRetry)
 	}
@@ -198,7 +198,7 @@
 				}
 			}
 			if err := s.accept(h.msg, src); err != nil {
-				s.logger.Warn().Err(err).Msg("log message refused")
+				s.logger.Warn().Err(err).Msg("Log message refused.")
 				return
 			}
 		}
@@ -259,6 +259,6 @@
 	if err := s.save(record{Truncate: &offset}); err != nil {
 		return err
 	}
-	s.logger.Warn().Int("dropped", n).Uint64("position", offset).Uint64("term", term).Msg("dropped log entries that the new primary does not have")
+	s.logger.Warn().Int("dropped", n).Uint64("position", offset).Uint64("term", term).Msg("Dropped log entries that the new primary does not have.")
 	return s.rebuildLocked()
 }
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -178,7 +178,7 @@
 				se.sendError(errorf(stateProtocol, "message is longer than %d bytes", maxMessage))
 				_ = se.backend.Flush()
 			} else if !errors.Is(err, io.EOF) && se.ctx.Err() == nil {
-				se.server.logger.Debug().Err(err).Msg("connection lost")
+				se.server.logger.Debug().Err(err).Msg("Connection lost.")
 			}
 			return
 		}
--- a/internal/standin/database/snapshot.go
+++ b/internal/standin/database/snapshot.go
@@ -36,7 +36,7 @@
 	data, err := s.reader.dump()
 	s.readMu.Unlock()
 	if err != nil {
-		s.logger.Error().Err(err).Msg("log not compacted")
+		s.logger.Error().Err(err).Msg("Log not compacted.")
 		return
 	}
 	if s.nextSnapshot != nil {
@@ -83,7 +83,7 @@
 // installLocked replaces log and content by a snapshot of the primary, whose
 // log no longer reaches back to this one.
 func (s *Server) installLocked(snap *snapshot) error {
-	s.logger.Warn().Uint64("from", s.log.last().Offset).Uint64("to", snap.At.Offset).Msg("replaced the log by a snapshot of the primary")
+	s.logger.Warn().Uint64("from", s.log.last().Offset).Uint64("to", snap.At.Offset).Msg("Replaced the log by a snapshot of the primary.")
 	s.log = replicaLog{base: snap.At}
 	s.baseSnapshot, s.nextSnapshot = snap, nil
 	if err := s.save(record{Snapshot: snap}); err != nil {
--- a/internal/standin/database/state.go
+++ b/internal/standin/database/state.go
@@ -40,7 +40,7 @@
 	if term == s.term {
 		return nil
 	}
-	s.logger.Info().Uint64("term", term).Uint64("old_term", s.term).Str("old_role", string(s.role)).Msg("term raised")
+	s.logger.Info().Uint64("term", term).Uint64("old_term", s.term).Str("old_role", string(s.role)).Msg("Term raised.")
 	s.term, s.role, s.upstream = term, backend.RoleFenced, ""
 	s.notifyLocked()
 	return s.saveState()
@@ -66,7 +66,7 @@
 	if err := errors.Join(s.saveState(), s.saveEntries([]entry{first})); err != nil {
 		return err
 	}
-	s.logger.Info().Uint64("term", term).Uint64("position", s.log.last().Offset).Msg("promoted to primary")
+	s.logger.Info().Uint64("term", term).Uint64("position", s.log.last().Offset).Msg("Promoted to primary.")
 	s.notifyLocked()
 	return nil
 }
@@ -85,7 +85,7 @@
 		return nil
 	}
 	s.term, s.role, s.upstream, s.heard = term, backend.RoleReplica, address, time.Now()
-	s.logger.Info().Uint64("term", term).Str("primary", address).Msg("following primary")
+	s.logger.Info().Uint64("term", term).Str("primary", address).Msg("Following primary.")
 	s.notifyLocked()
 	return s.saveState()
 }
@@ -113,7 +113,7 @@
 	}
 	s.log.append(e)
 	if err := s.saveEntries([]entry{e}); err != nil {
-		s.logger.Error().Err(err).Msg("log entry is not durable")
+		s.logger.Error().Err(err).Msg("Log entry is not durable.")
 	}
 	s.applyLocked(e)
 	s.compactLocked()
@@ -130,7 +130,7 @@
 	s.readMu.Lock()
 	defer s.readMu.Unlock()
 	if err := applyTo(s.reader, e); err != nil {
-		s.logger.Error().Err(err).Uint64("position", s.log.last().Offset).Msg("log entry could not be applied")
+		s.logger.Error().Err(err).Uint64("position", s.log.last().Offset).Msg("Log entry could not be applied.")
 	}
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -24,6 +24,7 @@
 	PartConfsync   = "confsync"
 	PartPlatform   = "platform"
 	PartStandin    = "standin"
+	PartEvents     = "events"
 )
 
 // NewLogger returns a logger that writes lines of JSON to w. Level is one of
@@ -45,13 +46,14 @@
 // instances in one process must not share names, so vars are given to New
 // instead of the global expvar registry.
 type Server struct {
-	http  *http.Server
-	ready atomic.Bool
+	http     *http.Server
+	notReady atomic.Pointer[string] // why, or nil
 }
 
 // NewServer returns a server for vars.
 func NewServer(vars *expvar.Map) *Server {
 	s := &Server{}
+	s.SetNotReady("starting")
 	mux := http.NewServeMux()
 	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
@@ -63,8 +65,11 @@
 	return s
 }
 
-// SetReady changes what /readyz answers.
-func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+// SetReady makes /readyz answer that callers may connect.
+func (s *Server) SetReady() { s.notReady.Store(nil) }
+
+// SetNotReady makes /readyz answer that callers should go elsewhere, and why.
+func (s *Server) SetNotReady(why string) { s.notReady.Store(&why) }
 
 // Serve accepts connections until Close.
 func (s *Server) Serve(l net.Listener) { _ = s.http.Serve(l) }
@@ -73,8 +78,8 @@
 func (s *Server) Close(ctx context.Context) { _ = s.http.Shutdown(ctx) }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.ready.Load() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	if why := s.notReady.Load(); why != nil {
+		http.Error(w, "not ready: "+*why, http.StatusServiceUnavailable)
 		return
 	}
 	fmt.Fprintln(w, "ok")
