--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/backend"
 	"geraniumbeam/internal/directory"
@@ -17,12 +19,11 @@
 const campaignTimeout = 6 * time.Second
 
 // campaign is one attempt to replace the primary of a group.
-func (r *Runner) campaign(ctx context.Context, w *watch) {
+func (r *Runner) campaign(ctx context.Context, w *watch, attempt func(context.Context, *watch) error) {
 	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	began := r.cfg.Clock.Now()
 	r.vars.Add("attempts", 1)
-	err := r.tryPromote(ctx, w, began)
+	err := attempt(ctx, w)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.busy = false
@@ -35,7 +36,11 @@
 	w.next = r.cfg.Clock.Now().Add(w.election.Retry())
 	if text := err.Error(); text != w.lastErr && ctx.Err() != context.Canceled {
 		w.lastErr = text
-		r.cfg.Log.Warn().Err(err).Str("group", w.group).Msg("No promotion.")
+		level := zerolog.WarnLevel
+		if errors.Is(err, ErrSuperseded) || errors.Is(err, ErrFalseAlarm) {
+			level = zerolog.InfoLevel
+		}
+		r.cfg.Log.WithLevel(level).Err(err).Str("group", w.group).Msg("No promotion.")
 		r.record(w.group, "", "no promotion: "+text)
 	}
 }
@@ -45,7 +50,8 @@
 	group directory.Group
 	view  View
 	own   Ballot
-	age   time.Duration // longest time for which an owned replica has not heard from the primary
+	at    time.Time
+	age   time.Duration // at that time, longest time for which an owned replica has not heard from the primary
 }
 
 // suspect reads the group's state; ok is false if nothing is suspected now.
@@ -53,7 +59,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock.Now()
-	s.view, s.own = w.detector.View(), w.ballot(now)
+	s.at, s.view, s.own = now, w.detector.View(), w.ballot(now)
 	for _, e := range s.own.Evidence {
 		if e.Status.Role != backend.RolePrimary {
 			s.age = max(s.age, e.Status.PrimaryAge)
@@ -64,13 +70,21 @@
 }
 
 // tryPromote asks for votes and carries out a plan if a majority agrees.
-func (r *Runner) tryPromote(ctx context.Context, w *watch, began time.Time) error {
+func (r *Runner) tryPromote(ctx context.Context, w *watch) error {
 	r.pause(ctx, r.withElection(w, (*Election).Jitter))
 	s, ok := r.suspect(w)
 	if !ok {
 		return ErrFalseAlarm
 	}
-	verdict := Tally(r.cfg.Thresholds, s.view, r.collectBallots(ctx, s.group, s.view, s.own))
+	ballots := r.collectBallots(ctx, s.group, s.view, s.own)
+	for _, b := range ballots {
+		for _, e := range b.Evidence {
+			if e.Reachable && e.Status.Role == backend.RolePrimary && e.Status.Term >= s.view.Term {
+				r.cfg.Directory.LearnPrimary(w.group, e.Status.Term, e.Database)
+			}
+		}
+	}
+	verdict := Tally(r.cfg.Thresholds, s.view, ballots)
 	if verdict.Term > s.view.Term {
 		r.cfg.Directory.LearnPrimary(w.group, verdict.Term, "")
 		return fmt.Errorf("a database is at term %d: %w", verdict.Term, ErrSuperseded)
@@ -91,12 +105,27 @@
 	p := &promotion{
 		r: r, group: w.group, suspicion: s,
 		plan:   NewPlan(s.view.Term, r.cfg.Self.Name, uuid.NewString(), r.cfg.NoFencing),
-		phases: []phase{{"detection", s.age + detected.Sub(began)}},
+		phases: []phase{{"detection", s.age + detected.Sub(s.at)}},
 		mark:   detected,
 	}
 	return p.run(ctx)
 }
 
+// tryHandover replaces a primary that works and is leaving. No vote is needed:
+// the primary itself says so.
+func (r *Runner) tryHandover(ctx context.Context, w *watch) error {
+	s, _ := r.suspect(w)
+	if s.view.Primary == "" {
+		return ErrFalseAlarm
+	}
+	p := &promotion{
+		r: r, group: w.group, suspicion: s, handover: true,
+		plan: NewHandover(s.view.Term, s.view.Primary, r.cfg.Self.Name, uuid.NewString(), r.cfg.NoFencing),
+		mark: s.at,
+	}
+	return p.run(ctx)
+}
+
 // withElection reads a delay; Jitter and Retry change the random source.
 func (r *Runner) withElection(w *watch, f func(*Election) time.Duration) time.Duration {
 	r.mu.Lock()
--- a/internal/failover/detector_test.go
+++ b/internal/failover/detector_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"geraniumbeam/internal/backend"
+	"geraniumbeam/internal/directory"
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/platform"
 )
 
 var members = []string{"a", "b", "c"}
@@ -24,6 +27,7 @@
 
 // simulation runs three sites against a primary a in steps of probeInterval.
 type simulation struct {
+	limit Thresholds
 	rng   *rand.Rand
 	now   time.Time
 	sites []*site
@@ -31,10 +35,10 @@
 	dead  bool                 // the primary
 }
 
-func newSimulation(seed uint64) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), heard: make(map[string]time.Time)}
+func newSimulation(seed uint64, limit Thresholds) *simulation {
+	s := &simulation{limit: limit, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), heard: make(map[string]time.Time)}
 	for _, name := range members {
-		s.sites = append(s.sites, &site{name, NewDetector(DefaultThresholds)})
+		s.sites = append(s.sites, &site{name, NewDetector(limit)})
 		s.heard[name] = s.now
 	}
 	return s
@@ -79,7 +83,7 @@
 			ballots = append(ballots, s.ballot(si))
 		}
 	}
-	return Tally(DefaultThresholds, candidate.detector.View(), ballots)
+	return Tally(s.limit, candidate.detector.View(), ballots)
 }
 
 func (s *simulation) ballot(si *site) Ballot {
@@ -92,7 +96,7 @@
 func TestNoFalsePromotionUnderLoss(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			s := newSimulation(seed)
+			s := newSimulation(seed, DefaultThresholds)
 			for end := s.now.Add(10 * time.Minute); s.now.Before(end); {
 				if s.step() {
 					t.Fatalf("a majority of the databases lost a working primary after %v", s.now.Sub(time.Unix(1000, 0)))
@@ -109,29 +113,16 @@
 	}
 }
 
-// Guards against thresholds that are too short: with these the loss of probes
-// must cause a false alarm, or the test above proves nothing.
+// Guards against a simulation that cannot raise a false alarm: with short
+// thresholds it must.
 func TestLossSimulationFindsShortThresholds(t *testing.T) {
-	s := newSimulation(1)
-	for _, si := range s.sites {
-		si.detector.thresholds = Thresholds{PrimaryAge: 250 * time.Millisecond, Missed: 250 * time.Millisecond}
-	}
-	found := false
-	for end := s.now.Add(10 * time.Minute); s.now.Before(end) && !found; {
-		s.step()
-		view := s.sites[1].detector.View()
-		for _, si := range s.sites {
-			short := si.detector.thresholds
-			var ballots []Ballot
-			for _, other := range s.sites {
-				ballots = append(ballots, s.ballot(other))
-			}
-			found = found || (si.detector.Suspect(s.now) && Tally(short, view, ballots).Majority)
+	s := newSimulation(1, Thresholds{PrimaryAge: 250 * time.Millisecond, Missed: 250 * time.Millisecond})
+	for end := s.now.Add(10 * time.Minute); s.now.Before(end); {
+		if s.step() {
+			return
 		}
 	}
-	if !found {
-		t.Error("short thresholds caused no false alarm in ten minutes")
-	}
+	t.Error("short thresholds caused no false alarm in ten minutes")
 }
 
 func evidence(name string, role backend.Role, term uint64, age time.Duration) Evidence {
@@ -151,33 +142,33 @@
 		lost    int
 	}{
 		{"isolated primary", known, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
-			{true, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
+			{"", true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{"", true, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
 		}, 2},
 		{"isolated replica", known, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("c", backend.RoleReplica, 3, 0)}},
+			{"", true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("c", backend.RoleReplica, 3, 0)}},
 		}, 1},
 		{"one of two owners reaches the primary", known, []Ballot{
-			{true, []Evidence{deadA, evidence("b", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
+			{"", true, []Evidence{deadA, evidence("b", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("a", backend.RolePrimary, 3, 0)}},
 		}, 1},
 		{"instance that does not suspect", known, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
-			{false, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
+			{"", true, []Evidence{evidence("b", backend.RoleReplica, 3, long)}},
+			{"", false, []Evidence{evidence("c", backend.RoleReplica, 3, long)}},
 		}, 1},
 		{"candidate died after the raise", none, []Ballot{
-			{true, []Evidence{evidence("b", backend.RoleFenced, 3, long)}},
-			{true, []Evidence{evidence("c", backend.RoleFenced, 3, long)}},
+			{"", true, []Evidence{evidence("b", backend.RoleFenced, 3, long)}},
+			{"", true, []Evidence{evidence("c", backend.RoleFenced, 3, long)}},
 		}, 2},
 		{"candidate died before the raise", none, []Ballot{
-			{true, []Evidence{evidence("a", backend.RolePrimary, 2, 0), evidence("b", backend.RoleReplica, 2, 0)}},
+			{"", true, []Evidence{evidence("a", backend.RolePrimary, 2, 0), evidence("b", backend.RoleReplica, 2, 0)}},
 		}, 2},
 		{"unreachable database while there is no primary", none, []Ballot{
-			{true, []Evidence{deadA, evidence("b", backend.RoleReplica, 2, 0)}},
+			{"", true, []Evidence{deadA, evidence("b", backend.RoleReplica, 2, 0)}},
 		}, 2},
-		{"unreachable replicas say nothing", known, []Ballot{{true, []Evidence{{Database: "b"}, {Database: "c"}, deadA}}}, 1},
+		{"unreachable replicas say nothing", known, []Ballot{{"", true, []Evidence{{Database: "b"}, {Database: "c"}, deadA}}}, 1},
 	} {
 		v := Tally(DefaultThresholds, c.view, c.ballots)
 		if v.Lost != c.lost || v.Majority != (c.lost >= 2) {
@@ -208,3 +199,48 @@
 		t.Errorf("view is %+v", v)
 	}
 }
+
+// Guards against a loss that is found late because the pool repeats an old
+// status, and against ages that grow without bound from one status.
+func TestDetectorAgesRepeatedStatuses(t *testing.T) {
+	d := NewDetector(DefaultThresholds)
+	now := time.Unix(0, 0)
+	st := backend.Status{Term: 1, Role: backend.RoleReplica, PrimaryAge: 700 * time.Millisecond}
+	look := func() time.Duration {
+		d.Observe(now, View{Term: 1, Primary: "a", Members: members}, []Observation{{"b", true, st}})
+		return d.Evidence(now)[0].Status.PrimaryAge
+	}
+	look()
+	for _, c := range []struct{ passed, want time.Duration }{{50, 750}, {50, 800}, {200, 950}} {
+		now = now.Add(c.passed * time.Millisecond)
+		if got := look(); got != c.want*time.Millisecond {
+			t.Errorf("age is %v, want %v ms", got, int64(c.want))
+		}
+	}
+	st.PrimaryAge = 20 * time.Millisecond
+	if got := look(); got != st.PrimaryAge {
+		t.Errorf("age is %v after a new status, want %v", got, st.PrimaryAge)
+	}
+}
+
+// Guards against a standby's old statuses that outvote the active owner.
+func TestVotePrefersActiveOwner(t *testing.T) {
+	self := ownership.Instance{Name: "x", DataCentre: "dc"}
+	other := ownership.Instance{Name: "y", DataCentre: "dc"}
+	r := &Runner{cfg: Config{Directory: directory.New(self)}}
+	r.cfg.Directory.SetLive([]ownership.Instance{self, other}, false)
+	db := platform.Database{Name: "b", DataCentre: "dc"}
+	owners := r.cfg.Directory.Owners(db)
+	standby := Ballot{From: owners[1].Name, Evidence: []Evidence{evidence("b", backend.RoleReplica, 1, 0)}}
+	active := Ballot{From: owners[0].Name, Suspect: true, Evidence: []Evidence{evidence("b", backend.RoleReplica, 1, time.Minute)}}
+	ballots := []Ballot{standby, active}
+	r.preferActive(directory.Group{Databases: []platform.Database{db}}, ballots)
+	if ballots[0].has("b") || !ballots[1].has("b") {
+		t.Errorf("ballots are %+v", ballots)
+	}
+	ballots = []Ballot{standby, {From: owners[0].Name}}
+	r.preferActive(directory.Group{Databases: []platform.Database{db}}, ballots)
+	if !ballots[0].has("b") {
+		t.Error("the standby's evidence was dropped although the active owner has none")
+	}
+}
--- a/test/health_test.go
+++ b/test/health_test.go
@@ -51,10 +51,10 @@
 		var v instanceVars
 		waitFor(t, 10*time.Second, name+" gossips", func() bool {
 			v = c.vars(t, name)
-			return v.Gossip["sent"] > 0
+			return v.Membership["sent"] > 0
 		})
-		if v.Platform["watch"] == 0 || v.Confsync["applied"] == 0 || v.Events["configuration"] == 0 {
-			t.Errorf("%s publishes platform %v, confsync %v, events %v", name, v.Platform, v.Confsync, v.Events)
+		if v.PlatformCalls["watch"] == 0 || v.Confsync["applied"] == 0 || v.Events["configuration"] == 0 {
+			t.Errorf("%s publishes platform %v, confsync %v, events %v", name, v.PlatformCalls, v.Confsync, v.Events)
 		}
 		if n, ok := v.Failover["promoted"]; !ok || n != 0 {
 			t.Errorf("%s publishes failover %v without a failure", name, v.Failover)
@@ -75,8 +75,12 @@
 
 // instanceVars is the part of /debug/vars that alerts use.
 type instanceVars struct {
-	Platform, Gossip, Confsync, Failover, Events map[string]int64
-	Pool                                         map[string]pool.DatabaseVars
+	PlatformCalls map[string]int64 `json:"platform_calls"`
+	Membership    map[string]int64
+	Confsync      map[string]int64
+	Failover      map[string]int64
+	Events        map[string]int64
+	Pool          map[string]pool.DatabaseVars
 }
 
 func (c *cluster) vars(t testing.TB, instance string) instanceVars {
