--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -22,6 +22,7 @@
 func (r *Runner) campaign(ctx context.Context, w *watch, attempt func(context.Context, *watch) error) {
 	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
+	r.vars.Add("attempts", 1)
 	err := attempt(ctx, w)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -31,6 +32,7 @@
 		w.lastErr = ""
 		return
 	}
+	r.vars.Add("failed", 1)
 	w.next = r.cfg.Clock.Now().Add(w.election.Retry())
 	if text := err.Error(); text != w.lastErr && ctx.Err() != context.Canceled {
 		w.lastErr = text
@@ -38,7 +40,7 @@
 		if errors.Is(err, ErrSuperseded) || errors.Is(err, ErrFalseAlarm) {
 			level = zerolog.InfoLevel
 		}
-		r.cfg.Log.WithLevel(level).Err(err).Str("group", w.group).Msg("no promotion")
+		r.cfg.Log.WithLevel(level).Err(err).Str("group", w.group).Msg("No promotion.")
 		r.record(w.group, "", "no promotion: "+text)
 	}
 }
@@ -99,7 +101,7 @@
 		}
 	}
 	detected := r.cfg.Clock.Now()
-	r.record(w.group, s.view.Primary, fmt.Sprintf("%d of %d databases have lost the primary of term %d; candidate", verdict.Lost, len(s.view.Members), s.view.Term))
+	r.record(w.group, s.view.Primary, fmt.Sprintf("%d of %d databases have lost the primary of term %d; this instance starts to replace it", verdict.Lost, len(s.view.Members), s.view.Term))
 	p := &promotion{
 		r: r, group: w.group, suspicion: s,
 		plan:   NewPlan(s.view.Term, r.cfg.Self.Name, uuid.NewString(), r.cfg.NoFencing),
