Separate urgent work and control from other calls

Cause: entry and pool shared one HTTP/2 connection per pair of instances. A saturated connection delays every stream on it, also urgent calls, confirmations and cancellations.

Ruled out: priorities within one connection, because the HTTP/2 client of net/http writes streams in the order of their locks.

Change: Clients keeps two lanes per instance, each opened when first used. The second one carries only Execute calls of work that is not urgent. The entry chooses by the rank of the class.

Conclusion: an urgent call no longer depends on the bulk connection. The latency in a flood was not measured again here.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -29,6 +29,8 @@
 	nextTx    int
 	calls     []*wire.ExecuteRequest
 	addresses []string
+	bulk      map[string]int // calls that used the bulk lane, by class
+	urgent    map[string]int // calls that used the other lane, by class
 	ended     []string
 	kept      map[string]int
 	cancelled chan string
@@ -43,11 +45,14 @@
 func newFakeCluster() *fakeCluster {
 	return &fakeCluster{
 		term: 1, primary: "db-a", offsets: map[string]uint64{"db-a": 1, "db-b": 1, "db-c": 1},
-		down: map[string]bool{}, tx: map[string]uint64{}, kept: map[string]int{}, cancelled: make(chan string, 10),
+		down: map[string]bool{}, tx: map[string]uint64{}, kept: map[string]int{},
+		bulk: map[string]int{}, urgent: map[string]int{}, cancelled: make(chan string, 10),
 	}
 }
 
-func (f *fakeCluster) Pool(address string) wire.Pool { return &fakePool{f, address} }
+func (f *fakeCluster) Pool(address string) wire.Pool { return &fakePool{f, address, false} }
+
+func (f *fakeCluster) BulkPool(address string) wire.Pool { return &fakePool{f, address, true} }
 
 func (f *fakeCluster) set(change func()) {
 	f.mu.Lock()
@@ -79,6 +84,7 @@
 type fakePool struct {
 	f       *fakeCluster
 	address string
+	bulk    bool
 }
 
 func errDial(address string) error {
@@ -92,6 +98,11 @@
 	if !f.discard {
 		f.calls, f.addresses = append(f.calls, req), append(f.addresses, p.address)
 	}
+	lane := f.urgent
+	if p.bulk {
+		lane = f.bulk
+	}
+	lane[req.GetClass()]++
 	isDown := f.down[p.address]
 	f.mu.Unlock()
 	if isDown {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -265,7 +265,7 @@
 		})
 	}
 	req := x.s.executeRequest(x.r, at)
-	resp, err := x.s.call(x.flight, at, req, x.r.deadline)
+	resp, err := x.s.call(x.flight, at, x.r.class.Rank, req, x.r.deadline)
 	v := x.judge(at, resp, err)
 	switch v.next {
 	case finished:
@@ -332,8 +332,8 @@
 }
 
 // call sends one request to a pool and learns from the answer.
-func (s *Server) call(f *flight, at attempt, req *wire.ExecuteRequest, deadline time.Time) (*wire.ExecuteResponse, error) {
-	pool := s.cfg.Clients.Pool(at.address)
+func (s *Server) call(f *flight, at attempt, rank catalog.Rank, req *wire.ExecuteRequest, deadline time.Time) (*wire.ExecuteResponse, error) {
+	pool := s.poolFor(rank, at.address)
 	f.sending(pool, req)
 	ctx, cancel := context.WithTimeout(s.ctx, max(0, deadline.Sub(s.now()))+answerGrace)
 	defer cancel()
@@ -351,3 +351,11 @@
 	}
 	return resp, nil
 }
+
+// poolFor keeps urgent calls off the connection that other work may saturate.
+func (s *Server) poolFor(rank catalog.Rank, address string) wire.Pool {
+	if rank == catalog.RankUrgent {
+		return s.cfg.Clients.Pool(address)
+	}
+	return s.cfg.Clients.BulkPool(address)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,7 +32,10 @@
 // Pools makes clients for the pools of other instances. *wire.Clients
 // implements it.
 type Pools interface {
+	// Pool returns the client for urgent work and control.
 	Pool(address string) wire.Pool
+	// BulkPool returns the client for work that is not urgent.
+	BulkPool(address string) wire.Pool
 }
 
 // Config holds what a Server needs. All fields are required.
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -101,7 +101,7 @@
 		}
 		req.Verify = r.read && r.batch.executes && !r.known
 	}
-	resp, err := s.call(f, tx.at, req, r.deadline)
+	resp, err := s.call(f, tx.at, r.class.Rank, req, r.deadline)
 	failure := failureOf(tx.at, f, resp, err)
 	if failure == nil {
 		return outcome{resp: resp, at: tx.at, verified: req.GetVerify()}
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -2,82 +2,90 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
-// Timeouts of the transport. A peer that does not answer a ping in time is
-// disconnected, which fails the calls that are outstanding.
+// Timeouts of the transport.
 const (
 	dialTimeout = 500 * time.Millisecond
-	readIdle    = 1 * time.Second
-	pingTimeout = 1 * time.Second
-	idleTimeout = 2 * time.Minute
+	idleTimeout = 1 * time.Minute
 
 	// controlIdleTimeout exceeds the time in which membership visits each of
 	// its partners, so that their connections stay open.
 	controlIdleTimeout = 30 * time.Second
-
-	headerTimeout = 10 * time.Second
 )
 
-// maxStreams bounds the calls that one peer has outstanding.
-const maxStreams = 10000
-
-// Clients keeps one HTTP/2 connection to each instance and makes clients for
-// its services. It is safe for concurrent use.
+// Clients keeps up to two connections to each instance and makes clients for
+// its services. A connection is opened when it is first used. It is safe for
+// concurrent use.
 type Clients struct {
-	dial    func(address string) string // address translation, may be nil
-	control bool
+	dial func(address string) string // address translation, may be nil
+	idle time.Duration
 
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
+// peer holds the lanes of one instance. Calls on a saturated connection wait
+// for each other, so work that is not urgent has a connection of its own.
 type peer struct {
-	transport *http.Transport
-	pool      Pool
-	peer      Peer
-	admin     Admin
+	first *lane // urgent work and control
+	bulk  *lane // other work
+	pool  Pool
+	other Pool // Execute on the bulk lane
+	peer  Peer
+	admin Admin
+}
+
+// bulkPool sends Execute on the bulk lane and all other calls on the first one.
+type bulkPool struct {
+	Pool
+	bulk Pool
+}
+
+// Execute implements Pool.
+func (p bulkPool) Execute(ctx context.Context, req *ExecuteRequest) (*ExecuteResponse, error) {
+	return p.bulk.Execute(ctx, req)
 }
 
 // NewClients returns an empty set. translate maps an address to the one that
 // is dialed; nil leaves addresses as they are.
 func NewClients(translate func(string) string) *Clients {
-	return &Clients{dial: translate, peers: make(map[string]*peer)}
+	return &Clients{dial: translate, idle: idleTimeout, peers: make(map[string]*peer)}
 }
 
-// NewControlClients is NewClients for control messages. Their connections send
-// no pings and close sooner: each control call has its own short timeout, and
-// pings on connections to many peers would cost more than the calls.
+// NewControlClients is NewClients for membership and configuration. These visit
+// many peers, so their connections close sooner.
 func NewControlClients(translate func(string) string) *Clients {
 	c := NewClients(translate)
-	c.control = true
+	c.idle = controlIdleTimeout
 	return c
 }
 
-// Pool returns the Pool client of the instance at address.
+// Pool returns the Pool client of the instance at address for urgent work and
+// control.
 func (c *Clients) Pool(address string) Pool { return c.get(address).pool }
 
+// BulkPool returns the Pool client of the instance at address for work that is
+// not urgent. Only its Execute calls use the second connection.
+func (c *Clients) BulkPool(address string) Pool { return c.get(address).other }
+
 // Peer returns the Peer client of the instance at address.
 func (c *Clients) Peer(address string) Peer { return c.get(address).peer }
 
 // Admin returns the Admin client of the instance at address.
 func (c *Clients) Admin(address string) Admin { return c.get(address).admin }
 
-// Forget closes the idle connection to address and drops its clients.
+// Forget closes the idle connections to address and drops its clients.
 func (c *Clients) Forget(address string) {
 	c.mu.Lock()
 	p := c.peers[address]
 	delete(c.peers, address)
 	c.mu.Unlock()
 	if p != nil {
-		p.transport.CloseIdleConnections()
+		p.closeIdle()
 	}
 }
 
@@ -86,7 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.peers {
-		p.transport.CloseIdleConnections()
+		p.closeIdle()
 	}
 }
 
@@ -96,7 +104,7 @@
 	if p, ok := c.peers[address]; ok {
 		return p
 	}
-	p := newPeer(c.target(address), c.control)
+	p := newPeer(c.target(address), c.idle)
 	c.peers[address] = p
 	return p
 }
@@ -108,82 +116,23 @@
 	return c.dial(address)
 }
 
-func newPeer(target string, control bool) *peer {
-	t := &http.Transport{
-		Protocols:       unencryptedHTTP2(),
-		DialContext:     dial,
-		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: readIdle, PingTimeout: pingTimeout},
-	}
-	if control {
-		t.HTTP2 = nil
-		t.IdleConnTimeout = controlIdleTimeout
-	}
-	h := &http.Client{Transport: t}
+func newPeer(target string, idle time.Duration) *peer {
 	base := "http://" + target
+	first, bulk := newLane(idle), newLane(idle)
+	pool := NewPoolProtobufClient(base, first)
 	return &peer{
-		transport: t,
-		pool:      NewPoolProtobufClient(base, h),
-		peer:      NewPeerProtobufClient(base, h),
-		admin:     NewAdminProtobufClient(base, h),
-	}
-}
-
-// Server serves the internal protocol on one listener.
-type Server struct {
-	http     *http.Server
-	lastPool atomic.Int64 // time of the last Pool call, nanoseconds of the Unix time
-}
-
-// NewServer returns a server for the given services; a nil service is not
-// served.
-func NewServer(pool Pool, p Peer, admin Admin) *Server {
-	server := &Server{}
-	mux := http.NewServeMux()
-	if pool != nil {
-		s := NewPoolServer(pool)
-		mux.Handle(s.PathPrefix(), server.notePoolCalls(s))
-	}
-	if p != nil {
-		s := NewPeerServer(p)
-		mux.Handle(s.PathPrefix(), s)
-	}
-	if admin != nil {
-		s := NewAdminServer(admin)
-		mux.Handle(s.PathPrefix(), s)
+		first: first,
+		bulk:  bulk,
+		pool:  pool,
+		other: bulkPool{Pool: pool, bulk: NewPoolProtobufClient(base, bulk)},
+		peer:  NewPeerProtobufClient(base, first),
+		admin: NewAdminProtobufClient(base, first),
 	}
-	server.http = &http.Server{
-		Handler:           http.MaxBytesHandler(mux, MaxMessage),
-		Protocols:         unencryptedHTTP2(),
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
-		IdleTimeout:       idleTimeout,
-		ReadHeaderTimeout: headerTimeout,
-	}
-	return server
 }
 
-func (s *Server) notePoolCalls(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.lastPool.Store(time.Now().UnixNano())
-		next.ServeHTTP(w, r)
-	})
-}
-
-// WaitQuiet returns when no Pool call arrived for d. A draining instance calls
-// it before Shutdown: a call that arrives while a connection closes could not
-// be told from one that was processed.
-func (s *Server) WaitQuiet(ctx context.Context, d time.Duration) error {
-	for {
-		quiet := time.Since(time.Unix(0, s.lastPool.Load()))
-		if quiet >= d {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("peers still send work: %w", ctx.Err())
-		case <-time.After(d - quiet):
-		}
-	}
+func (p *peer) closeIdle() {
+	p.first.CloseIdleConnections()
+	p.bulk.CloseIdleConnections()
 }
 
 func unencryptedHTTP2() *http.Protocols {
@@ -191,19 +140,3 @@
 	p.SetUnencryptedHTTP2(true)
 	return p
 }
-
-// Serve accepts connections until Shutdown or Close.
-func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(greetingListener{l})
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("serve internal protocol: %w", err)
-}
-
-// Shutdown stops accepting calls and waits until those in flight are answered.
-// A peer whose call arrives later learns that it was not processed.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
-// Close closes the listener and all connections.
-func (s *Server) Close() error { return s.http.Close() }
