--- a/examples/run.sh
+++ b/examples/run.sh
@@ -3,12 +3,13 @@
 # platform stand-in, nine database stand-ins and seven instances, each instance
 # from its own YAML file. Ends all of them on Ctrl-C.
 #
-# Usage: examples/run.sh alliance|sahel [directory for logs]
+# Usage: examples/run.sh alliance|sahel|DIRECTORY [directory for logs]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deployment=${1:?usage: examples/run.sh alliance|sahel [log directory]}
 logs=${2:-$(mktemp -d)}
-files=examples/$deployment
+files=$deployment
+[ -d "$files" ] || files=examples/$deployment
 mkdir -p "$logs"
 [ -f "$files/platform.yaml" ] || { echo "no deployment $deployment" >&2; exit 2; }
 
