--- a/test/failover_test.go
+++ b/test/failover_test.go
@@ -28,13 +28,7 @@
 // what callers were told.
 func isolatedPrimary(t *testing.T, opts options) (time.Duration, verdict) {
 	t.Helper()
-	c := startCluster(t, opts)
-	l := startLedger(t, c, failoverGroup, c.order, 2)
-	waitFor(t, 20*time.Second, "writes are acknowledged", func() bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return len(l.entries) > 200
-	})
+	c, l := startWriting(t, opts)
 	old := c.primary(t, failoverGroup)
 	cutAt := time.Now()
 	c.isolateDataCentre(t, "taipei-a")
@@ -56,12 +50,7 @@
 // is cut off from its replicas and the platform while callers still reach it.
 func TestIsolatedPrimaryAcknowledgesNothing(t *testing.T) {
 	gap, v := isolatedPrimary(t, options{})
-	for _, id := range v.lost {
-		t.Errorf("acknowledged write %s is lost", id)
-	}
-	for _, id := range v.ranAnyway {
-		t.Errorf("write %s was refused as not run and was run", id)
-	}
+	v.report(t)
 	if gap > failoverBound {
 		t.Errorf("gap %v, want at most %v", gap, failoverBound)
 	}
@@ -79,13 +68,7 @@
 // primary's connections is frozen under load, a promotion happens, and it goes
 // on afterwards.
 func TestPausedOwnerAcknowledgesNothingLost(t *testing.T) {
-	c := startCluster(t, options{})
-	l := startLedger(t, c, failoverGroup, c.order, 2)
-	waitFor(t, 20*time.Second, "writes are acknowledged", func() bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return len(l.entries) > 200
-	})
+	c, l := startWriting(t, options{})
 	old := c.primary(t, failoverGroup)
 	owners := []string{"gb-1", "gb-2"} // all instances of the primary's data centre
 	for _, in := range owners {
@@ -105,13 +88,7 @@
 	l.finish()
 	c.waitConverged(t, failoverGroup)
 	t.Logf("longest time without an acknowledged write %v", l.longestGap().Round(time.Millisecond))
-	v := l.check(t, failoverGroup)
-	for _, id := range v.lost {
-		t.Errorf("acknowledged write %s is lost", id)
-	}
-	for _, id := range v.ranAnyway {
-		t.Errorf("write %s was refused as not run and was run", id)
-	}
+	l.check(t, failoverGroup).report(t)
 }
 
 // failoverAim is the design's aim for a change of primary.
@@ -145,10 +122,8 @@
 	if slowest := gaps[rounds-1]; slowest > failoverBound {
 		t.Errorf("slowest failover took %v, want at most %v", slowest, failoverBound)
 	}
-	v := l.check(t, failoverGroup)
-	for _, id := range append(v.lost, v.ranAnyway...) {
-		t.Errorf("write %s contradicts what its caller was told", id)
-	}
+	l.check(t, failoverGroup).report(t)
+	c.logPhases(t, failoverGroup)
 }
 
 // loseAndRestorePrimary makes the primary fail and returns the time until the
--- a/test/ledger_test.go
+++ b/test/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sort"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"geraniumbeam/internal/route"
 )
@@ -152,6 +154,36 @@
 	acknowledged, refused, unknown int
 	lost                           []string // acknowledged and not there
 	ranAnyway                      []string // refused as not run and there
+	repeated                       []string // ran again: the row was there already
+}
+
+// report fails the test for each write that contradicts what its caller was
+// told.
+func (v verdict) report(t testing.TB) {
+	t.Helper()
+	for _, id := range v.lost {
+		t.Errorf("acknowledged write %s is lost", id)
+	}
+	for _, id := range v.ranAnyway {
+		t.Errorf("write %s was refused as not run and was run", id)
+	}
+	for _, id := range v.repeated {
+		t.Errorf("write %s was run twice", id)
+	}
+	if v.acknowledged == 0 {
+		t.Error("no write was acknowledged; the proof shows nothing")
+	}
+}
+
+// uniqueViolation is the SQLSTATE of a second row with the same primary key.
+const uniqueViolation = "23505"
+
+func sqlState(err error) string {
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) {
+		return pg.Code
+	}
+	return ""
 }
 
 func (l *ledger) check(t testing.TB, group string) verdict {
@@ -172,12 +204,14 @@
 			if rows[e.id] {
 				v.ranAnyway = append(v.ranAnyway, e.id)
 			}
+		case sqlState(e.err) == uniqueViolation:
+			v.repeated = append(v.repeated, e.id) // each id is sent once
 		default:
 			v.unknown++
 		}
 	}
-	t.Logf("acknowledged %d, refused %d, unknown %d, lost %d, run although refused %d",
-		v.acknowledged, v.refused, v.unknown, len(v.lost), len(v.ranAnyway))
+	t.Logf("acknowledged %d, refused %d, unknown %d, lost %d, run although refused %d, run twice %d",
+		v.acknowledged, v.refused, v.unknown, len(v.lost), len(v.ranAnyway), len(v.repeated))
 	return v
 }
 
