--- a/test/links_test.go
+++ b/test/links_test.go
@@ -78,10 +78,19 @@
 
 // heal restores all links that were cut.
 func (ls *links) heal(t testing.TB) {
+	t.Helper()
+	ls.healLinks(t, func(link) bool { return true })
+}
+
+// healLinks restores the matching links that were cut.
+func (ls *links) healLinks(t testing.TB, match func(link) bool) {
 	t.Helper()
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	for l := range ls.cut {
+		if !match(l) {
+			continue
+		}
 		for _, name := range []string{"cut-up", "cut-down"} {
 			if err := ls.proxies[l].Toxics.RemoveToxic(t.Context(), name); err != nil {
 				t.Logf("heal %v: %v", l, err)
--- /dev/null
+++ b/test/probe_loss_test.go
@@ -0,0 +1,55 @@
+package integration
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	probeLoss      = 0.3                    // share of links that are stalled at a time
+	probeLossSlot  = 300 * time.Millisecond // time between two choices of stalled links
+	probeLossShort = 8 * time.Second
+	probeLossLong  = 10 * time.Minute
+)
+
+// stallAtRandom stalls a share of the matching links, chosen again in each slot,
+// for a period.
+func (c *cluster) stallAtRandom(t *testing.T, rng *rand.Rand, match func(link) bool, period time.Duration) (stalls int) {
+	t.Helper()
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(probeLossSlot) {
+		c.links.heal(t)
+		c.links.cutLinks(t, func(l link) bool {
+			if !match(l) || rng.Float64() >= probeLoss {
+				return false
+			}
+			stalls++
+			return true
+		})
+	}
+	c.links.heal(t)
+	return stalls
+}
+
+// Guards against a promotion that no failure called for: links from instances to
+// one group's databases are stalled at random, so that probes are lost, while
+// the primary works.
+func TestNoPromotionWhileProbesAreLost(t *testing.T) {
+	const seed = 11
+	period := probeLossShort
+	if long {
+		period = probeLossLong
+	}
+	c, l := startWriting(t, options{})
+	before := c.term(t, failoverGroup)
+	members := names(c.members(failoverGroup)...)
+	probes := func(l link) bool { return c.instances[l.from] != nil && members[l.to] }
+	stalls := c.stallAtRandom(t, rand.New(rand.NewPCG(seed, 0)), probes, period)
+	after := c.term(t, failoverGroup)
+	t.Logf("seed %d: %d stalls of a link in %v, term %d before and %d after, %d instances suspected at some time",
+		seed, stalls, period, before, after, len(c.candidates(failoverGroup, before)))
+	if after != before {
+		t.Errorf("term went from %d to %d without a failure", before, after)
+	}
+	c.settle(t, l).report(t)
+}
