Add a harness and tests for partitions

Cause: what each side serves during a partition was stated on the design page and not proved. Ruled out: one deployment for all rows, because a fault of one row would hide those of the next.

--- /dev/null
+++ b/test/partition_test.go
@@ -0,0 +1,135 @@
+package integration
+
+import (
+	"testing"
+	"time"
+)
+
+// The tests of this file are the rows of the table "What is served during a
+// partition" in docs/operators.md. The group's primary is in taipei-a, its
+// replicas in taipei-b and keelung; taoyuan has none of its databases.
+
+// Guards against a data centre that stops its provable reads, or serves reads
+// and writes that it cannot prove, when it is cut off from the others.
+func TestPartitionReplicaFromOthers(t *testing.T) {
+	p := startPartition(t)
+	p.links.cutLinks(t, p.fromOthers("keelung"))
+	p.serves(t, "gb-1", "gb-3", "gb-7")
+	p.last()
+	p.servesProvenReads(t, "gb-5", "gb-6")
+	p.reaches(t, p.order, p.configure(t)) // the platform is reached from both sides
+	p.sameTerm(t)
+	p.acknowledgesNothing(t, "gb-5", "gb-6")
+	p.converges(t)
+}
+
+// Guards against a primary that goes on without its replicas when its data
+// centre is cut off, and against a majority that goes on without a primary.
+func TestPartitionPrimaryFromOthers(t *testing.T) {
+	p := startPartition(t)
+	p.links.cutLinks(t, p.fromOthers("taipei-a"))
+	waitFor(t, 60*time.Second, "another primary is chosen", func() bool { return p.primary(t, failoverGroup) != "huts-1-a" })
+	p.serves(t, "gb-3", "gb-5", "gb-7")
+	p.last()
+	p.session.refused(t, "gb-1", recentClass)
+	p.reaches(t, p.order, p.configure(t))
+	p.acknowledgesNothing(t, "gb-1", "gb-2")
+	p.converges(t)
+}
+
+// Guards against a data centre that needs the platform to go on. Its instances
+// learn changes of the configuration from those of other data centres.
+func TestPartitionFromPlatform(t *testing.T) {
+	p := startPartition(t)
+	p.links.cutLinks(t, p.fromPlatform("taipei-a"))
+	p.last()
+	p.serves(t, p.order...)
+	p.reaches(t, p.order, p.configure(t))
+	p.sameTerm(t)
+	p.converges(t)
+}
+
+// Guards against a data centre that gives up what it can prove when it reaches
+// neither the others nor the platform. Its configuration stays as it was.
+func TestPartitionFromBoth(t *testing.T) {
+	p := startPartition(t)
+	p.links.cutLinks(t, either(p.fromOthers("keelung"), p.fromPlatform("keelung")))
+	before := p.heldVersion("gb-5")
+	p.serves(t, "gb-1", "gb-3", "gb-7")
+	p.reaches(t, []string{"gb-1", "gb-2", "gb-3", "gb-4", "gb-7"}, p.configure(t))
+	p.last()
+	p.servesProvenReads(t, "gb-5", "gb-6")
+	if after := p.heldVersion("gb-5"); after != before {
+		t.Errorf("gb-5 went from version %d to %d without a link", before, after)
+	}
+	p.sameTerm(t)
+	p.acknowledgesNothing(t, "gb-5", "gb-6")
+	p.converges(t)
+}
+
+// Guards against a group that stays without acknowledged writes when the
+// primary's data centre can be reached from the others and cannot reach them.
+func TestPartitionOneDirection(t *testing.T) {
+	p := startPartition(t)
+	inside, cut := p.dataCentre("taipei-a"), p.fromOthers("taipei-a")
+	p.links.cutLinks(t, func(l link) bool { return cut(l) && inside[l.from] })
+	p.serves(t, "gb-3", "gb-5", "gb-7")
+	p.last()
+	p.serves(t, "gb-3", "gb-5", "gb-7")
+	p.converges(t)
+}
+
+// pauseTime is how long an instance is frozen.
+func pauseTime() time.Duration {
+	if long {
+		return 30 * time.Second
+	}
+	return 6 * time.Second
+}
+
+// Guards against an instance that, after a pause, answers with what it knew
+// before, and against callers of other instances who wait for it.
+func TestPartitionInstancePaused(t *testing.T) {
+	p := startPartition(t)
+	p.instances["gb-1"].pause(t)
+	p.serves(t, "gb-2", "gb-3", "gb-5", "gb-7")
+	version := p.configure(t)
+	p.reaches(t, []string{"gb-2", "gb-3", "gb-4", "gb-5", "gb-6", "gb-7"}, version)
+	time.Sleep(time.Until(p.began.Add(pauseTime())))
+	p.sameTerm(t)
+	p.instances["gb-1"].resume(t)
+	p.reaches(t, p.order, version)
+	p.serves(t, "gb-1")
+	p.converges(t)
+}
+
+// Guards against a mechanism that survives one fault and not two: a replica's
+// data centre is cut off from everything while the owner of the primary is
+// paused.
+func TestPartitionTwoAtOnce(t *testing.T) {
+	p := startPartition(t)
+	p.links.cutLinks(t, either(p.fromOthers("keelung"), p.fromPlatform("keelung")))
+	p.instances["gb-1"].pause(t)
+	p.serves(t, "gb-2", "gb-3", "gb-7")
+	p.last()
+	p.servesProvenReads(t, "gb-5", "gb-6")
+	p.acknowledgesNothing(t, "gb-5", "gb-6")
+	p.instances["gb-1"].resume(t)
+	p.converges(t)
+}
+
+// Guards against a recovery that a second partition breaks: the new primary's
+// data centre is cut off while the old primary comes back.
+func TestPartitionDuringRecovery(t *testing.T) {
+	p := startPartition(t)
+	p.links.cutLinks(t, either(p.fromOthers("taipei-a"), p.fromPlatform("taipei-a")))
+	waitFor(t, 60*time.Second, "another primary is chosen", func() bool { return p.primary(t, failoverGroup) != "huts-1-a" })
+	second := p.primary(t, failoverGroup)
+	dc := map[string]string{"huts-1-b": "taipei-b", "huts-1-c": "keelung"}[second]
+	other := map[string]string{"huts-1-b": "gb-5", "huts-1-c": "gb-3"}[second]
+	p.links.heal(t)
+	p.links.cutLinks(t, either(p.fromOthers(dc), p.fromPlatform(dc)))
+	waitFor(t, 60*time.Second, "a third primary is chosen", func() bool { return p.primary(t, failoverGroup) != second })
+	p.serves(t, "gb-1", other, "gb-7")
+	p.converges(t)
+}
