--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"sync"
-	"sync/atomic"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,185 +14,12 @@
 	"geraniumbeam/internal/directory"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/platform"
-	"geraniumbeam/internal/result"
 	standin "geraniumbeam/internal/standin/platform"
 	"geraniumbeam/internal/wire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// gate is a platform.API that can be cut off.
-type gate struct {
-	platform.API
-	closed atomic.Bool
-	calls  atomic.Int64
-}
-
-func (g *gate) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
-	g.calls.Add(1)
-	if g.closed.Load() {
-		return nil, 0, result.Errorf(result.PlatformDown, "cut off")
-	}
-	objects, version, err := g.API.Watch(ctx, kind, after, wait)
-	if g.closed.Load() {
-		return nil, 0, result.Errorf(result.PlatformDown, "cut off")
-	}
-	return objects, version, err
-}
-
-// peer serves a Sync; refuse makes it fail pushes.
-type peer struct {
-	*Sync
-	refuse atomic.Bool
-}
-
-func (p *peer) PushObjects(ctx context.Context, r *wire.PushObjectsRequest) (*wire.PushObjectsResponse, error) {
-	if p.refuse.Load() {
-		return nil, result.Errorf(result.Internal, "refused")
-	}
-	return p.Sync.PushObjects(ctx, r)
-}
-
-func (p *peer) Gossip(context.Context, *wire.GossipRequest) (*wire.GossipResponse, error) {
-	return &wire.GossipResponse{}, nil
-}
-
-type fleet struct {
-	t        *testing.T
-	ctx      context.Context
-	standin  *standin.Server
-	platform platform.API
-	peers    []*peer
-	gates    []*gate
-	live     []ownership.Instance
-}
-
-// newFleet starts n instances, spread over the data centres, that all see each
-// other.
-func newFleet(t *testing.T, n int, dataCentres ...string) *fleet {
-	f := &fleet{t: t}
-	s, err := standin.New(standin.Config{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.standin = s
-	l := listen(t)
-	go func() { _ = s.Serve(l) }()
-	client := platform.NewClient("http://"+l.Addr().String(), platform.Options{Rate: 1e6, Burst: 1e6})
-	f.platform = client
-	ctx, cancel := context.WithCancel(context.Background())
-	f.ctx = ctx
-	clients := wire.NewClients(nil)
-	listeners := make([]net.Listener, n)
-	for i := range n {
-		listeners[i] = listen(t)
-		f.live = append(f.live, ownership.Instance{
-			Name: fmt.Sprintf("i%02d", i), Address: listeners[i].Addr().String(),
-			DataCentre: dataCentres[i%len(dataCentres)],
-		})
-	}
-	var wg sync.WaitGroup
-	var servers []*wire.Server
-	for i := range n {
-		g := &gate{API: client}
-		d := directory.New(f.live[i])
-		d.SetLive(f.live, false)
-		p := &peer{Sync: New(Config{Directory: d, Clients: clients, Platform: g, Log: zerolog.Nop(), Seed: uint64(i)})}
-		f.peers, f.gates = append(f.peers, p), append(f.gates, g)
-		srv := wire.NewServer(nil, p, nil)
-		servers = append(servers, srv)
-		wg.Go(func() { _ = srv.Serve(listeners[i]) })
-	}
-	t.Cleanup(func() {
-		cancel()
-		clients.Close()
-		for _, srv := range servers {
-			_ = srv.Close()
-		}
-		wg.Wait()
-		client.Close()
-		s.Close()
-	})
-	for _, p := range f.peers {
-		wg.Go(func() { _ = p.Run(ctx) })
-	}
-	return f
-}
-
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return l
-}
-
-// gossip lets every instance see the digest of the next one and back.
-func (f *fleet) gossip() {
-	for i, p := range f.peers {
-		j := (i + 1) % len(f.peers)
-		d, v := f.peers[j].cfg.Directory.Digest()
-		p.Observe(f.live[j], d, v)
-		d, v = p.cfg.Directory.Digest()
-		f.peers[j].Observe(f.live[i], d, v)
-	}
-}
-
-func (f *fleet) eventually(what string, cond func() bool) {
-	f.t.Helper()
-	for deadline := time.Now().Add(30 * time.Second); !cond(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			f.t.Fatalf("not within 30 s: %s", what)
-		}
-	}
-}
-
-// everywhere waits until all instances hold the version.
-func (f *fleet) everywhere(version uint64, between func()) {
-	f.t.Helper()
-	f.eventually(fmt.Sprintf("version %d everywhere", version), func() bool {
-		between()
-		for _, p := range f.peers {
-			if p.cfg.Directory.Version() < version {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func (f *fleet) relays() []int {
-	var out []int
-	for i, p := range f.peers {
-		if RelayRank(p.self, f.live) >= 0 {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
-func (f *fleet) watching() {
-	f.eventually("relays watch", func() bool {
-		for _, i := range f.relays() {
-			if f.gates[i].calls.Load() < int64(2*len(Kinds)) { // start and waiting watch
-				return false
-			}
-		}
-		return true
-	})
-}
-
-// platformCalls counts the calls that instances started. The stand-in counts a
-// call only when it arrives, which may be after watching returned.
-func (f *fleet) platformCalls() int64 {
-	var n int64
-	for _, g := range f.gates {
-		n += g.calls.Load()
-	}
-	return n
-}
-
 func service(name string) []byte {
 	return fmt.Appendf(nil, `{"name":%q,"groups":["g"]}`, name)
 }
@@ -203,14 +28,15 @@
 // grow with the number of instances.
 func TestPushReachesAllInstances(t *testing.T) {
 	f := newFleet(t, 24, "a", "b")
-	f.standin.PutObject(platform.KindService, "s", service("s"))
 	f.watching()
-	before := f.platformCalls()
+	before := f.standin.Counts().Total()
 	for i := range 10 {
+		start := time.Now()
 		o := f.standin.PutObject(platform.KindService, "s", fmt.Appendf(nil, `{"name":"s","groups":["g%d"]}`, i))
 		f.everywhere(o.Version, func() {})
+		t.Logf("change %d in effect on all instances after %v", i, time.Since(start).Round(time.Millisecond))
 	}
-	calls := f.platformCalls() - before
+	calls := f.standin.Counts().Total() - before
 	if want := int64(10 * 2 * Relays); calls > want {
 		t.Fatalf("10 changes cost %d platform calls, want at most %d", calls, want)
 	}
@@ -349,3 +175,70 @@
 		}
 	})
 }
+
+// Guards against a subtree that is lost because its first instance fails.
+func TestPushSkipsFailedChild(t *testing.T) {
+	f := newFleet(t, 3, "a")
+	f.peers[1].refuse.Store(true)
+	o := platform.Object{Kind: platform.KindService, Name: "s", Version: 7, Data: service("s")}
+	f.peers[0].pushSubtree(f.ctx, toWire([]platform.Object{o}), subtree{child: f.live[1], below: f.live[2:]})
+	if v := f.peers[2].cfg.Directory.Version(); v != 7 {
+		t.Fatalf("the instance below has version %d, want 7", v)
+	}
+}
+
+// Guards against a data centre without news after its relays died.
+func TestRelayTakesOver(t *testing.T) {
+	f := newFleet(t, 6, "a")
+	f.watching()
+	rest := slices.Clone(f.live)
+	for _, i := range slices.Backward(f.relays()) {
+		f.gates[i].closed.Store(true)
+		f.peers[i].refuse.Store(true)
+		rest = slices.Delete(rest, i, i+1)
+	}
+	for i, p := range f.peers {
+		if slices.Contains(rest, f.live[i]) {
+			p.cfg.Directory.SetLive(rest, false)
+		}
+	}
+	o := f.standin.PutObject(platform.KindService, "s", service("s"))
+	f.eventually("the others have it", func() bool {
+		for i, p := range f.peers {
+			if slices.Contains(rest, f.live[i]) && p.cfg.Directory.Version() < o.Version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against repairs that repeat in a loop, or that never compare all
+// versions, when a peer holds an object that is not valid here.
+func TestRepairBacksOff(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := peerDigest{digest: 1, version: 9}
+	var r repairState
+	if above, wanted := r.next(now, p, 2, 5); !above || !wanted {
+		t.Fatal("a peer that is ahead must be asked for higher versions first")
+	}
+	r.done(now, false)
+	fetches := 0
+	for range 600 {
+		now = now.Add(time.Second)
+		above, wanted := r.next(now, p, 2, 5)
+		if above {
+			t.Fatal("asked for higher versions again without progress")
+		}
+		if wanted {
+			fetches++
+			r.done(now, false)
+		}
+	}
+	if fetches < 10 || fetches > 20 {
+		t.Fatalf("%d repairs in ten minutes without progress, want 10 to 20", fetches)
+	}
+	if _, wanted := r.next(now, p, 1, 9); wanted || r.full {
+		t.Fatal("equal digests must end the repair")
+	}
+}
--- a/internal/failover/election.go
+++ b/internal/failover/election.go
@@ -10,15 +10,16 @@
 // Delays of candidates. The owner of the database with the highest position
 // acts first; the others give it time to take the term.
 const (
-	maxJitter = 100 * time.Millisecond
+	maxJitter = 50 * time.Millisecond
 	rankDelay = 250 * time.Millisecond
-	minRetry  = 200 * time.Millisecond
+	minRetry  = 50 * time.Millisecond
 	maxRetry  = 1 * time.Second
 )
 
 // Ballot is the evidence of one instance. It counts in favour of a candidate
 // only if the instance suspects the primary itself.
 type Ballot struct {
+	From     string // name of the instance
 	Suspect  bool
 	Evidence []Evidence
 }
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -28,6 +28,7 @@
 	r         *Runner
 	group     string
 	suspicion suspicion
+	handover  bool // the primary works and is leaving
 	plan      *Plan
 	handles   map[string]*handle // databases that answered
 	phases    []phase
@@ -50,7 +51,8 @@
 	if err := p.reach(ctx); err != nil {
 		return err
 	}
-	raising, promoted := false, false
+	raising := false
+	var following <-chan int // set once a database was promoted
 	for ctx.Err() == nil {
 		switch step := p.plan.Step(); step {
 		case StepRead, StepReadBack:
@@ -66,28 +68,34 @@
 		case StepPromote:
 			p.promote(ctx)
 		case StepPublish:
-			if !promoted {
-				promoted = true
-				p.announce(ctx)
+			if following == nil {
+				following = p.announce(ctx)
 			}
 			p.write(ctx)
-		case StepDone:
-			return nil
-		case StepAbandoned:
-			if promoted {
-				p.r.cfg.Log.Warn().Err(p.plan.Err()).Str("group", p.group).Msg("the platform was not told of the new primary")
-				return nil
-			}
-			if g := p.plan.Group(); g.Term > p.suspicion.view.Term {
-				p.r.cfg.Directory.LearnPrimary(p.group, g.Term, g.Primary)
-			}
-			return p.plan.Err()
+		case StepDone, StepAbandoned:
+			return p.finish(following)
+		}
+	}
+	p.plan.Abandon(fmt.Errorf("out of time: %w", ctx.Err()))
+	return p.finish(following)
+}
+
+// finish reports the outcome. A promotion counts as done even if the platform
+// was not told: the primary's owner makes up for it.
+func (p *promotion) finish(following <-chan int) error {
+	if following == nil {
+		if g := p.plan.Group(); g.Term > p.suspicion.view.Term {
+			p.r.cfg.Directory.LearnPrimary(p.group, g.Term, g.Primary)
 		}
+		return p.plan.Err()
 	}
-	if promoted {
-		return nil
+	followers := <-following
+	p.endPhase("redirect")
+	p.report(followers)
+	if err := p.plan.Err(); err != nil {
+		p.r.cfg.Log.Warn().Err(err).Str("group", p.group).Msg("the platform was not told of the new primary")
 	}
-	return fmt.Errorf("out of time: %w", ctx.Err())
+	return nil
 }
 
 // reach connects to a majority before a term is taken, because a term that is
@@ -96,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	need := Majority(len(p.suspicion.group.Databases))
-	replies := p.r.gather(ctx, p.r.handles(p.suspicion.group.Databases), need, reachGrace,
+	replies := p.r.gather(ctx, p.r.handles(p.suspicion.group.Databases), need, reachGrace, p.lost(),
 		func(ctx context.Context, c backend.Control) (backend.Status, error) { return c.Status(ctx) })
 	p.keep(replies)
 	if len(replies) < need {
@@ -112,12 +120,40 @@
 			healthy++
 		}
 	}
+	if p.handover {
+		return p.successor(replies)
+	}
 	if healthy >= need {
 		return ErrFalseAlarm
 	}
 	return nil
 }
 
+// lost is the database that is not waited for.
+func (p *promotion) lost() string {
+	if p.handover {
+		return ""
+	}
+	return p.suspicion.view.Primary
+}
+
+// successor checks that a database which is not leaving has all that the
+// primary has, so that a handover cuts off next to nothing.
+func (p *promotion) successor(replies map[string]reply) error {
+	primary, ok := replies[p.suspicion.view.Primary]
+	if !ok {
+		return fmt.Errorf("primary %s is leaving and did not answer", p.suspicion.view.Primary)
+	}
+	for name, a := range replies {
+		db, _ := p.suspicion.group.Database(name)
+		if name != p.suspicion.view.Primary && !db.Leaving && !a.status.Leaving && a.status.Last == primary.status.Last {
+			p.r.record(p.group, p.suspicion.view.Primary, fmt.Sprintf("the primary of term %d is leaving; candidate", p.suspicion.view.Term))
+			return nil
+		}
+	}
+	return fmt.Errorf("primary %s is leaving and no other database has its position", p.suspicion.view.Primary)
+}
+
 func (p *promotion) keep(replies map[string]reply) {
 	p.handles = make(map[string]*handle)
 	for name, a := range replies {
@@ -197,7 +233,7 @@
 	if len(p.handles) >= need {
 		all = slices.Collect(maps.Values(p.handles)) // the others did not answer just now
 	}
-	replies := p.r.gather(ctx, all, need, reachGrace,
+	replies := p.r.gather(ctx, all, need, reachGrace, p.lost(),
 		func(ctx context.Context, c backend.Control) (backend.Status, error) {
 			if p.r.cfg.NoFencing {
 				return c.Status(ctx)
@@ -234,13 +270,12 @@
 	}
 }
 
-// announce tells this instance of the new primary and makes the others
-// follow it. Databases that do not answer are repaired by their owners.
-func (p *promotion) announce(ctx context.Context) {
+// announce tells this instance of the new primary and makes the others follow
+// it, while the platform is told. The channel gives the number of followers.
+// Databases that do not answer are repaired by their owners.
+func (p *promotion) announce(ctx context.Context) <-chan int {
 	term, chosen := p.plan.Term(), p.plan.Chosen()
 	p.r.cfg.Directory.LearnPrimary(p.group, term, chosen)
-	ctx, cancel := context.WithTimeout(ctx, databaseTimeout)
-	defer cancel()
 	var followers []*handle
 	address := ""
 	for _, h := range p.all() {
@@ -249,20 +284,22 @@
 		} else {
 			followers = append(followers, h)
 		}
-	}
-	need := Majority(len(followers)+1) - 1
-	replies := p.r.gather(ctx, followers, need, reachGrace,
-		func(ctx context.Context, c backend.Control) (backend.Status, error) {
-			return followPrimary(ctx, c, term, address)
-		})
-	for _, h := range followers {
 		delete(p.handles, h.db.Name)
 	}
-	for name, a := range replies {
-		p.handles[name] = a.h
-	}
-	p.endPhase("redirect")
-	p.report(len(replies))
+	done := make(chan int, 1)
+	p.r.running.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, databaseTimeout)
+		defer cancel()
+		replies := p.r.gather(ctx, followers, Majority(len(followers)+1)-1, reachGrace, p.lost(),
+			func(ctx context.Context, c backend.Control) (backend.Status, error) {
+				return followPrimary(ctx, c, term, address)
+			})
+		for _, a := range replies {
+			a.h.close()
+		}
+		done <- len(replies)
+	})
+	return done
 }
 
 // followPrimary raises the term first: the database may have missed it.
