--- a/test/failover_platform_test.go
+++ b/test/failover_platform_test.go
@@ -10,6 +10,7 @@
 // Guards against a candidate that takes a second term, or gives up, because the
 // answer to its conditional update was lost after the update took effect.
 func TestPromotionWithLostPlatformAnswers(t *testing.T) {
+	heavy(t)
 	c, l := startWriting(t, options{})
 	before := c.term(t, failoverGroup)
 	c.setFaults(t, standin.Faults{LostPuts: 1})
@@ -35,6 +36,7 @@
 // hang or end with an unknown outcome while no promotion is possible: reads that
 // a replica can prove go on, writes are refused as not run.
 func TestPrimaryLostDuringPlatformOutage(t *testing.T) {
+	heavy(t)
 	// All faults last this long; it is several times the time to a promotion.
 	const outage = 6 * time.Second
 	c, l := startWriting(t, options{seed: addAgeClasses})
--- a/test/failover_race_test.go
+++ b/test/failover_race_test.go
@@ -76,12 +76,12 @@
 
 func (c *cluster) reportPromotions(t *testing.T, group string) {
 	t.Helper()
+	c.logPhases(t, group)
 	for term, databases := range c.promotions(group) {
 		if len(databases) != 1 {
 			t.Errorf("term %s has the primaries %v", term, databases)
 		}
 	}
-	c.logPhases(t, group)
 }
 
 // maxRaceRounds bounds the attempts to make two candidates meet. The slow
@@ -91,6 +91,7 @@
 // Guards against two primaries of one term, and two terms for one loss, when two
 // instances see the loss at the same time and propose the same term.
 func TestTwoCandidatesAtOnce(t *testing.T) {
+	heavy(t)
 	c, l := startWriting(t, options{})
 	met := false
 	for round := 0; round < maxRaceRounds && !met; round++ {
@@ -124,6 +125,7 @@
 // paused and another one took the next term. It is paused after it took its term
 // and, in a second round, after it raised the term of a majority.
 func TestCandidatePausedInPromotion(t *testing.T) {
+	heavy(t)
 	c, l := startWriting(t, options{})
 	api := c.api()
 	defer api.Close()
@@ -207,11 +209,13 @@
 // Guards against a promotion that loses writes which the old primary confirmed
 // in the meantime.
 func TestPromotionWithFencingLosesNothing(t *testing.T) {
+	heavy(t)
 	promoteDuringReturn(t, options{}).report(t)
 }
 
 // Shows that raising a majority first is what keeps the promise.
 func TestPromotionWithoutFencingLoses(t *testing.T) {
+	heavy(t)
 	v := promoteDuringReturn(t, options{
 		unsafe:   settings.Unsafe{NoFencing: true},
 		database: []string{"--unsafe"},
--- a/test/partition_harness_test.go
+++ b/test/partition_harness_test.go
@@ -53,6 +53,7 @@
 	})
 	p.stop = sync.OnceFunc(func() { close(done); wg.Wait() })
 	t.Cleanup(p.stop)
+	waitFor(t, 30*time.Second, "all versions are known", func() bool { return p.watch.everywhere(c.order, 1) })
 	p.began = time.Now()
 	return p
 }
@@ -69,7 +70,9 @@
 // reaches waits until the instances hold a version of the class.
 func (p *partition) reaches(t *testing.T, instances []string, version uint64) {
 	t.Helper()
+	start := time.Now()
 	waitFor(t, 30*time.Second, "the configuration is in force", func() bool { return p.watch.everywhere(instances, version) })
+	t.Logf("version %d in force on %d instances after %v", version, len(instances), time.Since(start).Round(time.Millisecond))
 }
 
 // serves checks that reads and writes go on through the instances.
@@ -115,7 +118,9 @@
 func (p *partition) converges(t *testing.T) {
 	t.Helper()
 	p.links.heal(t)
+	healed := time.Now()
 	p.settle(t, p.ledger).report(t)
+	t.Logf("the group converged %v after the repair", time.Since(healed).Round(time.Millisecond))
 	version := p.configure(t)
 	p.reaches(t, p.order, version)
 	p.waitPublished(t, failoverGroup)
--- a/test/probe_loss_test.go
+++ b/test/probe_loss_test.go
@@ -35,6 +35,7 @@
 // one group's databases are stalled at random, so that probes are lost, while
 // the primary works.
 func TestNoPromotionWhileProbesAreLost(t *testing.T) {
+	heavy(t)
 	const seed = 11
 	period := probeLossShort
 	if long {
