Let a primary resign that cannot reach its replicas' owners

Cause: with connections from the primary's data centre to the others cut in that direction only, the pool of the primary cannot ask for confirmations while the replicas hear the primary. Ruled out: reports pushed by the replicas' owners, which need a new message with sequence numbers for verified reads; a term raised on the primary alone, which would stop it without the platform. Change: if nobody in the replicas' data centres answers the primary's active owner for 3 s, it takes the next term without a primary and marks the old one as avoid. The rest is the path of a candidate that failed after it took a term. An owner that answers that its replica is down prevents it. Two data centres that lose all instances at once cost one more change of primary when they return.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,17 +117,18 @@
 		Open:      d.open,
 	})
 	d.failover = failover.New(failover.Config{
-		Self:      d.dir.Self(),
-		Directory: d.dir,
-		Clients:   d.clients,
-		Platform:  d.platform,
-		Statuses:  d.pool.Statuses,
-		Open:      d.open,
-		Events:    d.events,
-		Log:       telemetry.Part(d.log, telemetry.PartFailover),
-		Clock:     clock.Real{},
-		Seed:      seed,
-		NoFencing: d.cfg.Unsafe.NoFencing,
+		Self:        d.dir.Self(),
+		Directory:   d.dir,
+		Clients:     d.clients,
+		Platform:    d.platform,
+		Statuses:    d.pool.Statuses,
+		Unconfirmed: d.pool.Unconfirmed,
+		Open:        d.open,
+		Events:      d.events,
+		Log:         telemetry.Part(d.log, telemetry.PartFailover),
+		Clock:       clock.Real{},
+		Seed:        seed,
+		NoFencing:   d.cfg.Unsafe.NoFencing,
 	})
 	d.pool.SetVoter(d.failover)
 }
--- a/internal/failover/campaign.go
+++ b/internal/failover/campaign.go
@@ -124,6 +124,41 @@
 	return p.run(ctx)
 }
 
+// resignAfter is how long nobody in the replicas' data centres must have answered
+// the owner of a primary that waits for confirmations. Replicas that have lost
+// the primary too replace it in less.
+const resignAfter = 3 * time.Second
+
+// tryResign takes a term without a primary, for a primary that is still heard by
+// its replicas while its owner cannot reach theirs. The owners of the replicas
+// then replace it. Nothing is raised or promoted here, so that the effect is that
+// of a candidate that failed after it took a term.
+func (r *Runner) tryResign(ctx context.Context, w *watch) error {
+	s, _ := r.suspect(w)
+	if s.view.Primary == "" {
+		return ErrFalseAlarm
+	}
+	r.record(w.group, s.view.Primary, fmt.Sprintf("no replica confirms to the primary of term %d; it resigns", s.view.Term))
+	p := &promotion{
+		r: r, group: w.group, suspicion: s, mark: s.at,
+		plan: NewResignation(s.view.Term, s.view.Primary, r.cfg.Self.Name, uuid.NewString()),
+	}
+	for ctx.Err() == nil {
+		switch p.plan.Step() {
+		case StepRead, StepReadBack:
+			p.read(ctx)
+		case StepTake:
+			p.write(ctx)
+		case StepAbandoned:
+			return p.finish(nil)
+		default:
+			r.cfg.Directory.LearnPrimary(w.group, p.plan.Term(), "")
+			return nil
+		}
+	}
+	return fmt.Errorf("resign: %w", ctx.Err())
+}
+
 // withElection reads a delay; Jitter and Retry change the random source.
 func (r *Runner) withElection(w *watch, f func(*Election) time.Duration) time.Duration {
 	r.mu.Lock()
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -49,7 +49,8 @@
 	candidate string
 	nonce     string
 	noFencing bool
-	exclude   string // primary that is leaving and must not be chosen
+	exclude   string // primary that is leaving or resigned and must not be chosen
+	resign    string // primary that gives up its term
 
 	version  uint64         // of the group object
 	group    platform.Group // as last read
@@ -73,6 +74,14 @@
 	return p
 }
 
+// NewResignation starts a plan that only takes the term after the primary's, so
+// that others replace it. It is complete at StepRaise.
+func NewResignation(term uint64, primary, candidate, nonce string) *Plan {
+	p := NewPlan(term, candidate, nonce, false)
+	p.resign = primary
+	return p
+}
+
 // Step returns what is to be done.
 func (p *Plan) Step() Step { return p.step }
 
@@ -125,6 +134,9 @@
 		p.Abandon(fmt.Errorf("term %d is taken by %q: %w", g.Term, g.Candidate, ErrSuperseded))
 	default:
 		p.version, p.group = version, g
+		if p.exclude == "" {
+			p.exclude = g.Avoid
+		}
 		// A database can be ahead of the platform only if the platform lost
 		// data; the new term must still be above it.
 		p.term = max(g.Term, p.suspected) + 1
@@ -164,7 +176,7 @@
 func (p *Plan) Proposal() (uint64, platform.Group) {
 	g := p.group
 	g.Term, g.Candidate, g.Nonce = p.term, p.candidate, p.nonce
-	g.Primary = p.chosen
+	g.Primary, g.Avoid = p.chosen, p.resign
 	return p.version, g
 }
 
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -35,6 +35,9 @@
 	// Statuses returns the latest statuses of the databases that this
 	// instance owns; an empty group means all groups.
 	Statuses func(group string) []*wire.DatabaseStatus
+	// Unconfirmed returns for how long nobody in the replicas' data centres has
+	// answered the owner of a primary that waits for confirmations; nil: never.
+	Unconfirmed func(database string) time.Duration
 	// Open returns the adapter of a database.
 	Open       func(platform.Database) backend.Database
 	Events     events.Recorder
@@ -121,10 +124,16 @@
 		}
 		attempt := r.tryPromote
 		if !w.detector.Suspect(now) {
-			if !w.detector.Handover(now) || !r.ownsPrimary(g) {
+			switch {
+			case !r.ownsPrimary(g):
+				continue
+			case w.detector.Handover(now):
+				attempt = r.tryHandover
+			case r.cfg.Unconfirmed != nil && r.cfg.Unconfirmed(g.Primary) >= resignAfter && w.detector.View().Primary == g.Primary:
+				attempt = r.tryResign
+			default:
 				continue
 			}
-			attempt = r.tryHandover
 		}
 		w.busy = true
 		r.running.Go(func() { r.campaign(ctx, w, attempt) })
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -52,6 +52,7 @@
 	Primary   string     `json:"primary,omitempty"` // empty during a change of primary
 	Candidate string     `json:"candidate,omitempty"`
 	Nonce     string     `json:"nonce,omitempty"` // identifies the candidate's update
+	Avoid     string     `json:"avoid,omitempty"` // resigned primary; the next candidate chooses another database if it can
 	Databases []Database `json:"databases"`
 }
 
--- a/internal/pool/confirmer.go
+++ b/internal/pool/confirmer.go
@@ -40,6 +40,10 @@
 	// silent is when waits began without an answer of a replica since, in
 	// nanoseconds of the pool's clock, or 0.
 	silent atomic.Int64
+	// failing is when the first of the latest calls began that nobody in a
+	// replica's data centre answered, and failed when the last of them ended, in
+	// nanoseconds of the pool's clock, or 0.
+	failing, failed atomic.Int64
 
 	mu      sync.Mutex
 	tracker *confirm.Tracker
@@ -177,12 +181,40 @@
 		call = c.sequence.Add(1)
 	}
 	position := backend.Position{Term: term, Offset: offset}
+	began := c.u.pool.cfg.Clock.Now()
 	c.busy[key] = c.u.spawn(func() {
-		s, ok := c.u.ask(c.u.ctx, p, position)
+		s, ok, heard := c.u.ask(c.u.ctx, p, position)
+		c.count(began, heard)
 		c.report(key, call, s, ok)
 	})
 }
 
+// failedTogether is the longest time between the ends of two failed calls that
+// belong together. A call that waits for a position at two owners takes 3 s.
+const failedTogether = 4 * time.Second
+
+// count notes whether a call was answered from the replica's data centre.
+func (c *confirmer) count(began time.Time, heard bool) {
+	now := c.u.pool.cfg.Clock.Now()
+	switch {
+	case heard:
+		c.failing.Store(0)
+	case c.failing.Load() == 0 || now.UnixNano()-c.failed.Load() > failedTogether.Nanoseconds():
+		c.failing.Store(began.UnixNano())
+	}
+	c.failed.Store(now.UnixNano())
+}
+
+// unconfirmed returns for how long no call to a replica was answered, or 0 if
+// there was no call lately.
+func (c *confirmer) unconfirmed() time.Duration {
+	failing, failed := c.failing.Load(), c.failed.Load()
+	if failing == 0 || c.u.pool.cfg.Clock.Now().UnixNano()-failed > failedTogether.Nanoseconds() {
+		return 0
+	}
+	return time.Duration(failed - failing)
+}
+
 // report takes the result of a call and starts the next one if it is needed.
 func (c *confirmer) report(key callKey, call uint64, s backend.Status, ok bool) {
 	if !ok {
@@ -215,8 +247,10 @@
 
 // ask returns the status of another database of the group once it reaches
 // position, or for offset 0 a status that was read after the call began. It
-// tries the owners in order. ok is false if none answered.
-func (u *unit) ask(ctx context.Context, p peer, position backend.Position) (s backend.Status, ok bool) {
+// tries the owners in order. ok is false if none answered with a status. heard
+// is true if an owner in the database's data centre answered at all: then the
+// way there works, and a database that does not answer has failed.
+func (u *unit) ask(ctx context.Context, p peer, position backend.Position) (s backend.Status, ok, heard bool) {
 	req := &wire.ConfirmRequest{
 		Group: u.group, Database: p.name,
 		Position: wire.NewPosition(position), WaitMs: confirmWait.Milliseconds(),
@@ -227,11 +261,12 @@
 	}
 	for _, owner := range p.owners {
 		resp, err := u.askOwner(ctx, owner, req, timeout)
+		heard = heard || (err == nil && owner.DataCentre == p.dataCentre)
 		if err == nil && resp.GetFailure() == nil && resp.GetStatus().GetReachable() && resp.GetStatus().GetDatabase() == p.name {
-			return wire.StatusOf(resp.GetStatus()), true
+			return wire.StatusOf(resp.GetStatus()), true, true
 		}
 	}
-	return backend.Status{}, false
+	return backend.Status{}, false, heard
 }
 
 func (u *unit) askOwner(ctx context.Context, owner ownership.Instance, req *wire.ConfirmRequest, timeout time.Duration) (*wire.ConfirmResponse, error) {
--- a/internal/pool/replica.go
+++ b/internal/pool/replica.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		begin := h.u.pool.cfg.Clock.Now()
-		s, ok := h.u.ask(h.u.ctx, p, backend.Position{})
+		s, ok, _ := h.u.ask(h.u.ctx, p, backend.Position{})
 		if ok && s.Role == backend.RolePrimary {
 			h.add(sample{begin: begin, term: s.Term, position: s.Last})
 		}
--- a/internal/pool/rpc.go
+++ b/internal/pool/rpc.go
@@ -78,6 +78,16 @@
 	return out
 }
 
+// Unconfirmed returns for how long nobody in the replicas' data centres has
+// answered an owned primary that waits for confirmations, or 0.
+func (p *Pool) Unconfirmed(database string) time.Duration {
+	u := p.unit(database)
+	if u == nil {
+		return 0
+	}
+	return u.confirm.unconfirmed()
+}
+
 // Vote implements wire.Pool.
 func (p *Pool) Vote(ctx context.Context, req *wire.VoteRequest) (*wire.VoteResponse, error) {
 	if v := p.voter.Load(); v != nil {
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -28,8 +28,9 @@
 
 // peer is another database of the group and who answers for it.
 type peer struct {
-	name   string
-	owners []ownership.Instance
+	name       string
+	dataCentre string
+	owners     []ownership.Instance
 }
 
 // unit is the state of one owned database.
@@ -117,7 +118,7 @@
 	peers := make([]peer, 0, len(g.Databases))
 	for _, d := range g.Databases {
 		if d.Name != u.db.Name {
-			peers = append(peers, peer{name: d.Name, owners: u.pool.cfg.Directory.Owners(d)})
+			peers = append(peers, peer{name: d.Name, dataCentre: d.DataCentre, owners: u.pool.cfg.Directory.Owners(d)})
 		}
 	}
 	u.peers.Store(&peers)
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -98,6 +98,22 @@
 	p.converges(t)
 }
 
+// Guards against a primary that resigns because its replicas are down, which
+// would make the platform necessary for the next write.
+func TestPartitionReplicasDown(t *testing.T) {
+	p := startPartition(t)
+	p.databases["huts-1-b"].kill(t)
+	p.databases["huts-1-c"].kill(t)
+	p.last()
+	p.sameTerm(t)
+	p.acknowledgesNothing(t, p.order...)
+	p.databases["huts-1-b"].start(t)
+	p.databases["huts-1-c"].start(t)
+	p.serves(t, p.order...)
+	p.sameTerm(t)
+	p.converges(t)
+}
+
 // pauseTime is how long an instance is frozen.
 func pauseTime() time.Duration {
 	if long {
