--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -29,6 +29,8 @@
 	nextTx    int
 	calls     []*wire.ExecuteRequest
 	addresses []string
+	bulk      map[string]int // calls that used the bulk lane, by class
+	urgent    map[string]int // calls that used the other lane, by class
 	ended     []string
 	kept      map[string]int
 	cancelled chan string
@@ -36,16 +38,21 @@
 	discard   bool // calls are not kept
 	// intercept may replace the answer to a call; nil, nil lets it run.
 	intercept func(address string, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error)
+	// interceptContext, if set, gets each call instead and ends it with an error.
+	interceptContext func(ctx context.Context, req *wire.ExecuteRequest) error
 }
 
 func newFakeCluster() *fakeCluster {
 	return &fakeCluster{
 		term: 1, primary: "db-a", offsets: map[string]uint64{"db-a": 1, "db-b": 1, "db-c": 1},
-		down: map[string]bool{}, tx: map[string]uint64{}, kept: map[string]int{}, cancelled: make(chan string, 10),
+		down: map[string]bool{}, tx: map[string]uint64{}, kept: map[string]int{},
+		bulk: map[string]int{}, urgent: map[string]int{}, cancelled: make(chan string, 10),
 	}
 }
 
-func (f *fakeCluster) Pool(address string) wire.Pool { return &fakePool{f, address} }
+func (f *fakeCluster) Pool(address string) wire.Pool { return &fakePool{f, address, false} }
+
+func (f *fakeCluster) BulkPool(address string) wire.Pool { return &fakePool{f, address, true} }
 
 func (f *fakeCluster) set(change func()) {
 	f.mu.Lock()
@@ -77,24 +84,33 @@
 type fakePool struct {
 	f       *fakeCluster
 	address string
+	bulk    bool
 }
 
 func errDial(address string) error {
 	return fmt.Errorf("call: %w", &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("refused by %s", address)})
 }
 
-func (p *fakePool) Execute(_ context.Context, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error) {
+func (p *fakePool) Execute(ctx context.Context, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error) {
 	f := p.f
 	f.mu.Lock()
-	intercept := f.intercept
+	intercept, interceptContext := f.intercept, f.interceptContext
 	if !f.discard {
 		f.calls, f.addresses = append(f.calls, req), append(f.addresses, p.address)
 	}
+	lane := f.urgent
+	if p.bulk {
+		lane = f.bulk
+	}
+	lane[req.GetClass()]++
 	isDown := f.down[p.address]
 	f.mu.Unlock()
 	if isDown {
 		return nil, errDial(p.address)
 	}
+	if interceptContext != nil {
+		return nil, interceptContext(ctx, req)
+	}
 	if intercept != nil {
 		if resp, err := intercept(p.address, req); resp != nil || err != nil {
 			return resp, err
--- a/test/outage_test.go
+++ b/test/outage_test.go
@@ -36,7 +36,7 @@
 	}
 	defer resp.Body.Close()
 	var vars struct {
-		Platform map[string]int `json:"platform"`
+		Platform map[string]int `json:"platform_calls"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
 		t.Fatal(err)
