Stop examples/run.sh when its addresses are in use

Cause: the script went on when its processes could not bind their addresses. geraniumbeamctl status then succeeded against another deployment on the same addresses, and the script printed that one's status as its own.

Change: the script checks that each process it started still runs, before and after the first status, and ends with exit code 1 and the names of the logs.

Proof: in a scratch copy with other ports and the platform's address occupied by a listener, the script ends with exit code 1.

--- a/examples/run.sh
+++ b/examples/run.sh
@@ -38,7 +38,25 @@
 	pids+=($!)
 done
 
-until bin/geraniumbeamctl --platform "http://$platform" status >/dev/null 2>&1; do sleep 0.2; done
+# A process that ended could not start, for example because its address is in
+# use. Without this check another deployment on the same addresses would answer.
+check() {
+	for pid in "${pids[@]}"; do
+		if ! kill -0 "$pid" 2>/dev/null; then
+			echo "A process did not start; is another deployment running? Logs: $logs" >&2
+			grep -lE "in use|error" "$logs"/*.log >&2 || true
+			exit 1
+		fi
+	done
+}
+
+sleep 1
+check
+until bin/geraniumbeamctl --platform "http://$platform" status >/dev/null 2>&1; do
+	check
+	sleep 0.2
+done
+check
 bin/geraniumbeamctl --platform "http://$platform" status
 echo "Logs: $logs"
 echo "Callers: $(sed -n 's/^listen_callers: //p' "$files"/*-[0-9].yaml | tr '\n' ' ')"
