Prove bad input harmless and report objects that instances reject

Cause: an object that another client stored on the platform and that is not valid was rejected by each instance with a log line and an event per offer; get left it out without a word, and status did not show it.

--- a/internal/catalog/describe.go
+++ b/internal/catalog/describe.go
@@ -22,7 +22,7 @@
 	}
 	line("%s", rankSentences[c.Rank])
 	line("%g %% of its requests are to be answered within %v. A request that cannot be answered in time is refused at once, was not run, and may be sent again later.",
-		c.ObjectiveShare()*100, c.ServedIn.Std())
+		c.ObjectiveShare()*100, c.ServedIn)
 	line("%s", describeReads(c.Reads))
 	line("%s", describeRepeat(c))
 	return b.String()
@@ -32,7 +32,7 @@
 	if r.MaxAge == 0 {
 		return "A read sees the session's own writes. It may be answered by a replica that holds them."
 	}
-	s := fmt.Sprintf("A read sees the session's own writes and data at most %v old. ", r.MaxAge.Std())
+	s := fmt.Sprintf("A read sees the session's own writes and data at most %v old. ", r.MaxAge)
 	if r.WhenStale == WhenStaleMark {
 		return s + "When the age cannot be proved, the read is answered and marked stale."
 	}
@@ -48,5 +48,5 @@
 		life = DefaultKeyLifetime
 	}
 	return fmt.Sprintf("A request is never run again by the system once it was sent to a database. A caller that repeats it with the same request key within %v gets the first outcome.",
-		life.Round(time.Second))
+		Duration(life.Round(time.Second)))
 }
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -26,7 +26,6 @@
 	"geraniumbeam/internal/events"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/platform"
-	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/wire"
 )
 
@@ -56,6 +55,7 @@
 	random   *rand.Rand
 	relay    int // rank among the data centre's relays, -1 if none
 	isLoaded bool
+	rejected map[string]struct{} // errors that were reported
 }
 
 // New returns a Sync that does nothing until Run.
@@ -74,6 +74,7 @@
 		loaded:   make(chan struct{}),
 		random:   rand.New(rand.NewPCG(cfg.Seed, 1)),
 		relay:    -1,
+		rejected: make(map[string]struct{}),
 	}
 }
 
@@ -144,9 +145,7 @@
 func (s *Sync) apply(objects []platform.Object, source string) []platform.Object {
 	applied, err := s.cfg.Directory.Apply(objects)
 	if err != nil {
-		s.vars.Add("rejected", 1)
-		s.log.Warn().Err(err).Str("source", source).Msg("Object rejected; the older one stays in force.")
-		s.record(events.Event{Code: result.Invalid, Text: err.Error()})
+		s.reportRejected(err, source)
 	}
 	s.vars.Add("applied", int64(len(applied)))
 	for i, o := range applied {
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -17,7 +17,7 @@
 	e.printf("%s:\n", label)
 	for _, k := range fieldNames(a, b) {
 		was, will := fmt.Sprint(a[k]), fmt.Sprint(b[k])
-		if was == will {
+		if was == will || (isEmpty(a[k]) && isEmpty(b[k])) {
 			continue
 		}
 		if _, ok := a[k]; ok {
@@ -48,3 +48,10 @@
 	slices.Sort(names)
 	return names
 }
+
+// isEmpty reports that a field is missing or an object without fields, which
+// mean the same.
+func isEmpty(v any) bool {
+	m, ok := v.(map[string]any)
+	return v == nil || (ok && len(m) == 0)
+}
--- a/internal/ctl/objects.go
+++ b/internal/ctl/objects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/goccy/go-yaml"
 
@@ -35,6 +36,21 @@
 	return platform.Object{}
 }
 
+// invalid describes the objects that instances refuse to apply. Our commands
+// store none, another client of the platform can.
+func (o objects) invalid() []string {
+	var out []string
+	for _, v := range o {
+		if v.Deleted {
+			continue
+		}
+		if _, err := canonical(v.Kind, v.Data); err != nil {
+			out = append(out, fmt.Sprintf("%s %s version %d: %v", v.Kind, v.Name, v.Version, err))
+		}
+	}
+	return out
+}
+
 func (o objects) snapshot() *catalog.Snapshot {
 	var services []catalog.Service
 	var classes []catalog.Class
@@ -68,6 +84,9 @@
 		return fmt.Errorf("encode manifest: %w", err)
 	}
 	e.printf("%s", b)
+	if bad := held.invalid(); len(bad) > 0 {
+		return fmt.Errorf("left out, because the platform's value is not valid: %s", strings.Join(bad, "; "))
+	}
 	return nil
 }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -40,6 +40,7 @@
 	_ = w.Flush()
 	e.printf("\nLowest configuration version in force: %d\n", lowest)
 	e.printGroups(answered)
+	e.printInvalid(ctx)
 	for _, n := range silent {
 		e.printf("No answer from %s.\n", n)
 	}
@@ -97,6 +98,21 @@
 	}
 }
 
+// printInvalid names the platform's objects that instances refuse to apply. status
+// goes on if the platform does not answer.
+func (e *Env) printInvalid(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	held, err := e.held(ctx)
+	if err != nil {
+		e.printf("The platform does not answer: %v.\n", err)
+		return
+	}
+	for _, s := range held.invalid() {
+		e.printf("Not in force, instances keep the version before: %s.\n", s)
+	}
+}
+
 // Drain starts a graceful shutdown of the instance at address.
 func (e *Env) Drain(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- /dev/null
+++ b/test/badinput_test.go
@@ -0,0 +1,322 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"geraniumbeam/internal/catalog"
+	"geraniumbeam/internal/platform"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/settings"
+	"geraniumbeam/internal/wire"
+)
+
+// Limits that the test sets, so that it is short.
+const (
+	testMaxMessage     = 1 << 20
+	testStartupTimeout = time.Second
+)
+
+// Guards against input that crashes an instance, holds one of its connections
+// for ever or disturbs its other callers.
+func TestBadInput(t *testing.T) {
+	c := startCluster(t, options{settings: func(s *settings.Settings) {
+		s.Callers.MaxMessage = testMaxMessage
+		s.Callers.StartupTimeout = catalog.Duration(testStartupTimeout)
+	}})
+	others := startBystanders(t, c, "gb-1")
+	for _, tc := range []struct {
+		name string
+		run  func(*testing.T, *cluster)
+	}{
+		{"damaged frame", badFrame},
+		{"damaged message body", badBody},
+		{"oversized message", oversizedMessage},
+		{"bad token", badToken},
+		{"half a startup packet", halfStartup},
+		{"slow sender", slowSender},
+		{"garbage to callers", func(t *testing.T, c *cluster) { garbage(t, c.callers["gb-1"]) }},
+		{"garbage to the inner port", func(t *testing.T, c *cluster) { garbage(t, c.inner["gb-1"]) }},
+		{"garbage to the metrics port", func(t *testing.T, c *cluster) { garbage(t, c.metrics["gb-1"]) }},
+		{"wrong object on the platform", wrongObject},
+	} {
+		t.Run(tc.name, func(t *testing.T) { tc.run(t, c) })
+	}
+	others.finish(t)
+	if !c.instances["gb-1"].running() {
+		t.Error("the instance ended")
+	}
+}
+
+// bystanders are callers that send correct statements all the time.
+type bystanders struct {
+	stop   chan struct{}
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	served int
+	errs   []error
+}
+
+func startBystanders(t testing.TB, c *cluster, instance string) *bystanders {
+	t.Helper()
+	b := &bystanders{stop: make(chan struct{})}
+	conn := c.connect(t, instance)
+	if _, err := conn.Exec(t.Context(), "CREATE TABLE bystanders (id text PRIMARY KEY)"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		conn := c.connect(t, instance)
+		b.wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-b.stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				_, err := conn.Exec(ctx, "INSERT INTO bystanders (id) VALUES ($1)", fmt.Sprintf("%d-%d", i, n))
+				cancel()
+				b.mu.Lock()
+				if err != nil {
+					b.errs = append(b.errs, err)
+				} else {
+					b.served++
+				}
+				b.mu.Unlock()
+			}
+		})
+	}
+	return b
+}
+
+func (b *bystanders) finish(t testing.TB) {
+	t.Helper()
+	close(b.stop)
+	b.wg.Wait()
+	if len(b.errs) > 0 || b.served == 0 {
+		t.Errorf("other callers: %d served, %d errors, first %v", b.served, len(b.errs), b.errs[:min(1, len(b.errs))])
+	}
+	t.Logf("other callers: %d served", b.served)
+}
+
+func dialRaw(t testing.TB, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return conn
+}
+
+// startupPacket returns a startup packet with parameters as name, value.
+func startupPacket(params ...string) []byte {
+	body := binary.BigEndian.AppendUint32(nil, 196608)
+	for _, p := range params {
+		body = append(append(body, p...), 0)
+	}
+	body = append(body, 0)
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body)+4)), body...)
+}
+
+// session returns a raw connection after a correct startup.
+func session(t testing.TB, c *cluster) net.Conn {
+	t.Helper()
+	conn := dialRaw(t, c.callers["gb-1"])
+	if _, err := conn.Write(startupPacket("user", "app", "database", c.seed.Services[0].Name)); err != nil {
+		t.Fatal(err)
+	}
+	answerOf(t, conn)
+	return conn
+}
+
+// rest reads until the instance closes the connection.
+func rest(t testing.TB, conn net.Conn) string {
+	t.Helper()
+	b, err := io.ReadAll(conn)
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Fatalf("the connection is still open; got %q", b)
+	}
+	return string(b)
+}
+
+func wantError(t testing.TB, answer string, texts ...string) {
+	t.Helper()
+	for _, s := range texts {
+		if !strings.Contains(answer, s) {
+			t.Errorf("answer %q does not contain %q", answer, s)
+		}
+	}
+}
+
+func badFrame(t *testing.T, c *cluster) {
+	conn := session(t, c)
+	_, _ = conn.Write([]byte{'Q', 0, 0, 0, 1})
+	wantError(t, rest(t, conn), "GB1009", "length", "request gb-1-")
+}
+
+func badBody(t *testing.T, c *cluster) {
+	conn := session(t, c)
+	// Parse whose strings have no end, and then Sync.
+	_, _ = conn.Write([]byte{'P', 0, 0, 0, 6, 'a', 'b', 'S', 0, 0, 0, 4})
+	wantError(t, answerOf(t, conn), "GB1009", "damaged", "request gb-1-")
+}
+
+// oversizedMessage checks that the message is refused and the session goes on,
+// and that a length beyond the protocol's limit ends the connection at once.
+func oversizedMessage(t *testing.T, c *cluster) {
+	conn := session(t, c)
+	_, _ = conn.Write(queryMessage("SELECT '" + strings.Repeat("x", testMaxMessage) + "'"))
+	wantError(t, answerOf(t, conn), "GB1007", fmt.Sprint(testMaxMessage), "request gb-1-")
+	_, _ = conn.Write(queryMessage("SELECT 1"))
+	wantError(t, answerOf(t, conn), "SELECT 1")
+	_, _ = conn.Write([]byte{'Q', 0xff, 0xff, 0xff, 0xff})
+	wantError(t, rest(t, conn), "GB1009", "length")
+}
+
+func queryMessage(sql string) []byte {
+	return append(append(binary.BigEndian.AppendUint32([]byte{'Q'}, uint32(len(sql)+5)), sql...), 0)
+}
+
+// answerOf reads up to ReadyForQuery.
+func answerOf(t testing.TB, conn net.Conn) string {
+	t.Helper()
+	var got []byte
+	for !bytes.HasSuffix(got, []byte{'Z', 0, 0, 0, 5, 'I'}) {
+		b := make([]byte, 4096)
+		n, err := conn.Read(b)
+		if err != nil {
+			t.Fatalf("%v after %q", err, got)
+		}
+		got = append(got, b[:n]...)
+	}
+	return string(got)
+}
+
+func badToken(t *testing.T, c *cluster) {
+	for _, token := range []string{"garbage", "AAAA", strings.Repeat("A", 4000), "v9.AAAA"} {
+		conn := dialRaw(t, c.callers["gb-1"])
+		_, _ = conn.Write(startupPacket("user", "app", "database", c.seed.Services[0].Name, "geraniumbeam.session", token))
+		wantError(t, rest(t, conn), "GB10")
+	}
+	// A token set later is refused and the session goes on.
+	conn := c.connect(t, "gb-1")
+	if _, err := conn.Exec(t.Context(), "SET geraniumbeam.session = 'garbage'"); err == nil || !strings.Contains(err.Error(), "GB1005") {
+		t.Errorf("SET of a damaged token: %v, want GB1005", err)
+	}
+	if _, err := conn.Exec(t.Context(), "SELECT 1", pgx.QueryExecModeSimpleProtocol); err != nil {
+		t.Errorf("statement after a refused token: %v", err)
+	}
+}
+
+func halfStartup(t *testing.T, c *cluster) {
+	conn := dialRaw(t, c.callers["gb-1"])
+	began := time.Now()
+	_, _ = conn.Write(startupPacket("user", "app")[:9])
+	wantError(t, rest(t, conn), "GB1001")
+	if took := time.Since(began); took < testStartupTimeout/2 {
+		t.Errorf("closed after %v, want the startup timeout %v", took, testStartupTimeout)
+	}
+}
+
+// slowSender sends a statement one byte at a time; it must be served in the
+// end, because slow networks exist, and must not hold up others meanwhile.
+func slowSender(t *testing.T, c *cluster) {
+	conn := session(t, c)
+	for _, b := range queryMessage("SELECT 1") {
+		if _, err := conn.Write([]byte{b}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	wantError(t, answerOf(t, conn), "SELECT 1")
+}
+
+// garbage sends bytes of no protocol and checks that the connection ends or is
+// answered, and that the port serves others.
+func garbage(t *testing.T, address string) {
+	for _, b := range [][]byte{
+		bytes.Repeat([]byte{0xff}, 4096),
+		bytes.Repeat([]byte{0}, 4096),
+		[]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"),
+		[]byte("POST /twirp/geraniumbeam.Pool/Execute HTTP/1.1\r\nHost: x\r\nContent-Type: application/protobuf\r\nContent-Length: 9\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff"),
+		[]byte("GET / HTTP/9.9\r\n\r\n"),
+	} {
+		conn := dialRaw(t, address)
+		_, _ = conn.Write(b)
+		if w, ok := conn.(*net.TCPConn); ok {
+			_ = w.CloseWrite()
+		}
+		rest(t, conn)
+	}
+}
+
+// wrongObject stores classes that no tool of ours would store.
+func wrongObject(t *testing.T, c *cluster) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	api := c.api()
+	name := c.seed.Services[0].Name + ".confirm-hut"
+	before, err := api.Get(ctx, platform.KindClass, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := `{"name":"confirm-hut","service":"hut-ledger","rank":"highest","served_within":"1s"}`
+	stored, err := api.Put(ctx, platform.KindClass, name, before.Version, []byte(bad))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, instance := range c.order {
+		waitFor(t, 10*time.Second, instance+" records the refused object", func() bool { return c.rejections(t, instance, "class/"+name) == 1 })
+		s, err := c.status(instance)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, o := range s.GetObjects() {
+			if o.GetName() == name && o.GetVersion() != before.Version {
+				t.Errorf("%s holds version %d, want the last valid one, %d", instance, o.GetVersion(), before.Version)
+			}
+		}
+	}
+	c.ctl(t, "get").want(t, 1, name, "highest")
+	c.ctl(t, "status").want(t, 0, "Not in force, instances keep the version before: class "+name, "highest")
+	// The class still works, and a valid object replaces the wrong one.
+	conn := c.connect(t, "gb-1", "geraniumbeam.class=confirm-hut")
+	if _, err := conn.Exec(ctx, "SELECT 1", pgx.QueryExecModeSimpleProtocol); err != nil {
+		t.Errorf("a request of the class: %v", err)
+	}
+	path := c.file(t, "valid.yaml", fileOfClass("confirm-hut", "300ms"))
+	c.ctl(t, "apply", path, "--expect", fmt.Sprint(stored.Version), "--wait").want(t, 0, "is in force on 7 instances")
+	if r := c.ctl(t, "status").want(t, 0); strings.Contains(r.out, "highest") {
+		t.Error("status still reports the object that was replaced")
+	}
+}
+
+// rejections counts the recorded refusals of an object at an instance.
+func (c *cluster) rejections(t testing.TB, instance, object string) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	resp, err := c.clients.Admin(c.inner[instance]).Events(ctx, &wire.EventsRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, e := range resp.GetEvents() {
+		if result.Code(e.GetCode()) == result.Invalid && strings.Contains(e.GetText(), object) {
+			n++
+		}
+	}
+	return n
+}
