--- a/internal/backend/frames.go
+++ b/internal/backend/frames.go
@@ -117,6 +117,18 @@
 	return b, nil
 }
 
+// nextWithin is next for answers that are short unless the stream is damaged.
+func (f *frameReader) nextWithin(limit int) ([]byte, error) {
+	kind, size, err := f.peek()
+	if err != nil {
+		return nil, err
+	}
+	if size > limit {
+		return nil, fmt.Errorf("backend message %q has %d bytes, want at most %d", kind, size, limit)
+	}
+	return f.next()
+}
+
 // skip discards the next frame without holding it in memory.
 func (f *frameReader) skip() error {
 	_, size, err := f.peek()
@@ -139,7 +151,7 @@
 		fault error
 	)
 	for {
-		b, err := f.next()
+		b, err := f.nextWithin(maxMetadata)
 		if err != nil {
 			return s, err
 		}
@@ -169,7 +181,7 @@
 func (f *frameReader) readAck() error {
 	var fault error
 	for {
-		b, err := f.next()
+		b, err := f.nextWithin(maxMetadata)
 		if err != nil {
 			return err
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,10 +47,14 @@
 	if f == nil {
 		return nil
 	}
+	ran := result.Ran(f.GetRan())
+	if ran != result.RanNo && ran != result.RanYes {
+		ran = result.RanUnknown
+	}
 	return &result.Error{
-		Code:       result.Code(f.GetCode()),
+		Code:       result.Lookup(result.Code(f.GetCode())).Code,
 		Message:    f.GetMessage(),
-		Ran:        result.Ran(f.GetRan()),
+		Ran:        ran,
 		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
 	}
 }
