Detect silent peers without traffic on idle connections

Cause: an HTTP/2 ping each second on every idle connection. Without them a paused peer was found only at the deadline of a call. Forget closed idle connections only, and only those of membership's own clients.

Ruled out: ReadIdleTimeout-like settings of net/http, because they ping idle connections as well; closing a connection on which any call is slow, because a slow statement is no sign of a dead peer.

Change: a lane counts its outstanding calls and records when bytes were received. While calls are outstanding, a timer per lane sends a probe after 1 s of silence and closes the connection after another second. A probe whose own timer fired late decides nothing, because then this process was paused. TCP keep-alives are off on both ends. Clients.Forget closes connections with outstanding calls, and membership's OnDead lets the daemon apply it to the clients of entry and pool, unless a live instance has the address.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,6 +103,7 @@
 		Seed:      seed,
 		Observe:   d.conf.Observe,
 		OnLeaving: d.RequestDrain,
+		OnDead:    d.clients.Forget,
 	})
 }
 
--- /dev/null
+++ b/internal/membership/dead_test.go
@@ -0,0 +1,35 @@
+package membership
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/directory"
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/wire"
+)
+
+// Guards against calls that stay open to a dead instance, and against cutting
+// those to an instance that took over the address of a dead one.
+func TestOnDead(t *testing.T) {
+	self := ownership.Instance{Name: "a", Address: "a:1", DataCentre: "dc1"}
+	var cut []string
+	m := New(Config{
+		Directory: directory.New(self), Clients: wire.NewControlClients(nil), Log: zerolog.Nop(),
+		OnDead: func(address string) { cut = append(cut, address) },
+	})
+	now := m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.set(now, Member{Name: "c", Address: "shared:1", DataCentre: "dc1", Incarnation: 1}, "test")
+	dead := func(name, address string) {
+		m.record(Event{Member: Member{Name: name, Address: address, DataCentre: "dc1", Status: Dead}, Known: true})
+	}
+	dead("b", "b:1")
+	dead("d", "shared:1")
+	if want := []string{"b:1"}; !slices.Equal(cut, want) {
+		t.Errorf("connections cut to %v, want %v", cut, want)
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +29,8 @@
 	"geraniumbeam/internal/wire"
 )
 
-// Config configures a Membership. Events, Clock, Observe and OnLeaving may be
-// nil.
+// Config configures a Membership. Events, Clock, Observe, OnLeaving and OnDead
+// may be nil.
 type Config struct {
 	Directory *directory.Directory
 	Clients   *wire.Clients
@@ -44,6 +45,9 @@
 	// OnLeaving is called when the platform's list begins to mark this
 	// instance as leaving.
 	OnLeaving func()
+	// OnDead is called with the address of an instance that was declared dead,
+	// after the directory was updated. It must not block.
+	OnDead func(address string)
 }
 
 // tickPeriod bounds the delay of decisions that depend on time only.
@@ -248,13 +252,23 @@
 	}
 }
 
+// inUse reports whether a live instance has the address, for example one that
+// replaced the dead one under another name.
+func (m *Membership) inUse(address string) bool {
+	live, _ := m.state.Live()
+	return slices.ContainsFunc(live, func(in ownership.Instance) bool { return in.Address == address })
+}
+
 func (m *Membership) record(e Event) {
 	m.log.Debug().Str("member", e.Name).Stringer("status", e.Status).Str("source", e.Source).Msg("member changed")
 	if e.Status == Suspect || (e.Known && e.Was == Suspect && e.Status == Alive) {
 		return
 	}
-	if e.Status == Dead {
+	if e.Status == Dead && !m.inUse(e.Address) {
 		m.cfg.Clients.Forget(e.Address)
+		if m.cfg.OnDead != nil {
+			m.cfg.OnDead(e.Address)
+		}
 	}
 	if m.cfg.Events != nil {
 		m.cfg.Events.Record(events.Event{
--- a/internal/wire/greeting.go
+++ b/internal/wire/greeting.go
@@ -23,18 +23,26 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := c.(interface{ SetKeepAlive(bool) error }); ok {
+		_ = tcp.SetKeepAlive(false) // see dialer
+	}
 	// A fresh connection has room for four bytes, so this does not block. A
 	// failure shows at the first read.
 	_, _ = io.WriteString(c, greeting)
 	return c, nil
 }
 
+// dialer sends no TCP keep-alives: an idle connection to each of several
+// thousand peers must cost no traffic. Idle connections are closed by time, and
+// lanes probe the connections in use.
+var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: false}, KeepAlive: -1}
+
 // dial opens a connection and waits for the greeting. All errors are
 // *net.OpError with Op "dial".
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := new(net.Dialer).DialContext(ctx, network, address)
+	c, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -32,6 +32,7 @@
 func NewServer(pool Pool, p Peer, admin Admin) *Server {
 	server := &Server{}
 	mux := http.NewServeMux()
+	mux.HandleFunc(probePath, func(http.ResponseWriter, *http.Request) {})
 	if pool != nil {
 		s := NewPoolServer(pool)
 		mux.Handle(s.PathPrefix(), server.notePoolCalls(s))
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -78,14 +78,17 @@
 // Admin returns the Admin client of the instance at address.
 func (c *Clients) Admin(address string) Admin { return c.get(address).admin }
 
-// Forget closes the idle connections to address and drops its clients.
+// Forget closes the connections to address and drops its clients. Calls that are
+// outstanding fail with an unknown outcome, so that callers do not wait for
+// their deadlines.
 func (c *Clients) Forget(address string) {
 	c.mu.Lock()
 	p := c.peers[address]
 	delete(c.peers, address)
 	c.mu.Unlock()
 	if p != nil {
-		p.closeIdle()
+		p.first.close()
+		p.bulk.close()
 	}
 }
 
@@ -118,7 +121,7 @@
 
 func newPeer(target string, idle time.Duration) *peer {
 	base := "http://" + target
-	first, bulk := newLane(idle), newLane(idle)
+	first, bulk := newLane(base, idle), newLane(base, idle)
 	pool := NewPoolProtobufClient(base, first)
 	return &peer{
 		first: first,
@@ -131,8 +134,8 @@
 }
 
 func (p *peer) closeIdle() {
-	p.first.CloseIdleConnections()
-	p.bulk.CloseIdleConnections()
+	p.first.closeIdle()
+	p.bulk.closeIdle()
 }
 
 func unencryptedHTTP2() *http.Protocols {
--- a/internal/wire/transport_test.go
+++ b/internal/wire/transport_test.go
@@ -54,12 +54,16 @@
 	c := NewClients(nil)
 	defer c.Close()
 	_, err := c.Admin(l.Addr().String()).Status(context.Background(), &StatusRequest{})
-	var op *net.OpError
-	if !errors.As(err, &op) || op.Op != "dial" {
+	if !isDialError(err) {
 		t.Fatalf("error %v is not a dial error", err)
 	}
 }
 
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // BenchmarkCall measures one call between two instances over loopback.
 func BenchmarkCall(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
