--- a/test/ledger_test.go
+++ b/test/ledger_test.go
@@ -192,7 +192,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var v verdict
+	reasons := make(map[string]int)
 	for _, e := range l.entries {
+		if e.err != nil {
+			reasons[reason(e.err)]++
+		}
 		switch {
 		case e.err == nil:
 			v.acknowledged++
@@ -210,8 +214,8 @@
 			v.unknown++
 		}
 	}
-	t.Logf("acknowledged %d, refused %d, unknown %d, lost %d, run although refused %d, run twice %d",
-		v.acknowledged, v.refused, v.unknown, len(v.lost), len(v.ranAnyway), len(v.repeated))
+	t.Logf("acknowledged %d, refused %d, unknown %d, lost %d, run although refused %d, run twice %d, reasons %v",
+		v.acknowledged, v.refused, v.unknown, len(v.lost), len(v.ranAnyway), len(v.repeated), reasons)
 	return v
 }
 
