Run an instance's calls to itself without a connection

Ruled out: calling pool.Pool directly, because entry and pool then share messages and skip the limits, and the path of remote calls would have no test in small set-ups.

Change: wire.Clients.ServeLocal gives the own address a client that runs the server's handler with the encoded message on the caller's goroutine.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,6 +154,7 @@
 		Drain:     d.RequestDrain,
 	})
 	d.inner = wire.NewServer(d.pool, peerService{d.members, d.conf}, adm)
+	d.clients.ServeLocal(d.cfg.AdvertiseInner, d.inner)
 	d.health = telemetry.NewServer(d.metrics.Vars)
 }
 
--- a/internal/devcluster/bench_test.go
+++ b/internal/devcluster/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -42,7 +43,7 @@
 }
 
 // BenchmarkStatement compares one caller's statements direct to a database and
-// through an instance, all in one process.
+// through an instance, all in one process. One of the instances owns the primary.
 func BenchmarkStatement(b *testing.B) {
 	c := startBench(b)
 	const (
@@ -51,6 +52,9 @@
 	)
 	b.Run("direct-read", func(b *testing.B) { benchStatement(b, c.DatabaseURL(0), read) })
 	b.Run("proxy-read", func(b *testing.B) { benchStatement(b, c.URL(), read) })
+	for i, address := range c.callers {
+		b.Run(fmt.Sprintf("instance-%d-read", i+1), func(b *testing.B) { benchStatement(b, callerURL(address), read) })
+	}
 	b.Run("direct-write", func(b *testing.B) { benchStatement(b, c.DatabaseURL(0), write) })
 	b.Run("proxy-write", func(b *testing.B) { benchStatement(b, c.URL(), write) })
 }
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -206,8 +206,10 @@
 func (c *Cluster) PlatformURL() string { return c.platformURL }
 
 // URL returns a connection string for the first instance.
-func (c *Cluster) URL() string {
-	return "postgres://demo@" + c.callers[0] + "/" + serviceName + "?sslmode=disable"
+func (c *Cluster) URL() string { return callerURL(c.callers[0]) }
+
+func callerURL(address string) string {
+	return "postgres://demo@" + address + "/" + serviceName + "?sslmode=disable"
 }
 
 // DatabaseURL returns a connection string for database i, past the proxy.
--- a/internal/wire/liveness_test.go
+++ b/internal/wire/liveness_test.go
@@ -96,7 +96,7 @@
 	if keepsAlive(t, l.last.Load()) {
 		t.Error("the server's connection sends TCP keep-alives")
 	}
-	first := c.get(address).first
+	first := c.get(address).lanes[0]
 	first.mu.Lock()
 	defer first.mu.Unlock()
 	if len(first.conns) != 1 {
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -31,10 +31,9 @@
 // peer holds the lanes of one instance. Calls on a saturated connection wait
 // for each other, so work that is not urgent has a connection of its own.
 type peer struct {
-	first *lane // urgent work and control
-	bulk  *lane // other work
-	pool  Pool
-	other Pool // Execute on the bulk lane
+	lanes []*lane // none for the own instance
+	pool  Pool    // on the first lane: urgent work and control
+	other Pool    // Execute on the bulk lane, the second one
 	peer  Peer
 	admin Admin
 }
@@ -64,6 +63,15 @@
 	return c
 }
 
+// ServeLocal makes calls to address, the one of this instance, run the handlers
+// of s without a connection.
+func (c *Clients) ServeLocal(address string, s *Server) {
+	client := localClient{s}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers[address] = newPeer(address, client, client)
+}
+
 // Pool returns the Pool client of the instance at address for urgent work and
 // control.
 func (c *Clients) Pool(address string) Pool { return c.get(address).pool }
@@ -86,9 +94,11 @@
 	p := c.peers[address]
 	delete(c.peers, address)
 	c.mu.Unlock()
-	if p != nil {
-		p.first.close()
-		p.bulk.close()
+	if p == nil {
+		return
+	}
+	for _, l := range p.lanes {
+		l.close()
 	}
 }
 
@@ -97,7 +107,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.peers {
-		p.closeIdle()
+		for _, l := range p.lanes {
+			l.closeIdle()
+		}
 	}
 }
 
@@ -107,7 +119,10 @@
 	if p, ok := c.peers[address]; ok {
 		return p
 	}
-	p := newPeer(c.target(address), c.idle)
+	target := c.target(address)
+	first, bulk := newLane(baseURL(target), c.idle), newLane(baseURL(target), c.idle)
+	p := newPeer(target, first, bulk)
+	p.lanes = []*lane{first, bulk}
 	c.peers[address] = p
 	return p
 }
@@ -119,13 +134,12 @@
 	return c.dial(address)
 }
 
-func newPeer(target string, idle time.Duration) *peer {
-	base := "http://" + target
-	first, bulk := newLane(base, idle), newLane(base, idle)
+func baseURL(target string) string { return "http://" + target }
+
+func newPeer(target string, first, bulk HTTPClient) *peer {
+	base := baseURL(target)
 	pool := NewPoolProtobufClient(base, first)
 	return &peer{
-		first: first,
-		bulk:  bulk,
 		pool:  pool,
 		other: bulkPool{Pool: pool, bulk: NewPoolProtobufClient(base, bulk)},
 		peer:  NewPeerProtobufClient(base, first),
@@ -133,11 +147,6 @@
 	}
 }
 
-func (p *peer) closeIdle() {
-	p.first.closeIdle()
-	p.bulk.closeIdle()
-}
-
 func unencryptedHTTP2() *http.Protocols {
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
