Read status rows and check idle connections without allocations

Cause: each batch decoded two status rows through pgproto3.DataRow (2 allocations and 904 bytes each) and looked at the socket twice with new closures and buffers. The load in each answer grew its slice.

Ruled out: leaving out the second status query, because it proves that the term did not change during the batch.

A connection keeps its raw socket and its buffer for the idle check. The load allocates its ranks once.

--- a/internal/backend/frames.go
+++ b/internal/backend/frames.go
@@ -5,10 +5,6 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"strconv"
-	"time"
-
-	"github.com/jackc/pgx/v5/pgproto3"
 
 	"geraniumbeam/internal/result"
 )
@@ -183,41 +179,3 @@
 		}
 	}
 }
-
-// statusColumns is the number of columns of group_status() and group_wait().
-const statusColumns = 6
-
-// parseStatus decodes a DataRow of (term, role, last_term, position,
-// primary_age_ms, leaving) in text format.
-func parseStatus(body []byte) (Status, error) {
-	var row pgproto3.DataRow
-	if err := row.Decode(body); err != nil {
-		return Status{}, fmt.Errorf("status row: %w", err)
-	}
-	if len(row.Values) != statusColumns {
-		return Status{}, fmt.Errorf("status row has %d columns, want %d", len(row.Values), statusColumns)
-	}
-	var nums [statusColumns]uint64
-	for _, i := range []int{0, 2, 3, 4} {
-		if i == 4 && (row.Values[i] == nil || len(row.Values[i]) > 0 && row.Values[i][0] == '-') {
-			continue // the age is null or negative on a database that never had a primary
-		}
-		v, err := strconv.ParseUint(string(row.Values[i]), 10, 64)
-		if err != nil {
-			return Status{}, fmt.Errorf("status column %d: %w", i, err)
-		}
-		nums[i] = v
-	}
-	role := Role(row.Values[1])
-	if role != RolePrimary && role != RoleReplica && role != RoleFenced {
-		return Status{}, fmt.Errorf("status role %q is not known", role)
-	}
-	leaving := string(row.Values[5])
-	return Status{
-		Term:       nums[0],
-		Role:       role,
-		Last:       Position{Term: nums[2], Offset: nums[3]},
-		PrimaryAge: time.Duration(nums[4]) * time.Millisecond,
-		Leaving:    leaving == "t" || leaving == "true" || leaving == "1",
-	}, nil
-}
--- a/internal/backend/postgres.go
+++ b/internal/backend/postgres.go
@@ -79,10 +79,12 @@
 		_ = h.Conn.Close()
 		return nil, fmt.Errorf("connect to %s: %d unexpected bytes after startup", p.cfg.Address, n)
 	}
-	return &link{
+	l := &link{
 		conn: h.Conn, frames: newFrameReader(h.Conn), address: p.cfg.Address,
 		pid: h.PID, secret: h.SecretKey,
-	}, nil
+	}
+	l.prepareIdle()
+	return l, nil
 }
 
 // link is an open connection after startup.
@@ -93,6 +95,12 @@
 	pid     uint32
 	secret  []byte
 	closed  atomic.Bool
+
+	// For idle; one goroutine uses a link at a time.
+	checked bool // the connection has a socket
+	raw     syscall.RawConn
+	look    func(fd uintptr)
+	empty   bool // result of look
 }
 
 // guard applies the deadline and cancellation of ctx to the connection. The
@@ -123,21 +131,32 @@
 	if l.frames.buffered() {
 		return false
 	}
+	if l.raw == nil {
+		return !l.checked
+	}
+	l.empty = false
+	err := l.raw.Control(l.look)
+	return err == nil && l.empty
+}
+
+// prepareIdle makes what idle needs on each use of the connection. A connection
+// without a socket is always taken as idle.
+func (l *link) prepareIdle() {
 	sc, ok := l.conn.(syscall.Conn)
 	if !ok {
-		return true
+		return
 	}
+	l.checked = true
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return
+	}
+	l.raw = raw
+	b := make([]byte, 1)
+	l.look = func(fd uintptr) {
+		_, _, e := syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		l.empty = e == syscall.EAGAIN || e == syscall.EINTR
 	}
-	idle := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = e == syscall.EAGAIN || e == syscall.EINTR
-	})
-	return err == nil && idle
 }
 
 // cancel sends a CancelRequest on a connection of its own.
--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -273,8 +273,11 @@
 func (u *unit) load() *wire.Load {
 	l := u.queue.Load()
 	out := &wire.Load{Database: u.db.Name, Queued: uint32(l.Queued), Limit: uint32(l.Limit)}
-	for _, r := range l.Ranks {
-		out.Ranks = append(out.Ranks, &wire.RankLoad{Rank: string(r.Rank), WaitMs: r.Wait.Milliseconds()})
+	ranks := make([]wire.RankLoad, len(l.Ranks))
+	out.Ranks = make([]*wire.RankLoad, len(l.Ranks))
+	for i, r := range l.Ranks {
+		ranks[i].Rank, ranks[i].WaitMs = string(r.Rank), r.Wait.Milliseconds()
+		out.Ranks[i] = &ranks[i]
 	}
 	return out
 }
