--- a/internal/wire/liveness_test.go
+++ b/internal/wire/liveness_test.go
@@ -209,7 +209,11 @@
 	s := NewServer(waitingPool{delay: 2 * testTimeout, started: started}, nil, statusServer{})
 	go func() { _ = s.Serve(l) }()
 	fmt.Printf("listening %s\n", l.Addr())
-	<-started
+	select {
+	case <-started:
+	case <-time.After(testTimeout): // the parent ended
+		return
+	}
 	fmt.Println("started")
 	_, _ = os.Stdin.Read(make([]byte, 1)) // until the parent ends
 }
