--- a/internal/backend/frames.go
+++ b/internal/backend/frames.go
@@ -20,11 +20,11 @@
 // length is taken for a damaged stream.
 const maxFrame = 1 << 30
 
-// checkBatch verifies that messages is a single simple Query or a sequence of
+// CheckBatch verifies that messages is a single simple Query or a sequence of
 // extended messages that ends with the only Sync. Anything else would produce
 // another number of ReadyForQuery messages than the reader expects, and the
 // rest would be taken for the answer of the next batch.
-func checkBatch(messages []byte) error {
+func CheckBatch(messages []byte) error {
 	if len(messages) == 0 {
 		return result.Errorf(result.ProtocolViolation, "the batch is empty")
 	}
--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -16,7 +16,7 @@
 	f.Add([]byte("S\x00\x00\x00\x04S\x00\x00\x00\x04"))
 	f.Add([]byte("S\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, batch []byte) {
-		if checkBatch(batch) != nil {
+		if CheckBatch(batch) != nil {
 			return
 		}
 		ends := 0
--- a/internal/backend/postgres_test.go
+++ b/internal/backend/postgres_test.go
@@ -81,12 +81,12 @@
 		"query in extended": append(bytes.Clone(parse), query...), "no sync": parse, "cut": query[:len(query)-1],
 		"copy data": encode(t, &pgproto3.CopyDone{}), "short header": query[:3], "bad length": {'Q', 0, 0, 0, 1},
 	} {
-		if err := checkBatch(batch); !result.Is(err, result.ProtocolViolation) {
+		if err := CheckBatch(batch); !result.Is(err, result.ProtocolViolation) {
 			t.Errorf("%s: err = %v", name, err)
 		}
 	}
 	for _, batch := range [][]byte{query, sync, append(parse, sync...)} {
-		if err := checkBatch(batch); err != nil {
+		if err := CheckBatch(batch); err != nil {
 			t.Errorf("valid batch: %v", err)
 		}
 	}
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -36,7 +36,7 @@
 
 // Run implements Conn.
 func (c *workConn) Run(ctx context.Context, b Batch, after bool, maxAnswer int, sent func()) (Answer, error) {
-	if err := checkBatch(b.Messages); err != nil {
+	if err := CheckBatch(b.Messages); err != nil {
 		return Answer{}, err
 	}
 	if err := ctx.Err(); err != nil {
@@ -131,21 +131,13 @@
 		if err != nil {
 			return nil, err
 		}
-		keep := true
-		switch kind {
-		case '1':
+		keep := kind != 'A' // notifications belong to no batch
+		if kind == '1' {
 			keep = !slices.Contains(injected, parses)
 			parses++
-		case 'C':
-			a.Tag = string(bytes.TrimRight(frame[headerSize:], "\x00"))
-		case 'E':
-			if a.SQLState == "" {
-				a.SQLState = sqlState(frame[headerSize:])
-			}
-		case 'A': // notifications belong to no batch
-			keep = false
-		case 'G', 'H', 'W':
-			return nil, copyRefused(kind, a)
+		}
+		if err := a.note(kind, frame[headerSize:]); err != nil {
+			return nil, err
 		}
 		if keep && tooLarge == nil {
 			out = append(out, frame...)
@@ -154,10 +146,6 @@
 			}
 		}
 		if kind == 'Z' {
-			if len(frame) != headerSize+1 {
-				return nil, fmt.Errorf("ready-for-query message has %d bytes", len(frame))
-			}
-			a.TransactionStatus = frame[headerSize]
 			if tooLarge == nil {
 				a.Messages = c.handOver(out)
 			}
@@ -166,6 +154,26 @@
 	}
 }
 
+// note keeps what a message says about the batch as a whole.
+func (a *Answer) note(kind byte, body []byte) error {
+	switch kind {
+	case 'C':
+		a.Tag = string(bytes.TrimRight(body, "\x00"))
+	case 'E':
+		if a.SQLState == "" {
+			a.SQLState = sqlState(body)
+		}
+	case 'G', 'H', 'W':
+		return copyRefused(kind, a)
+	case 'Z':
+		if len(body) != 1 {
+			return fmt.Errorf("ready-for-query message has %d bytes", headerSize+len(body))
+		}
+		a.TransactionStatus = body[0]
+	}
+	return nil
+}
+
 // handOver returns out for the caller to keep. A small answer is copied so
 // that the buffer can be reused.
 func (c *workConn) handOver(out []byte) []byte {
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -102,11 +102,21 @@
 	}
 }
 
+// decodeYAML turns a panic of the library into an error. Version 1.19.2 panics
+// on a tagged scalar in place of a list, such as "classes: !0 0".
+func decodeYAML(data []byte, out any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("the YAML library cannot read the file: %v", p)
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField()).Decode(out)
+}
+
 // DecodeStrict reads YAML into out and refuses unknown fields. Errors name line
 // and column.
 func DecodeStrict(data []byte, out any) error {
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
-	err := dec.Decode(out)
+	err := decodeYAML(data, out)
 	if errors.Is(err, io.EOF) {
 		return result.Errorf(result.Invalid, "the file is empty")
 	}
--- a/internal/pool/execute.go
+++ b/internal/pool/execute.go
@@ -63,6 +63,10 @@
 	if budget <= 0 {
 		return result.Errorf(result.DeadlineBeforeRun, "the request has no time left")
 	}
+	// A damaged batch must not wait for a turn and take a connection first.
+	if err := backend.CheckBatch(e.req.GetBatch()); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(budget, maxBudget))
 	defer cancel()
 	e.running.stop = cancel
@@ -117,11 +121,7 @@
 	if open && err == nil && e.req.GetWantPrimary() {
 		return e.openTransaction(ctx, conn, a)
 	}
-	if open || e.u.wasCancelled(&e.running) {
-		e.u.conns.discard(conn)
-	} else {
-		e.u.conns.put(conn)
-	}
+	e.giveBack(conn, open)
 	if open && err == nil {
 		err = result.Errorf(result.NotSupported, "a read must not open a transaction")
 	}
@@ -131,6 +131,16 @@
 	return e.finishPrimary(ctx, a, err)
 }
 
+// giveBack returns a connection that can serve another request. One with an
+// open transaction, or with a cancellation that may still arrive, can't.
+func (e *execution) giveBack(conn backend.Conn, open bool) {
+	if open || e.u.wasCancelled(&e.running) {
+		e.u.conns.discard(conn)
+		return
+	}
+	e.u.conns.put(conn)
+}
+
 // mayConfirm reports whether a batch on the primary has a chance to be confirmed.
 func (e *execution) mayConfirm(ctx context.Context) bool {
 	return !e.req.GetWantPrimary() || e.pool().cfg.Settings.Unsafe.NoConfirmation || e.u.confirm.reachable(ctx, e.req.GetTermHint())
--- a/internal/pool/follow.go
+++ b/internal/pool/follow.go
@@ -74,11 +74,7 @@
 	defer c.Close()
 	s, err := u.call(0, c.Status)
 	if before, _ := u.look(); err == nil && before.failed {
-		u.pool.cfg.Log.Info().Str("database", u.db.Name).Msg("Database answers again.")
-		u.pool.record(events.Event{
-			Kind: events.KindMembership, Group: u.group, Database: u.db.Name,
-			Text: fmt.Sprintf("the database answers again as %s of term %d", s.Role, s.Term),
-		})
+		u.recordReturn(s)
 	}
 	for err == nil {
 		seen = true
@@ -104,6 +100,15 @@
 	return seen, err
 }
 
+// recordReturn tells that a database answers after it did not.
+func (u *unit) recordReturn(s backend.Status) {
+	u.pool.cfg.Log.Info().Str("database", u.db.Name).Msg("Database answers again.")
+	u.pool.record(events.Event{
+		Kind: events.KindMembership, Group: u.group, Database: u.db.Name,
+		Text: fmt.Sprintf("the database answers again as %s of term %d", s.Role, s.Term),
+	})
+}
+
 // pause waits for d or the end of the unit.
 func (u *unit) pause(d time.Duration) {
 	select {
