Parse the command line of all binaries in one place

Change: internal/cli has Program.Parse, Program.Fail and Main. SIGTERM now ends geraniumbeamctl as SIGINT did, and its connections are closed at the end.

The report's test names the constant cli.ExitUsage; the expected codes are the same.

--- a/cmd/geraniumbeam-dev/main.go
+++ b/cmd/geraniumbeam-dev/main.go
@@ -6,43 +6,45 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
+	"geraniumbeam/internal/cli"
 	"geraniumbeam/internal/devcluster"
 	"geraniumbeam/internal/telemetry"
-	"geraniumbeam/internal/version"
 )
 
-type cli struct {
+type grammar struct {
 	Listen   string           `help:"Address for callers of the first instance." default:"127.0.0.1:6432"`
 	LogLevel string           `help:"Lowest level logged: debug, info, warn or error." default:"warn" enum:"debug,info,warn,error"`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
-func main() {
-	var c cli
-	kong.Parse(&c,
-		kong.Name("geraniumbeam-dev"),
-		kong.Description("Runs a small deployment in one process and prints a PostgreSQL address. Ends on SIGTERM or Ctrl-C."),
-		kong.Vars{"version": version.String()},
-	)
-	if err := run(c); err != nil {
-		fmt.Fprintln(os.Stderr, "geraniumbeam-dev:", err)
-		os.Exit(1)
+var program = cli.Program{
+	Name:        "geraniumbeam-dev",
+	Description: "Runs a small deployment in one process and prints a PostgreSQL address. Ends on SIGTERM or Ctrl-C.",
+}
+
+func main() { cli.Main(start) }
+
+func start(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var c grammar
+	if k, code := program.Parse(&c, args, out, errOut); k == nil {
+		return code
+	}
+	if err := run(ctx, c); err != nil {
+		return program.Fail(errOut, cli.ExitFailed, err)
 	}
+	return cli.ExitOK
 }
 
-func run(c cli) error {
+func run(ctx context.Context, c grammar) error {
 	log, err := telemetry.NewLogger(os.Stderr, "dev", c.LogLevel)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	cluster, err := devcluster.Start(devcluster.Config{ListenCallers: c.Listen, Log: log})
 	if err != nil {
 		return err
--- a/cmd/geraniumbeam-load/main.go
+++ b/cmd/geraniumbeam-load/main.go
@@ -9,25 +9,17 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"geraniumbeam/internal/cli"
 	"geraniumbeam/internal/load"
 	"geraniumbeam/internal/result"
-	"geraniumbeam/internal/version"
 )
 
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-type cli struct {
+type grammar struct {
 	JSON    bool             `help:"Write the report as JSON."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
@@ -148,41 +140,27 @@
 	return e.write(r)
 }
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+var program = cli.Program{
+	Name:        "geraniumbeam-load",
+	Description: "Sends open-loop load through geraniumbeam and reports what callers got.",
 }
 
+func main() { cli.Main(run) }
+
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	var c cli
-	exited := -1
-	p, err := kong.New(&c, kong.Name("geraniumbeam-load"), kong.Writers(out, errOut), kong.Exit(func(n int) { exited = n }),
-		kong.Description("Sends open-loop load through geraniumbeam and reports what callers got."),
-		kong.Vars{"version": version.String()})
-	if err != nil {
-		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
-		return exitUsage
-	}
-	k, err := p.Parse(args)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
-		return exitUsage
+	var c grammar
+	k, code := program.Parse(&c, args, out, errOut)
+	if k == nil {
+		return code
 	}
 	k.BindTo(ctx, (*context.Context)(nil))
-	err = k.Run(&env{out: out, json: c.JSON, command: "geraniumbeam-load " + strings.Join(args, " ")})
+	err := k.Run(&env{out: out, json: c.JSON, command: program.Name + " " + strings.Join(args, " ")})
 	switch {
 	case err == nil:
-		return 0
+		return cli.ExitOK
 	case result.Is(err, result.Invalid):
-		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
-		return exitUsage
+		return program.Fail(errOut, cli.ExitUsage, err)
 	default:
-		fmt.Fprintln(errOut, "geraniumbeam-load:", err)
-		return exitFailed
+		return program.Fail(errOut, cli.ExitFailed, err)
 	}
 }
--- a/cmd/geraniumbeam-report/main.go
+++ b/cmd/geraniumbeam-report/main.go
@@ -11,26 +11,21 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"geraniumbeam/internal/catalog"
+	"geraniumbeam/internal/cli"
 	"geraniumbeam/internal/report"
 	"geraniumbeam/internal/result"
-	"geraniumbeam/internal/version"
 )
 
-const (
-	exitFailed      = 1
-	exitUsage       = 2
-	exitUnreachable = 3
-)
+// exitUnreachable means that no instance or not all of them answered.
+const exitUnreachable = 3
 
-type cli struct {
+type grammar struct {
 	Address     []string         `help:"HOST:PORT of an instance's metrics; repeat or separate by commas."`
 	AddressFile string           `type:"existingfile" help:"File with one address per line; # begins a comment."`
 	Saved       string           `type:"existingfile" help:"Use samples that --save wrote instead of asking instances."`
@@ -47,7 +42,7 @@
 
 const maxSamples = 10000
 
-func (c *cli) check(addresses []string) error {
+func (c *grammar) check(addresses []string) error {
 	invalid := func(format string, args ...any) error { return result.Errorf(result.Invalid, format, args...) }
 	switch {
 	case c.Saved == "" && len(addresses) == 0:
@@ -68,36 +63,36 @@
 	return nil
 }
 
-func (c *cli) run(ctx context.Context, out io.Writer) (int, error) {
+func (c *grammar) run(ctx context.Context, out io.Writer) (int, error) {
 	addresses, err := c.addresses()
 	if err != nil {
-		return exitFailed, err
+		return cli.ExitFailed, err
 	}
 	if err := c.check(addresses); err != nil {
-		return exitUsage, err
+		return cli.ExitUsage, err
 	}
 	classes, err := c.classes()
 	if err != nil {
-		return exitUsage, err
+		return cli.ExitUsage, err
 	}
 	samples, err := c.samples(ctx, addresses)
 	if err != nil {
-		return exitFailed, err
+		return cli.ExitFailed, err
 	}
 	r, err := report.Compute(samples, report.Options{Classes: classes, Objective: c.Objective, Period: c.Period})
 	if err != nil {
-		return exitUsage, err
+		return cli.ExitUsage, err
 	}
 	write := r.WriteText
 	if c.JSON {
 		write = r.WriteJSON
 	}
 	if err := write(out); err != nil {
-		return exitFailed, err
+		return cli.ExitFailed, err
 	}
 	if c.Plot != "" {
 		if err := r.WritePlot(c.Plot); err != nil {
-			return exitFailed, err
+			return cli.ExitFailed, err
 		}
 	}
 	if len(r.Unreachable) > 0 {
@@ -106,7 +101,7 @@
 	return 0, nil
 }
 
-func (c *cli) addresses() ([]string, error) {
+func (c *grammar) addresses() ([]string, error) {
 	out := c.Address
 	if c.AddressFile == "" {
 		return out, nil
@@ -126,7 +121,7 @@
 	return out, sc.Err()
 }
 
-func (c *cli) classes() ([]catalog.Class, error) {
+func (c *grammar) classes() ([]catalog.Class, error) {
 	var out []catalog.Class
 	for _, path := range c.Classes {
 		data, err := os.ReadFile(path)
@@ -142,7 +137,7 @@
 	return out, nil
 }
 
-func (c *cli) samples(ctx context.Context, addresses []string) ([]report.Sample, error) {
+func (c *grammar) samples(ctx context.Context, addresses []string) ([]report.Sample, error) {
 	if c.Saved != "" {
 		f, err := os.Open(c.Saved)
 		if err != nil {
@@ -166,34 +161,21 @@
 	return samples, f.Close()
 }
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+var program = cli.Program{
+	Name:        "geraniumbeam-report",
+	Description: "Reports the service-level burn per class and data centre. Example: geraniumbeam-report --address 127.0.0.1:7801 --interval 1m",
 }
 
+func main() { cli.Main(run) }
+
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	var c cli
-	exited := -1
-	p, err := kong.New(&c, kong.Name("geraniumbeam-report"), kong.Writers(out, errOut), kong.Exit(func(n int) { exited = n }),
-		kong.Description("Reports the service-level burn per class and data centre. Example: geraniumbeam-report --address 127.0.0.1:7801 --interval 1m"),
-		kong.Vars{"version": version.String()})
-	if err != nil {
-		fmt.Fprintln(errOut, "geraniumbeam-report:", err)
-		return exitUsage
-	}
-	_, err = p.Parse(args)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		fmt.Fprintln(errOut, "geraniumbeam-report:", err)
-		return exitUsage
+	var c grammar
+	if k, code := program.Parse(&c, args, out, errOut); k == nil {
+		return code
 	}
 	code, err := c.run(ctx, out)
 	if err != nil {
-		fmt.Fprintln(errOut, "geraniumbeam-report:", err)
+		return program.Fail(errOut, code, err)
 	}
 	return code
 }
--- a/cmd/geraniumbeam-report/main_test.go
+++ b/cmd/geraniumbeam-report/main_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"geraniumbeam/internal/cli"
 	"geraniumbeam/internal/metrics"
 	"geraniumbeam/internal/report"
 )
@@ -41,10 +42,10 @@
 		{[]string{"--address", up, "--interval", "10ms", "--save", saved}, 0, "svc.c"},
 		{[]string{"--saved", saved, "--plot", filepath.Join(dir, "p.svg")}, 0, "shed 100 %"},
 		{[]string{"--address-file", list, "--interval", "10ms"}, exitUnreachable, "no answer from 127.0.0.1:1"},
-		{nil, exitUsage, "no instance is given"},
-		{[]string{"--address", up, "--samples", "1"}, exitUsage, "--samples"},
-		{[]string{"--address", up, "--plot", "x.gif"}, exitUsage, ".svg or .png"},
-		{[]string{"--bogus"}, exitUsage, "bogus"},
+		{nil, cli.ExitUsage, "no instance is given"},
+		{[]string{"--address", up, "--samples", "1"}, cli.ExitUsage, "--samples"},
+		{[]string{"--address", up, "--plot", "x.gif"}, cli.ExitUsage, ".svg or .png"},
+		{[]string{"--bogus"}, cli.ExitUsage, "bogus"},
 	} {
 		var out bytes.Buffer
 		if code := run(context.Background(), c.args, &out, &out); code != c.code || !strings.Contains(out.String(), c.want) {
--- a/cmd/geraniumbeamctl/main.go
+++ b/cmd/geraniumbeamctl/main.go
@@ -5,19 +5,19 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
-	"os/signal"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"geraniumbeam/internal/cli"
 	"geraniumbeam/internal/ctl"
 	"geraniumbeam/internal/platform"
-	"geraniumbeam/internal/version"
 	"geraniumbeam/internal/wire"
 )
 
-type cli struct {
+type grammar struct {
 	Platform string           `help:"Base URL of the platform's object API." default:"http://127.0.0.1:7400" env:"GERANIUMBEAM_PLATFORM"`
 	Instance []string         `help:"Inner address HOST:PORT of an instance to ask; repeat for several. Default: the platform's list."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
@@ -108,31 +108,30 @@
 	return nil
 }
 
-func main() {
-	var c cli
-	parser := kong.Must(&c,
-		kong.Name("geraniumbeamctl"),
-		kong.Description("Edits classes of work and shows what the fleet does. Exit codes: 0 done, 1 refused, 2 bad usage or input, 3 unreachable."),
-		kong.Vars{"version": version.String()},
-		kong.UsageOnError(),
-	)
-	kctx, err := parser.Parse(os.Args[1:])
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "geraniumbeamctl:", err)
-		os.Exit(ctl.ExitUsage)
+var program = cli.Program{
+	Name:        "geraniumbeamctl",
+	Description: "Edits classes of work and shows what the fleet does. Exit codes: 0 done, 1 refused, 2 bad usage or input, 3 unreachable.",
+}
+
+func main() { cli.Main(run) }
+
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var c grammar
+	k, code := program.Parse(&c, args, out, errOut)
+	if k == nil {
+		return code
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	env := &ctl.Env{
-		Out:       os.Stdout,
+	clients := wire.NewClients(nil)
+	defer clients.Close()
+	k.BindTo(ctx, (*context.Context)(nil))
+	err := k.Run(&ctl.Env{
+		Out:       out,
 		Platform:  platform.NewClient(c.Platform, platform.Options{}),
-		Clients:   wire.NewClients(nil),
+		Clients:   clients,
 		Instances: c.Instance,
-	}
-	kctx.BindTo(ctx, (*context.Context)(nil))
-	err = kctx.Run(env)
-	stop()
+	})
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "geraniumbeamctl:", err)
+		return program.Fail(errOut, ctl.ExitCode(err), err)
 	}
-	os.Exit(ctl.ExitCode(err))
+	return cli.ExitOK
 }
--- a/cmd/geraniumbeamd/main.go
+++ b/cmd/geraniumbeamd/main.go
@@ -4,63 +4,54 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
+	"geraniumbeam/internal/cli"
 	"geraniumbeam/internal/daemon"
 	"geraniumbeam/internal/settings"
 	"geraniumbeam/internal/telemetry"
 	"geraniumbeam/internal/version"
 )
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-type cli struct {
+type grammar struct {
 	Settings string           `arg:"" type:"existingfile" help:"YAML settings file; see docs/configuration.md."`
 	Check    bool             `help:"Check the settings and exit."`
 	Seed     uint64           `help:"Seed of the instance's random source; 0 picks one."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
-func main() {
-	var c cli
-	parser := kong.Must(&c,
-		kong.Name("geraniumbeamd"),
-		kong.Description("Runs one instance. SIGTERM starts a graceful shutdown. Exit codes: 0 done, 1 failed, 2 bad usage or settings."),
-		kong.Vars{"version": version.String()},
-		kong.UsageOnError(),
-	)
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fail(exitUsage, err)
+var program = cli.Program{
+	Name:        "geraniumbeamd",
+	Description: "Runs one instance. SIGTERM starts a graceful shutdown. Exit codes: 0 done, 1 failed, 2 bad usage or settings.",
+}
+
+func main() { cli.Main(start) }
+
+func start(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var c grammar
+	if k, code := program.Parse(&c, args, out, errOut); k == nil {
+		return code
 	}
 	cfg, err := settings.Load(c.Settings)
 	if err != nil {
-		fail(exitUsage, err)
+		return program.Fail(errOut, cli.ExitUsage, err)
 	}
 	if c.Check {
-		fmt.Printf("%s is valid.\n", c.Settings)
-		return
+		fmt.Fprintf(out, "%s is valid.\n", c.Settings)
+		return cli.ExitOK
 	}
-	if err := run(cfg, c.Seed); err != nil {
-		fail(exitFailed, err)
+	if err := run(ctx, cfg, c.Seed, errOut); err != nil {
+		return program.Fail(errOut, cli.ExitFailed, err)
 	}
+	return cli.ExitOK
 }
 
-func fail(code int, err error) {
-	fmt.Fprintln(os.Stderr, "geraniumbeamd:", err)
-	os.Exit(code)
-}
-
-func run(cfg settings.Settings, seed uint64) error {
-	log, err := telemetry.NewLogger(os.Stderr, cfg.Instance, cfg.LogLevel)
+// run serves until term ends and the shutdown that follows is complete.
+func run(term context.Context, cfg settings.Settings, seed uint64, logTo io.Writer) error {
+	log, err := telemetry.NewLogger(logTo, cfg.Instance, cfg.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -73,8 +64,6 @@
 		return err
 	}
 	d := daemon.New(cfg, log, seed)
-	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	go func() {
 		<-term.Done()
 		d.RequestDrain()
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,63 @@
+// Package cli parses command lines the same way for all binaries.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"geraniumbeam/internal/version"
+)
+
+// Exit codes that all binaries share.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2 // the command line or an input file is wrong
+)
+
+// Program is the name and the purpose of a binary.
+type Program struct {
+	Name        string
+	Description string
+}
+
+// Parse fills grammar, a pointer to a kong struct, from args. With a nil
+// context the program has to end with code: the arguments were wrong, or asked
+// only for help or the version.
+func (p Program) Parse(grammar any, args []string, out, errOut io.Writer) (parsed *kong.Context, code int) {
+	exited := -1
+	parser, err := kong.New(grammar, kong.Name(p.Name), kong.Description(p.Description), kong.Writers(out, errOut),
+		kong.Exit(func(n int) { exited = n }), kong.Vars{"version": version.String()})
+	if err != nil {
+		return nil, p.Fail(errOut, ExitUsage, err)
+	}
+	parsed, err = parser.Parse(args)
+	switch {
+	case exited >= 0:
+		return nil, exited
+	case err != nil:
+		return nil, p.Fail(errOut, ExitUsage, err)
+	}
+	return parsed, ExitOK
+}
+
+// Fail writes err with the program's name and returns code.
+func (p Program) Fail(errOut io.Writer, code int, err error) int {
+	fmt.Fprintf(errOut, "%s: %v\n", p.Name, err)
+	return code
+}
+
+// Main runs a program with the process's arguments and exits with its code.
+// The context ends on SIGINT and SIGTERM.
+func Main(run func(ctx context.Context, args []string, out, errOut io.Writer) int) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
