--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,7 +32,10 @@
 // Pools makes clients for the pools of other instances. *wire.Clients
 // implements it.
 type Pools interface {
+	// Pool returns the client for urgent work and control.
 	Pool(address string) wire.Pool
+	// BulkPool returns the client for work that is not urgent.
+	BulkPool(address string) wire.Pool
 }
 
 // Config holds what a Server needs. All fields are required.
@@ -54,7 +57,9 @@
 	loads    *loads
 	health   *health
 	resolver *resolver
-	open     *transactions
+
+	primaryCalls *primaryCalls
+	open         *transactions
 
 	ids     atomic.Uint64
 	idStart string
@@ -76,12 +81,15 @@
 // New returns a server that accepts no connection yet.
 func New(cfg Config) *Server {
 	s := &Server{
-		cfg:       cfg,
-		keys:      session.NewKeys(cfg.Settings.SessionKey, cfg.Settings.PreviousSessionKeys...),
-		budgets:   retry.NewBudgets(),
-		loads:     newLoads(),
-		health:    newHealth(),
-		open:      newTransactions(),
+		cfg:     cfg,
+		keys:    session.NewKeys(cfg.Settings.SessionKey, cfg.Settings.PreviousSessionKeys...),
+		budgets: retry.NewBudgets(),
+		loads:   newLoads(),
+		health:  newHealth(),
+		open:    newTransactions(),
+
+		primaryCalls: newPrimaryCalls(),
+
 		idStart:   fmt.Sprintf("%s-%x", cfg.Settings.Instance, rand.Uint32()),
 		callers:   make(map[uint32]*caller),
 		listeners: make(map[net.Listener]struct{}),
@@ -111,6 +119,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	s.background.Go(func() { s.keepAlive(ctx) })
+	s.background.Go(func() { s.stopSuperseded(ctx) })
 	for {
 		conn, err := l.Accept()
 		if err != nil && isTemporary(err) {
--- a/test/badinput_test.go
+++ b/test/badinput_test.go
@@ -131,7 +131,7 @@
 }
 
 // session returns a raw connection after a correct startup.
-func session(t testing.TB, c *cluster) net.Conn {
+func rawSession(t testing.TB, c *cluster) net.Conn {
 	t.Helper()
 	conn := dialRaw(t, c.callers["gb-1"])
 	if _, err := conn.Write(startupPacket("user", "app", "database", c.seed.Services[0].Name)); err != nil {
@@ -161,13 +161,13 @@
 }
 
 func badFrame(t *testing.T, c *cluster) {
-	conn := session(t, c)
+	conn := rawSession(t, c)
 	_, _ = conn.Write([]byte{'Q', 0, 0, 0, 1})
 	wantError(t, rest(t, conn), "GB1009", "length", "request gb-1-")
 }
 
 func badBody(t *testing.T, c *cluster) {
-	conn := session(t, c)
+	conn := rawSession(t, c)
 	// Parse whose strings have no end, and then Sync.
 	_, _ = conn.Write([]byte{'P', 0, 0, 0, 6, 'a', 'b', 'S', 0, 0, 0, 4})
 	wantError(t, answerOf(t, conn), "GB1009", "damaged", "request gb-1-")
@@ -176,7 +176,7 @@
 // oversizedMessage checks that the message is refused and the session goes on,
 // and that a length beyond the protocol's limit ends the connection at once.
 func oversizedMessage(t *testing.T, c *cluster) {
-	conn := session(t, c)
+	conn := rawSession(t, c)
 	_, _ = conn.Write(queryMessage("SELECT '" + strings.Repeat("x", testMaxMessage) + "'"))
 	wantError(t, answerOf(t, conn), "GB1007", fmt.Sprint(testMaxMessage), "request gb-1-")
 	_, _ = conn.Write(queryMessage("SELECT 1"))
@@ -233,7 +233,7 @@
 // slowSender sends a statement one byte at a time; it must be served in the
 // end, because slow networks exist, and must not hold up others meanwhile.
 func slowSender(t *testing.T, c *cluster) {
-	conn := session(t, c)
+	conn := rawSession(t, c)
 	for _, b := range queryMessage("SELECT 1") {
 		if _, err := conn.Write([]byte{b}); err != nil {
 			t.Fatal(err)
