Follow the new event texts in the proofs of failover

Change: the two texts are constants of the tests; what is checked is the same. logPhases fails if it finds no such event, so a later change of the texts can't make the proofs empty.

--- a/test/failover_race_test.go
+++ b/test/failover_race_test.go
@@ -50,7 +50,7 @@
 func (c *cluster) candidates(group string, term int64) map[string]bool {
 	out := make(map[string]bool)
 	for _, e := range c.promotionEvents(group) {
-		if strings.HasSuffix(e.GetText(), fmt.Sprintf("have lost the primary of term %d; candidate", term)) {
+		if strings.HasSuffix(e.GetText(), fmt.Sprintf(candidateText, term)) {
 			out[e.GetInstance()] = true
 		}
 	}
@@ -61,11 +61,11 @@
 func (c *cluster) promotions(group string) map[string]map[string]bool {
 	out := make(map[string]map[string]bool)
 	for _, e := range c.promotionEvents(group) {
-		term, ok := strings.CutPrefix(e.GetText(), "primary of term ")
+		term, ok := strings.CutPrefix(e.GetText(), promotedText)
 		if !ok {
 			continue
 		}
-		term, _, _ = strings.Cut(term, ",")
+		term, _, _ = strings.Cut(term, " ")
 		if out[term] == nil {
 			out[term] = make(map[string]bool)
 		}
--- a/test/proof_test.go
+++ b/test/proof_test.go
@@ -104,6 +104,12 @@
 	return out
 }
 
+// Texts of the events that tell of a change of primary.
+const (
+	promotedText  = "became the primary of term " // prefix
+	candidateText = "have lost the primary of term %d; this instance starts to replace it"
+)
+
 // logPhases logs how long each step of the recorded changes of primary took. A
 // candidate records them after it told the platform and the other databases.
 func (c *cluster) logPhases(t testing.TB, group string) {
@@ -112,7 +118,7 @@
 	waitFor(t, 20*time.Second, "an instance recorded the steps of a promotion", func() bool {
 		lines = nil
 		for _, e := range c.promotionEvents(group) {
-			if strings.HasPrefix(e.GetText(), "primary of term ") {
+			if strings.HasPrefix(e.GetText(), promotedText) {
 				lines = append(lines, e.GetInstance()+": "+e.GetText())
 			}
 		}
