Send reads to the replica with the shorter wait

Ruled out: the shortest wait alone; reported waits are up to a second old, and all entries would move to the same database at once. Change: replicas are ordered by wait plus 10 ms for another data centre, in steps of 20 ms; the primary stays last.

--- a/internal/entry/load.go
+++ b/internal/entry/load.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// wait returns the wait that a database last reported for a rank, or 0 if that
+// is not known.
+func (l *loads) wait(database string, rank catalog.Rank, now time.Time) time.Duration {
+	d := l.get(database)
+	if d == nil {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.at) > loadLifetime {
+		return 0
+	}
+	return d.waits[string(rank)]
+}
+
 // exceeds reports whether a request of the rank would wait longer than left.
 func (l *loads) exceeds(database string, rank catalog.Rank, left time.Duration, now time.Time) (time.Duration, bool) {
 	d := l.get(database)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -216,6 +216,9 @@
 		Read:       x.r.read && !unsafe.AlwaysPrimary && (x.r.known || unsafe.NoFloor),
 		DataCentre: x.s.cfg.Settings.DataCentre,
 		Spread:     rand.Uint64(),
+		Wait: func(database string) time.Duration {
+			return x.s.loads.wait(database, x.r.class.Rank, x.s.now())
+		},
 	}
 }
 
--- a/internal/route/order.go
+++ b/internal/route/order.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/platform"
@@ -27,12 +29,23 @@
 type Need struct {
 	Read       bool   // a replica may answer
 	DataCentre string // of the entry
-	Spread     uint64 // rotates databases that are equally near
+	Spread     uint64 // rotates databases that are equally good
+	// Wait estimates how long the request would wait at a database; nil means
+	// not at all anywhere.
+	Wait func(database string) time.Duration
 }
 
-// Order returns the databases to try, best first: for a read, replicas in the
-// entry's data centre, other replicas, and the primary last; otherwise only the
-// primary. Replicas that are leaving are left out. A leaving primary stays,
+// farCost is what a replica in another data centre costs in addition to its
+// wait: one round trip.
+const farCost = 10 * time.Millisecond
+
+// equalWait is the difference of two costs below which replicas are equally
+// good. Reported waits are up to a second old, so sending everything to the one
+// that seems best would only move the queue.
+const equalWait = 20 * time.Millisecond
+
+// Order returns the databases to try, best first: for a read, replicas by wait
+// and nearness, and the primary last; otherwise only the primary. Replicas that are leaving are left out. A leaving primary stays,
 // because only the pool knows whether it still takes work. An unknown primary
 // leaves the list without one.
 func Order(n Need, primary string, databases []platform.Database) []Target {
@@ -59,7 +72,25 @@
 			far = append(far, Target{Database: d})
 		}
 	}
-	return slices.Concat(rotate(near, n.Spread), rotate(far, n.Spread))
+	ordered := slices.Concat(rotate(near, n.Spread), rotate(far, n.Spread))
+	if n.Wait == nil || len(ordered) < 2 {
+		return ordered
+	}
+	return byCost(n, ordered)
+}
+
+// byCost sorts replicas by cost in steps of equalWait; within a step the order
+// stays.
+func byCost(n Need, ts []Target) []Target {
+	step := func(t Target) time.Duration {
+		cost := n.Wait(t.Database.Name)
+		if t.Database.DataCentre != n.DataCentre {
+			cost += farCost
+		}
+		return cost / equalWait
+	}
+	slices.SortStableFunc(ts, func(a, b Target) int { return cmp.Compare(step(a), step(b)) })
+	return ts
 }
 
 func rotate(ts []Target, by uint64) []Target {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -79,6 +81,18 @@
 		if d.HasArg("spread") {
 			d.ScanArgs(t, "spread", &n.Spread)
 		}
+		waits := make(map[string]time.Duration)
+		if d.HasArg("wait") { // milliseconds, as name:number
+			for _, v := range d.CmdArgs {
+				for _, pair := range v.Vals {
+					name, ms, _ := strings.Cut(pair, ":")
+					if n, err := strconv.Atoi(ms); err == nil {
+						waits[name] = time.Duration(n) * time.Millisecond
+					}
+				}
+			}
+			n.Wait = func(database string) time.Duration { return waits[database] }
+		}
 		var dbs []platform.Database
 		for _, line := range strings.Split(d.Input, "\n") {
 			w := strings.Fields(line)
