Write status rows directly and correct the limit of a message

Cause: a wrapper built an environment only to print one row, and the comment on MaxMessage claimed to exceed the largest configurable answer, which is 1 GiB. Change: the row is printed with fmt; the comment says that the pool bounds answers to what fits. Ruled out: merging the settings structs of confsync and membership, whose fields only happen to agree.

--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -34,7 +35,7 @@
 			lowest = s.GetCatalogVersion()
 		}
 		answered = append(answered, s)
-		tabf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.GetInstance(), s.GetDataCentre(), s.GetState(),
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.GetInstance(), s.GetDataCentre(), s.GetState(),
 			s.GetCatalogVersion(), s.GetCallers(), aliveMembers(s), databaseNames(s))
 	}
 	_ = w.Flush()
@@ -47,10 +48,6 @@
 	return unreachable(silent)
 }
 
-func tabf(w *tabwriter.Writer, format string, args ...any) {
-	(&Env{Out: w}).printf(format, args...)
-}
-
 func aliveMembers(s *wire.StatusResponse) int {
 	n := 0
 	for _, m := range s.GetMembers() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,8 +13,8 @@
 	"geraniumbeam/internal/result"
 )
 
-// MaxMessage is the largest internal message in bytes. It exceeds the largest
-// answer a service may configure (1 GiB is refused earlier by max_answer).
+// MaxMessage is the largest internal message in bytes. The pool bounds answers
+// to what fits, also where a service's max_answer is larger.
 const MaxMessage = 64 << 20
 
 // PositionOf converts a wire position; nil is the zero position.
