--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -16,6 +16,9 @@
 	controlTimeout = 700 * time.Millisecond
 	// confirmPause is the pause between two looks at the registrations.
 	confirmPause = 40 * time.Millisecond
+	// plannedConfirm is how long a planned replacement waits for all instances
+	// to confirm before it treats some as cut off from the store.
+	plannedConfirm = 400 * time.Millisecond
 	// catchUpLimit bounds the wait of a planned replacement for the candidate
 	// to hold what the former primary holds.
 	catchUpLimit = 600 * time.Millisecond
@@ -86,17 +89,10 @@
 // replace carries out one replacement of a primary, from a record that this
 // instance holds.
 func (r *Runner) replace(ctx context.Context, rec Record) error {
-	since := r.cfg.Now()
-	if !rec.Planned {
-		r.raise(ctx, rec)
-	}
-	excluded, err := r.awaitStopped(ctx, rec, since)
+	excluded, err := r.stopAll(ctx, rec)
 	if err != nil {
 		return err
 	}
-	if rec.Planned {
-		r.awaitCatchUp(ctx, rec)
-	}
 	observed := r.raise(ctx, rec)
 	if done, ok := r.alreadyLeads(ctx, rec, excluded); ok {
 		return r.finish(ctx, rec, done, excluded)
@@ -118,30 +114,65 @@
 	return fmt.Errorf("no database of service %s can be promoted", rec.Service)
 }
 
+// stopAll makes sure that no instance uses the former primary and returns the
+// incarnations that did not confirm it.
+func (r *Runner) stopAll(ctx context.Context, rec Record) ([]string, error) {
+	if rec.Planned {
+		missing, err := r.awaitStopped(ctx, rec, plannedConfirm)
+		if err != nil {
+			return nil, err
+		}
+		if len(missing) > 0 {
+			// Instances without the store use the former primary while no
+			// database was raised. Its log must end before the others are
+			// raised, because these stop receiving then.
+			r.demote(ctx, rec, rec.Term+1)
+		}
+		r.awaitCatchUp(ctx, rec)
+		if len(missing) == 0 {
+			return rec.Excluded, nil
+		}
+	}
+	// Databases that were not raised may have extended an instance's knowledge
+	// until now, so Validity counts from here.
+	r.raise(ctx, rec)
+	missing, err := r.awaitStopped(ctx, rec, Validity+validityMargin)
+	if err != nil {
+		return nil, err
+	}
+	if len(missing) > 0 {
+		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Strs("missing", missing).
+			Msg("Some instances did not confirm; the validity of their knowledge has passed.")
+	}
+	return append(append([]string{}, rec.Excluded...), missing...), nil
+}
+
 // awaitStopped waits until every registered instance has stopped using the
-// former primary, or the validity of its knowledge has passed. It returns the
-// incarnations that did not confirm.
-func (r *Runner) awaitStopped(ctx context.Context, rec Record, since time.Duration) ([]string, error) {
-	var missing []string
+// former primary, or the limit has passed. It returns the incarnations that did
+// not confirm.
+func (r *Runner) awaitStopped(ctx context.Context, rec Record, limit time.Duration) ([]string, error) {
+	until := r.cfg.Now() + limit
 	for {
 		registered, err := r.cfg.Store.Registrations(ctx)
 		if err == nil {
-			missing = Unstopped(registered, rec.Excluded, rec.Service, rec.Token)
-			if len(missing) == 0 {
-				return rec.Excluded, nil
+			missing := Unstopped(registered, rec.Excluded, rec.Service, rec.Token)
+			if len(missing) == 0 || r.cfg.Now() > until {
+				return missing, nil
 			}
 		}
-		if r.cfg.Now()-since > Validity+validityMargin && err == nil {
-			r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Strs("missing", missing).
-				Msg("Some instances did not confirm; the validity of their knowledge has passed.")
-			return append(append([]string{}, rec.Excluded...), missing...), nil
-		}
 		if err := pause(ctx, confirmPause); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// demote ends the former primary's lead.
+func (r *Runner) demote(ctx context.Context, rec Record, term uint64) {
+	r.ask(ctx, rec, func(m Member) (statement.Command, bool) {
+		return statement.Command{Op: statement.OpDemote, Term: term}, m.ID == rec.Primary
+	})
+}
+
 // awaitCatchUp waits until a replica that stays holds the former primary's log.
 func (r *Runner) awaitCatchUp(ctx context.Context, rec Record) {
 	until := r.cfg.Now() + catchUpLimit
@@ -190,6 +221,9 @@
 				r.log.Warn().Str("service", rec.Service).Str("database", m.ID).Err(err).Msg("A database did not answer a control command.")
 				return
 			}
+			r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Str("database", m.ID).Stringer("command", c.Op).
+				Uint64("command_term", c.Term).Bool("primary", s.Primary).Uint64("term", s.Term).Stringer("received", s.Received).
+				Uint64("held_term", s.HeldTerm).Uint64("lag_ms", s.LagMillis).Msg("A database answered a control command.")
 			mu.Lock()
 			defer mu.Unlock()
 			answered = append(answered, Observation{m, s})
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -122,6 +122,11 @@
 	OpDemote // make a primary of a term below Term a replica
 )
 
+var opNames = [...]string{"statement", "set", "prepare", "deallocate", "reset", "rollback", "status", "pause", "resume", "demote"}
+
+// String returns the operation's name for logs.
+func (o Op) String() string { return opNames[o] }
+
 // Command is one command to a database.
 type Command struct {
 	Op        Op
