Send BEGIN with the first statement only to the fenced primary

BEGIN and the first statement went out together; on a database that refused BEGIN the statement ran outside the transaction. Two ways lead there: a replica that lacks the position, and a former primary that was demoted while an instance without the store still used it.

Now replicas are asked in two steps, the primary in one; it is demoted only after the validity of everybody's knowledge. A connection that is given up is reset, so bytes held up by a partition never reach a demoted database.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -28,6 +28,9 @@
 	// Alive reports whether the connection is open and silent.
 	Alive() bool
 	Close() error
+	// Abort closes the connection and discards what was sent and has not
+	// arrived.
+	Abort() error
 }
 
 // Dial opens a connection to the database with the id that serves the service.
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -227,7 +227,7 @@
 
 // drop closes a connection that is not in the idle list.
 func (p *Pool) drop(c *pooled) {
-	_ = c.Close() // nothing depends on how a failed connection ends
+	_ = c.Abort() // nothing depends on how a failed connection ends
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
@@ -259,7 +259,11 @@
 		commands = append(commands, statement.Command{Op: statement.OpStatement, Statement: *x.Begin, WaitFor: x.WaitFor})
 		last.WaitFor = statement.Position{}
 	}
-	if x.Begin == nil || l.holds(x.WaitFor) {
+	// A replica may refuse Begin, and a statement that follows would run
+	// outside the transaction. The primary can't refuse it while nobody has
+	// begun to replace it.
+	split := x.Begin != nil && !x.WaitFor.IsZero()
+	if !split {
 		commands = append(commands, last)
 	}
 	answers, err := l.do(x.Deadline, commands)
@@ -274,7 +278,7 @@
 	if x.Begin != nil && answers[setup].Err != nil {
 		return answers[setup], nil
 	}
-	if x.Begin != nil && len(answers) == setup+1 {
+	if split {
 		answers, err = l.do(x.Deadline, []statement.Command{last})
 		if err != nil {
 			return statement.Answer{}, err
@@ -283,15 +287,6 @@
 	return answers[len(answers)-1], nil
 }
 
-// holds reports whether the database is known to have the position, so that a
-// transaction which waits for it will begin. A statement must not follow a
-// Begin that may fail: it would run outside the transaction.
-func (l *Lease) holds(p statement.Position) bool {
-	l.pool.mu.Lock()
-	defer l.pool.mu.Unlock()
-	return !l.pool.position.Before(p)
-}
-
 func (l *Lease) do(deadline time.Time, commands []statement.Command) ([]statement.Answer, error) {
 	p := l.pool
 	began := p.now()
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -122,17 +122,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(missing) > 0 {
-			// Instances without the store use the former primary while no
-			// database was raised. Its log must end before the others are
-			// raised, because these stop receiving then.
-			r.demote(ctx, rec, rec.Term+1)
-		}
 		r.awaitCatchUp(ctx, rec)
 		if len(missing) == 0 {
 			return rec.Excluded, nil
 		}
 	}
+	// An instance without the store uses the former primary until no database
+	// extends its knowledge any more. The former primary is not demoted before:
+	// a statement that follows Begin would run outside its transaction there.
 	// Databases that were not raised may have extended an instance's knowledge
 	// until now, so Validity counts from here.
 	r.raise(ctx, rec)
@@ -166,13 +163,6 @@
 	}
 }
 
-// demote ends the former primary's lead.
-func (r *Runner) demote(ctx context.Context, rec Record, term uint64) {
-	r.ask(ctx, rec, func(m Member) (statement.Command, bool) {
-		return statement.Command{Op: statement.OpDemote, Term: term}, m.ID == rec.Primary
-	})
-}
-
 // awaitCatchUp waits until a replica that stays holds the former primary's log.
 func (r *Runner) awaitCatchUp(ctx context.Context, rec Record) {
 	until := r.cfg.Now() + catchUpLimit
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -16,6 +16,9 @@
 	retryPause = 20 * time.Millisecond
 	// busyPause is the pause after a database refused work for lack of room.
 	busyPause = 15 * time.Millisecond
+	// demotedPause is the pause after the believed primary refused a write. A
+	// replacement is under way then, and takes longer.
+	demotedPause = 150 * time.Millisecond
 	// tryTimeout bounds one attempt of a read that may be repeated elsewhere.
 	// It is above the longest work of a read on a database that is five times
 	// slower than usual in nine cases of ten.
@@ -66,7 +69,12 @@
 
 // waitFor waits a moment, or until changed.
 func waitFor(changed <-chan struct{}, deadline time.Time) {
-	t := time.NewTimer(min(retryPause, time.Until(deadline)))
+	waitUntil(changed, earlier(deadline, time.Now().Add(retryPause)))
+}
+
+// waitUntil waits until a moment, or until changed.
+func waitUntil(changed <-chan struct{}, until time.Time) {
+	t := time.NewTimer(time.Until(until))
 	defer t.Stop()
 	select {
 	case <-changed:
@@ -259,7 +267,7 @@
 		time.Sleep(min(busyPause, time.Until(q.deadline)))
 		return o, q.tried[id] < maxTries || !q.needsPrimary()
 	case result.NotPrimary:
-		waitFor(x.s.cfg.Beliefs.Changed(), q.deadline)
+		waitUntil(x.s.cfg.Beliefs.Changed(), earlier(q.deadline, time.Now().Add(demotedPause)))
 		return o, true
 	case result.StatementFailed, result.StatementTimeout:
 		return o, q.mayRepeat()
