Confirm primaries and learn of changes with one question to the store

Change: knowledge of a primary is valid for 1.5 s and renewed every 0.4 s; the promoter takes the validity from the registrations. The renewal's answer carries the store's revision, so registrations and configuration are listed only when it has moved, and their two watches go.

--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -49,16 +49,7 @@
 	if err != nil {
 		return // noted by connect; tried again after a pause
 	}
-	p.mu.Lock()
-	c.idleSince = p.now()
-	keep := !p.closed
-	if keep {
-		p.idle = append(p.idle, c)
-	}
-	p.mu.Unlock()
-	if !keep {
-		p.drop(c)
-	}
+	p.giveBack(c)
 }
 
 // Troubled returns since when the database has not answered this instance.
@@ -68,23 +59,54 @@
 	return p.health.troubled(p.now())
 }
 
-// Control runs a status command on a connection of its own, outside the share
-// and the queue, so that it works while all connections are in use.
+// Control runs a status command without waiting in the queue. It uses an idle
+// connection if there is one, and otherwise opens one of its own.
 func (p *Pool) Control(ctx context.Context, c statement.Command, timeout time.Duration) (statement.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	deadline, _ := ctx.Deadline()
 	began := p.now()
+	if conn := p.takeIdle(); conn != nil && conn.Alive() {
+		s, err := conn.Status(deadline, c)
+		p.noteControl(began, err)
+		if err == nil {
+			p.giveBack(conn)
+		} else {
+			p.drop(conn)
+		}
+		return s, err
+	} else if conn != nil {
+		p.drop(conn)
+	}
 	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID)
 	if err != nil {
 		return statement.Status{}, dialError(p.db.ID, err)
 	}
 	defer func() { _ = conn.Close() }() // the answer is all that is wanted
-	deadline, _ := ctx.Deadline()
 	s, err := conn.Status(deadline, c)
+	p.noteControl(began, err)
+	return s, err
+}
+
+// giveBack returns a connection that was taken from the idle list.
+func (p *Pool) giveBack(c *pooled) {
+	p.mu.Lock()
+	keep := !p.closed && p.open <= p.share
+	if keep {
+		c.idleSince = p.now()
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		p.drop(c)
+	}
+}
+
+// noteControl notes a control command that the database answered.
+func (p *Pool) noteControl(began time.Duration, err error) {
 	if err == nil || result.Is(err, result.Overloaded) {
 		p.noteAnswer(began)
 	}
-	return s, err
 }
 
 func (p *Pool) noteAnswer(began time.Duration) {
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -320,17 +320,7 @@
 
 // Release returns the connection, which must not be in a transaction.
 func (l *Lease) Release() {
-	p := l.pool
-	p.mu.Lock()
-	keep := !p.closed && p.open <= p.share
-	if keep {
-		l.conn.idleSince = p.now()
-		p.idle = append(p.idle, l.conn)
-	}
-	p.mu.Unlock()
-	if !keep {
-		p.drop(l.conn)
-	}
+	l.pool.giveBack(l.conn)
 	l.ticket.Release(l.work)
 }
 
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -52,6 +52,7 @@
 	pools    *dbpool.Set
 	proxy    *proxy.Server
 	metrics  *proxy.Metrics
+	follower *topology.Follower
 	stopping atomic.Bool
 }
 
@@ -60,8 +61,9 @@
 	incarnation := cfg.Instance + "#" + strconv.FormatUint(rand.Uint64(), 36)
 	i := &Instance{
 		cfg: cfg, topology: topology.New(), metrics: proxy.NewMetrics(),
-		beliefs: primacy.NewBeliefs(incarnation, clock.SinceBoot),
+		beliefs: primacy.NewBeliefs(incarnation, primacy.Validity, clock.SinceBoot),
 	}
+	i.follower = topology.NewFollower(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
 		Instances: func() int { return i.primacy.Instances() },
@@ -71,6 +73,7 @@
 		Promotions: cfg.Promotions, Beliefs: i.beliefs, Services: i.services, Now: clock.SinceBoot,
 		Log:         cfg.Log.With().Str("part", "primacy").Logger(),
 		OnStoreAway: func() { i.topology.StoreAway(clock.SinceBoot()) },
+		OnRevision:  i.follower.SeeRevision,
 	})
 	i.proxy = proxy.New(proxy.Config{
 		Instance: cfg.Instance, DataCentre: cfg.DataCentre, Topology: i.topology, Beliefs: i.beliefs,
@@ -126,10 +129,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	follower := &topology.Follower{
-		Topology: i.topology, Source: i.cfg.Source, Now: clock.SinceBoot, Log: i.cfg.Log.With().Str("part", "topology").Logger(),
-	}
-	for _, part := range []func(context.Context) error{follower.Run, i.pools.Run, i.primacy.Run} {
+	for _, part := range []func(context.Context) error{i.follower.Run, i.pools.Run, i.primacy.Run} {
 		wg.Go(func() {
 			if err := part(ctx); err != nil && !errors.Is(err, context.Canceled) {
 				log.Error().Err(err).Msg("A part ended.")
--- a/internal/primacy/beliefs.go
+++ b/internal/primacy/beliefs.go
@@ -6,15 +6,10 @@
 	"time"
 )
 
-const (
-	// Validity is how long knowledge of a record may be used, counted from
-	// when the question was sent. It covers a renewal a second, a lost renewal
-	// and the questions to databases that replace it.
-	Validity = 3 * time.Second
-	// validityMargin is what a promoter waits beyond Validity: a request that
-	// was sent in time may take this long to reach the database.
-	validityMargin = 300 * time.Millisecond
-)
+// validityMargin is what a promoter waits beyond the validity of an instance's
+// knowledge. Clocks of machines may run at slightly different rates. An answer
+// that arrives later is not passed on, so requests under way need no margin.
+const validityMargin = 100 * time.Millisecond
 
 // Primary names the database that leads a service.
 type Primary struct {
@@ -31,7 +26,8 @@
 // Beliefs is what an instance knows of the records. It is safe for concurrent
 // use.
 type Beliefs struct {
-	now func() time.Duration // counts suspension
+	now      func() time.Duration // counts suspension
+	validity time.Duration
 
 	mu          sync.Mutex
 	services    map[string]*belief
@@ -41,9 +37,11 @@
 }
 
 // NewBeliefs returns beliefs that hold nothing. now must count suspension.
-func NewBeliefs(incarnation string, now func() time.Duration) *Beliefs {
+// validity is how long knowledge of a record may be used, counted from when the
+// question was sent; it must be the one in the instance's registration.
+func NewBeliefs(incarnation string, validity time.Duration, now func() time.Duration) *Beliefs {
 	return &Beliefs{
-		now: now, services: make(map[string]*belief), incarnation: incarnation, changed: make(chan struct{}),
+		now: now, validity: validity, services: make(map[string]*belief), incarnation: incarnation, changed: make(chan struct{}),
 	}
 }
 
@@ -122,7 +120,7 @@
 }
 
 func (b *Beliefs) usable(s *belief, now time.Duration) bool {
-	return s.record.Phase == Serving && s.confirmed > 0 && now-s.confirmed < Validity && !slices.Contains(s.record.Excluded, b.incarnation)
+	return s.record.Phase == Serving && s.confirmed > 0 && now-s.confirmed < b.validity && !slices.Contains(s.record.Excluded, b.incarnation)
 }
 
 // Holds reports whether p may still be used as primary of the service.
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -13,7 +13,7 @@
 const (
 	// controlTimeout bounds a control command to one database. It covers the
 	// queue of a database whose slots are all busy with slow work.
-	controlTimeout = 700 * time.Millisecond
+	controlTimeout = 400 * time.Millisecond
 	// confirmPause is the pause between two looks at the registrations.
 	confirmPause = 40 * time.Millisecond
 	// plannedConfirm is how long a planned replacement waits for all instances
@@ -118,7 +118,7 @@
 // incarnations that did not confirm it.
 func (r *Runner) stopAll(ctx context.Context, rec Record) ([]string, error) {
 	if rec.Planned {
-		missing, err := r.awaitStopped(ctx, rec, plannedConfirm)
+		missing, err := r.awaitStopped(ctx, rec, func(time.Duration) time.Duration { return plannedConfirm })
 		if err != nil {
 			return nil, err
 		}
@@ -128,12 +128,11 @@
 		}
 	}
 	// An instance without the store uses the former primary until no database
-	// extends its knowledge any more. The former primary is not demoted before:
-	// a statement that follows Begin would run outside its transaction there.
-	// Databases that were not raised may have extended an instance's knowledge
-	// until now, so Validity counts from here.
+	// extends its knowledge any more, so its validity counts from here. The
+	// former primary is not demoted before: a statement that follows Begin
+	// would run outside its transaction there.
 	r.raise(ctx, rec)
-	missing, err := r.awaitStopped(ctx, rec, Validity+validityMargin)
+	missing, err := r.awaitStopped(ctx, rec, func(validity time.Duration) time.Duration { return validity + validityMargin })
 	if err != nil {
 		return nil, err
 	}
@@ -145,15 +144,15 @@
 }
 
 // awaitStopped waits until every registered instance has stopped using the
-// former primary, or the limit has passed. It returns the incarnations that did
-// not confirm.
-func (r *Runner) awaitStopped(ctx context.Context, rec Record, limit time.Duration) ([]string, error) {
-	until := r.cfg.Now() + limit
+// former primary, or the limit has passed, which follows from the validity of
+// the missing ones' knowledge. It returns the incarnations that did not confirm.
+func (r *Runner) awaitStopped(ctx context.Context, rec Record, limit func(validity time.Duration) time.Duration) ([]string, error) {
+	since := r.cfg.Now()
 	for {
 		registered, err := r.cfg.Store.Registrations(ctx)
 		if err == nil {
-			missing := Unstopped(registered, rec.Excluded, rec.Service, rec.Token)
-			if len(missing) == 0 || r.cfg.Now() > until {
+			missing, validity := Unstopped(registered, rec.Excluded, rec.Service, rec.Token)
+			if len(missing) == 0 || r.cfg.Now()-since > limit(validity) {
 				return missing, nil
 			}
 		}
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -6,7 +6,7 @@
 // again when the answer arrives. A primary is promoted only by the instance
 // that holds the service's record with the highest token, and only after every
 // registered instance has said that it stopped using the former primary, or
-// Validity has passed. The store's record, not a clock or a list of live
+// their validity has passed. The store's record, not a clock or a list of live
 // instances, settles who may promote.
 package primacy
 
@@ -52,6 +52,8 @@
 	Instance    string
 	Revision    uint64 // of the store
 	Incarnation string // differs for each life of a process
+	// Validity is how long the instance uses what it knows of a record.
+	Validity time.Duration
 	// Stopped holds, by service, the token for which the instance has stopped
 	// using the former primary.
 	Stopped map[string]uint64
@@ -68,6 +70,7 @@
 
 // Store keeps records and registrations. Lists are linearizable.
 type Store interface {
+	// Records also returns the revision of the whole store.
 	Records(ctx context.Context) ([]Record, uint64, error)
 	// WatchRecords waits for records that changed after the revision and
 	// returns the revision to go on from.
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -16,14 +16,20 @@
 )
 
 const (
-	// renewPeriod is the pause between two questions that confirm the records.
-	renewPeriod = 1 * time.Second
-	// renewTimeout bounds such a question. Two may fail within Validity and
-	// still leave time to ask the databases instead.
-	renewTimeout = 700 * time.Millisecond
+	// RenewPeriod is the pause between two questions that confirm the records.
+	RenewPeriod = 400 * time.Millisecond
+	// Validity is how long what a question showed may be used, counted from
+	// when it was sent. It covers a renewal that fails and the questions to
+	// databases that replace it.
+	Validity = 1500 * time.Millisecond
+	// renewTimeout bounds a question. The store answers within 300 ms when it
+	// is slow.
+	renewTimeout = 400 * time.Millisecond
+	// storeTimeout bounds other calls to the store.
+	storeTimeout = 1 * time.Second
 	// watchWait is how long a watch waits for a change. A connection that went
 	// silent is noticed after this time and watchSlack.
-	watchWait  = 8 * time.Second
+	watchWait  = 15 * time.Second
 	watchSlack = 1 * time.Second
 	// tick is the period of the checks for a failed primary.
 	tick = 100 * time.Millisecond
@@ -34,7 +40,9 @@
 	// takeoverAfter is how long a replacement may stand still before another
 	// instance takes it over. A promoter may wait for Validity, and then for
 	// the promoted database to lead.
-	takeoverAfter = Validity + 2500*time.Millisecond
+	takeoverAfter = 4 * time.Second
+	// ownRetry is the pause before an instance repeats its own failed attempt.
+	ownRetry = 700 * time.Millisecond
 	// maxBackoff bounds the pause between calls to a store that does not answer.
 	maxBackoff = 1 * time.Second
 	// replaceLimit bounds one replacement.
@@ -52,8 +60,10 @@
 	Services    func() []string
 	Now         func() time.Duration // counts suspension
 	Log         zerolog.Logger
-	// OnStoreAway is called when a question to the store fails.
+	// OnStoreAway is called when a question to the store fails, and OnRevision
+	// with the store's revision when one is answered.
 	OnStoreAway func()
+	OnRevision  func(revision uint64)
 }
 
 // Runner keeps an instance's beliefs fresh, votes on failed primaries and
@@ -79,7 +89,7 @@
 		cfg: cfg,
 		log: cfg.Log,
 		reg: Registration{
-			Instance: cfg.Instance, Incarnation: cfg.Incarnation,
+			Instance: cfg.Instance, Incarnation: cfg.Incarnation, Validity: Validity,
 			Stopped: make(map[string]uint64), Suspects: make(map[string]uint64),
 		},
 		dirty:     make(chan struct{}, 1),
@@ -141,7 +151,7 @@
 }
 
 func (r *Runner) publish(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	r.mu.Lock()
 	reg := r.reg
@@ -178,13 +188,13 @@
 // renewLoop confirms the records from the store, or else from databases.
 func (r *Runner) renewLoop(ctx context.Context) {
 	for {
-		wait := renewPeriod
+		wait := RenewPeriod
 		if !r.isRegistered() {
 			wait = tick / 5
 		} else if err := r.renew(ctx); err != nil {
 			r.cfg.OnStoreAway()
 			r.renewFromDatabases(ctx)
-			wait = renewPeriod / 2
+			wait = RenewPeriod / 4
 		}
 		if pause(ctx, wait) != nil {
 			return
@@ -196,10 +206,11 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	asked := r.cfg.Now()
-	records, _, err := r.cfg.Store.Records(ctx)
+	records, at, err := r.cfg.Store.Records(ctx)
 	if err != nil {
 		return err
 	}
+	r.cfg.OnRevision(at)
 	for _, rec := range r.cfg.Beliefs.Confirm(records, asked) {
 		r.adopted(rec, "listed")
 	}
@@ -258,7 +269,7 @@
 }
 
 func (r *Runner) watch(ctx context.Context) error {
-	lctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	lctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	records, at, err := r.cfg.Store.Records(lctx)
 	cancel()
 	if err != nil {
@@ -309,10 +320,10 @@
 
 // countLoop keeps the number of instances, which shares out connections.
 func (r *Runner) countLoop(ctx context.Context) {
-	const period = 5 * time.Second
+	const period = 10 * time.Second
 	for {
 		wait := period
-		cctx, cancel := context.WithTimeout(ctx, renewTimeout)
+		cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		registered, err := r.cfg.Store.Registrations(cctx)
 		cancel()
 		if err == nil {
@@ -494,7 +505,7 @@
 	r.mu.Unlock()
 	limit := takeoverAfter
 	if rec.Promoter == r.incarnation() {
-		limit = renewPeriod // its own attempt failed
+		limit = ownRetry // its own attempt failed
 	}
 	if age < limit {
 		return
--- a/internal/primacy/suspicion.go
+++ b/internal/primacy/suspicion.go
@@ -30,15 +30,20 @@
 }
 
 // Unstopped returns the incarnations that have not confirmed that they stopped
-// using the primary that the token replaces.
-func Unstopped(registered []Registration, excluded []string, service string, token uint64) []string {
-	var missing []string
+// using the primary that the token replaces, and the longest validity of their
+// knowledge.
+func Unstopped(registered []Registration, excluded []string, service string, token uint64) ([]string, time.Duration) {
+	var (
+		missing  []string
+		validity time.Duration
+	)
 	for _, r := range registered {
 		if r.Stopped[service] < token && !slices.Contains(excluded, r.Incarnation) {
 			missing = append(missing, r.Incarnation)
+			validity = max(validity, r.Validity)
 		}
 	}
-	return missing
+	return missing, validity
 }
 
 // Observation is the status of one replica after it was raised.
--- a/internal/topology/follow.go
+++ b/internal/topology/follow.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A connection that went
-	// silent is noticed after this time and watchSlack, well within the time
-	// in which a leaving database or a new configuration must be known.
-	watchWait  = 3 * time.Second
-	watchSlack = 700 * time.Millisecond
 	// listTimeout bounds a list.
 	listTimeout = 1500 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call, before jitter.
@@ -23,140 +19,143 @@
 	expirePeriod = 250 * time.Millisecond
 )
 
-// Change is a change of one registration.
-type Change struct {
-	Database Database
-	Removed  bool
-}
-
-// Source tells what is registered and configured. Damaged registrations are
-// returned beside the others.
+// Source tells what is registered and configured, and the store's revision at
+// that time. Damaged registrations are returned beside the others.
 type Source interface {
 	Servers(ctx context.Context) (all []Database, at uint64, damaged []error, err error)
-	WatchServers(ctx context.Context, after uint64, wait time.Duration) (changes []Change, at uint64, damaged []error, err error)
 	Configuration(ctx context.Context) (Configuration, uint64, error)
-	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (Configuration, uint64, error)
 }
 
-// Follower keeps a Topology up to date.
+// Follower keeps a Topology up to date. It lists the registrations and the
+// configuration whenever the store's revision has moved. The revision comes with
+// the questions that confirm the primaries, so nothing else is asked while
+// nothing changes, and no change depends on a watch that may have gone silent.
 type Follower struct {
 	Topology *Topology
 	Source   Source
 	Now      func() time.Duration // counts suspension
 	Log      zerolog.Logger
+
+	newest  atomic.Uint64 // revision of the store, as last seen
+	changed chan struct{}
+	damaged map[string]bool // reported already
+}
+
+// NewFollower returns a follower; Run starts it.
+func NewFollower(t *Topology, source Source, now func() time.Duration, log zerolog.Logger) *Follower {
+	return &Follower{
+		Topology: t, Source: source, Now: now, Log: log, changed: make(chan struct{}, 1), damaged: make(map[string]bool),
+	}
+}
+
+// SeeRevision notes the store's revision.
+func (f *Follower) SeeRevision(at uint64) {
+	if at <= f.newest.Load() {
+		return
+	}
+	f.newest.Store(at)
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	go f.loop(ctx, "registrations", f.followServers)
-	go f.loop(ctx, "configuration", f.followConfiguration)
-	t := time.NewTicker(expirePeriod)
-	defer t.Stop()
-	for {
+	go f.expireLoop(ctx)
+	var known uint64
+	wait := retryMin
+	for ctx.Err() == nil {
+		at, err := f.list(ctx)
+		if err == nil {
+			known = at
+			wait = retryMin
+			f.await(ctx, known)
+			continue
+		}
+		f.Topology.StoreAway(f.Now())
+		f.Log.Warn().Err(err).Uint64("version", f.Topology.Snapshot().Version).Uint64("revision", known).
+			Msg("The store does not answer; the last known state stays in use.")
+		t := time.NewTimer(wait/2 + rand.N(wait)) // spreads the instances after an outage
+		wait = min(2*wait, retryMax)
 		select {
 		case <-t.C:
-			for _, id := range f.Topology.Expire(f.Now()) {
-				f.Log.Info().Str("database", id).Dur("missing_ms", GoneAfter).Msg("A registration lapsed; the database is gone.")
-			}
 		case <-ctx.Done():
-			return ctx.Err()
 		}
+		t.Stop()
 	}
+	return ctx.Err()
 }
 
-// loop runs follow again whenever it fails. The state is kept meanwhile.
-func (f *Follower) loop(ctx context.Context, what string, follow func(context.Context, func()) error) {
-	wait := retryMin
-	lost := false
-	answered := func() {
-		wait = retryMin
-		if lost {
-			f.Log.Info().Str("what", what).Msg("The store answers again.")
+// await waits until the store's revision is beyond the known one.
+func (f *Follower) await(ctx context.Context, known uint64) {
+	for f.newest.Load() <= known {
+		select {
+		case <-f.changed:
+		case <-ctx.Done():
+			return
 		}
-		lost = false
 	}
+}
+
+func (f *Follower) expireLoop(ctx context.Context) {
+	t := time.NewTicker(expirePeriod)
+	defer t.Stop()
 	for {
-		err := follow(ctx, answered)
-		if ctx.Err() != nil {
-			return
-		}
-		f.Topology.StoreAway(f.Now())
-		if !lost {
-			f.Log.Warn().Str("what", what).Err(err).Uint64("version", f.Topology.Snapshot().Version).Msg("The store does not answer; the last known state stays in use.")
-		}
-		lost = true
-		t := time.NewTimer(wait/2 + rand.N(wait)) // spreads the instances after an outage
-		wait = min(2*wait, retryMax)
 		select {
 		case <-t.C:
+			for _, id := range f.Topology.Expire(f.Now()) {
+				f.Log.Info().Str("database", id).Dur("missing_ms", GoneAfter).Msg("A registration lapsed; the database is gone.")
+			}
 		case <-ctx.Done():
-			t.Stop()
 			return
 		}
 	}
 }
 
-func (f *Follower) followServers(ctx context.Context, answered func()) error {
-	lctx, cancel := context.WithTimeout(ctx, listTimeout)
-	all, at, damaged, err := f.Source.Servers(lctx)
-	cancel()
+// list takes over the registrations and the configuration and returns the
+// revision up to which they are complete. A configuration that is damaged
+// changes nothing.
+func (f *Follower) list(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	c, configured, err := f.Source.Configuration(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.applyConfiguration(c)
+	all, at, damaged, err := f.Source.Servers(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	answered()
 	f.reportDamaged(damaged)
+	f.reportChanges(all, at)
 	f.Topology.Replace(all, f.Now())
-	f.Log.Info().Int("databases", len(all)).Uint64("revision", at).Msg("Listed the registrations.")
-	for {
-		wctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		changes, next, damaged, err := f.Source.WatchServers(wctx, at, watchWait)
-		cancel()
-		if err != nil {
-			return err
-		}
-		at = next
-		f.reportDamaged(damaged)
-		for _, c := range changes {
-			f.applyChange(c, at)
-		}
-	}
+	return min(at, configured), nil
 }
 
-func (f *Follower) applyChange(c Change, at uint64) {
-	if c.Removed {
-		f.Topology.Unregister(c.Database.ID, f.Now())
-		f.Log.Info().Str("database", c.Database.ID).Uint64("revision", at).Msg("A registration was removed.")
-		return
+// reportChanges writes a line for each registration that differs from the known
+// one.
+func (f *Follower) reportChanges(all []Database, at uint64) {
+	snap := f.Topology.Snapshot()
+	for _, d := range all {
+		old, known := snap.Find(d.Service, d.ID)
+		old.leavingSince = 0
+		if known && old == d {
+			continue
+		}
+		f.Log.Info().Str("database", d.ID).Str("service", d.Service).Str("address", d.Address).Bool("leaving", d.Leaving).
+			Bool("primary", d.Primary).Int64("born_ms", d.Born).Uint64("revision", at).Msg("A registration changed.")
 	}
-	f.Topology.Register(c.Database, f.Now())
-	f.Log.Info().Str("database", c.Database.ID).Str("service", c.Database.Service).Str("address", c.Database.Address).
-		Bool("leaving", c.Database.Leaving).Bool("primary", c.Database.Primary).Int64("born_ms", c.Database.Born).
-		Uint64("revision", at).Msg("A registration changed.")
 }
 
+// reportDamaged writes one line for each registration that can't be used.
 func (f *Follower) reportDamaged(damaged []error) {
 	for _, err := range damaged {
-		f.Log.Warn().Err(err).Msg("A registration is damaged and is not used.")
-	}
-}
-
-func (f *Follower) followConfiguration(ctx context.Context, answered func()) error {
-	lctx, cancel := context.WithTimeout(ctx, listTimeout)
-	c, at, err := f.Source.Configuration(lctx)
-	cancel()
-	if err != nil {
-		return err
-	}
-	answered()
-	f.applyConfiguration(c)
-	for {
-		wctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		c, at, err = f.Source.WatchConfiguration(wctx, at, watchWait)
-		cancel()
-		if err != nil {
-			return err
+		if text := err.Error(); !f.damaged[text] {
+			f.damaged[text] = true
+			f.Log.Warn().Err(err).Msg("A registration is damaged and is not used.")
 		}
-		f.applyConfiguration(c)
 	}
 }
 
