Lend connections to primaries where the limit has no room for all instances

Cause: 64 instances asked for two connections each of a database that takes 46.

Change: where the limit has less than 1.5 connections for each instance, unused connections to a primary close after 250 ms, and reads stay with one replica of a service. A reset right after the opening means the limit, not a crash. The renewal period grows with the number of instances, and the first openings after a start are spread.

--- /dev/null
+++ b/internal/dbpool/lending.go
@@ -0,0 +1,43 @@
+package dbpool
+
+import "time"
+
+const (
+	// idleLongest is how long an unused connection stays open where there is
+	// room for all instances.
+	idleLongest = 20 * time.Second
+	// idleLent is how long it stays open at a primary that all instances need
+	// and whose limit has no room for all of them. With 64 instances, a limit
+	// of 46 and about one request a second from each, 15 connections wait
+	// unused and half of the requests find one open.
+	idleLent = 250 * time.Millisecond
+	// lendingRoom is how many connections for each instance a limit must have
+	// so that connections need not be lent.
+	lendingRoom = 1.5
+)
+
+// Sharing says how an instance holds connections to a database whose limit it
+// shares with other instances.
+type Sharing struct {
+	Share int           // connections that the instance may hold
+	Idle  time.Duration // how long an unused one stays open
+	Warm  bool          // one is opened ahead of need and stays open
+}
+
+// Share divides a connection limit among instances. All of them together stay
+// within the limit unless connections are lent. Replicas need not be lent:
+// reads stay with a replica to which a connection is open, so that each
+// instance holds connections to one replica of a service.
+func Share(limit, instances int, primary bool) Sharing {
+	if float64(limit) < lendingRoom*float64(instances) {
+		s := Sharing{Share: lentShare, Idle: idleLongest}
+		if primary {
+			s.Idle = idleLent
+		}
+		return s
+	}
+	return Sharing{Share: min(max(1, limit/max(1, instances)), maxShare), Idle: idleLongest, Warm: true}
+}
+
+// scarce reports that connections are lent.
+func (s Sharing) scarce() bool { return !s.Warm }
--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -8,18 +8,20 @@
 	"geraniumbeam/internal/statement"
 )
 
-// Maintain closes connections that are dead or not needed and keeps one open,
-// so that the first request does not wait and a crash is noticed without
-// traffic. It is called about once a second.
+// Maintain closes connections that are dead or not needed. Where the limit has
+// room it keeps one open, so that the first request does not wait and a crash is
+// noticed without traffic.
 func (p *Pool) Maintain(ctx context.Context) {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
-	p.mu.Unlock()
 	now := p.now()
+	sharing := p.sharing
+	p.mu.Unlock()
 	var keep []*pooled
 	for i, c := range idle {
-		unused := now-c.idleSince > idleKept && i < len(idle)-1
+		last := i == len(idle)-1 && sharing.Warm
+		unused := now-c.idleSince > sharing.Idle && !last
 		if unused || !c.Alive() {
 			p.drop(c)
 			continue
@@ -31,7 +33,7 @@
 	if !closed {
 		p.idle = append(keep, p.idle...)
 	}
-	empty := p.open == 0 && !closed && now >= p.redialAt
+	empty := sharing.Warm && p.open == 0 && !closed && now >= max(p.redialAt, p.warmAt)
 	p.mu.Unlock()
 	if closed {
 		for _, c := range keep {
@@ -43,6 +45,16 @@
 	}
 }
 
+// maintainSoon maintains the pool unless that is under way.
+func (p *Pool) maintainSoon(ctx context.Context) {
+	if p.maintaining.CompareAndSwap(false, true) {
+		go func() {
+			defer p.maintaining.Store(false)
+			p.Maintain(ctx)
+		}()
+	}
+}
+
 // warm opens one connection and leaves it idle.
 func (p *Pool) warm(ctx context.Context) {
 	c, err := p.connect(ctx)
@@ -91,7 +103,7 @@
 // giveBack returns a connection that was taken from the idle list.
 func (p *Pool) giveBack(c *pooled) {
 	p.mu.Lock()
-	keep := !p.closed && p.open <= p.share
+	keep := !p.closed && p.open <= p.sharing.Share
 	if keep {
 		c.idleSince = p.now()
 		p.idle = append(p.idle, c)
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumbeam/internal/admission"
@@ -18,14 +20,15 @@
 	// dialTimeout bounds the opening of a connection. It covers three lost
 	// packets between data centres and a database that is five times slower.
 	dialTimeout = 1 * time.Second
-	// idleKept is how long a connection beyond the first stays open unused.
-	idleKept = 20 * time.Second
 	// redialMin and redialMax bound the pause after a failed opening.
 	redialMin = 50 * time.Millisecond
 	redialMax = 800 * time.Millisecond
-	// limitPause is the pause after the database refused a connection because
-	// of its limit.
-	limitPause = 100 * time.Millisecond
+	// limitPause is the mean pause after the database refused a connection
+	// because of its limit.
+	limitPause = 30 * time.Millisecond
+	// warmSpread spreads the first connections of instances that start together:
+	// 64 of them take 200 ms of all four slots of a database.
+	warmSpread = 1500 * time.Millisecond
 	// behindPause is how long a replica that lacked a position gets no reads
 	// that need one. A read that finds it behind again costs one attempt.
 	behindPause = 150 * time.Millisecond
@@ -38,13 +41,16 @@
 	now   func() time.Duration // counts suspension
 	queue *admission.Queue
 
+	maintaining atomic.Bool
+
 	mu       sync.Mutex
 	idle     []*pooled // most recently used last
 	open     int       // idle, in use and being opened
-	share    int
+	sharing  Sharing
 	closed   bool
 	redialAt time.Duration
 	pause    time.Duration
+	warmAt   time.Duration // no connection is opened ahead of need before
 	health   health
 	position statement.Position // of the database's log, in its latest answer
 	behindAt time.Duration      // when the database last lacked a position
@@ -57,39 +63,42 @@
 	Dial     Dial
 	Clock    clock.Clock
 	Now      func() time.Duration // a clock that counts suspension
-	Share    int                  // connections that this instance may hold
+	Sharing  Sharing
 }
 
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
 	return &Pool{
-		db:    cfg.Database,
-		dial:  cfg.Dial,
-		now:   cfg.Now,
-		share: cfg.Share,
-		queue: admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Share, FixedConcurrency: true}),
+		db:      cfg.Database,
+		dial:    cfg.Dial,
+		now:     cfg.Now,
+		sharing: cfg.Sharing,
+		warmAt:  cfg.Now() + rand.N(warmSpread),
+		queue:   admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sharing.Share, FixedConcurrency: true}),
 	}
 }
 
 // Database returns the database that the pool connects to.
 func (p *Pool) Database() topology.Database { return p.db }
 
-// SetShare changes how many connections the instance may hold.
-func (p *Pool) SetShare(n int) {
+// SetSharing changes how the instance holds connections.
+func (p *Pool) SetSharing(s Sharing) {
 	p.mu.Lock()
-	changed := n != p.share
-	p.share = n
+	changed := s.Share != p.sharing.Share
+	p.sharing = s
 	p.mu.Unlock()
 	if changed {
-		p.queue.SetConcurrency(n)
+		p.queue.SetConcurrency(s.Share)
 	}
 }
 
 // Load describes how busy a database is as far as this instance sees.
 type Load struct {
 	InUse  int
+	Idle   int // open connections that wait for work
 	Queued int
 	Share  int
+	Scarce bool // connections are lent, so that opening one may fail
 	Down   bool // no connection can be opened, or nothing is answered
 	// Position is the end of the database's log in its latest answer.
 	Position statement.Position
@@ -115,11 +124,12 @@
 	return Load{
 		InUse:    p.open - len(p.idle),
 		Queued:   l.Queued,
-		Share:    p.share,
+		Share:    p.sharing.Share,
+		Scarce:   p.sharing.scarce(),
 		Position: p.position,
 		Behind:   p.behindAt != 0 && p.now()-p.behindAt < behindPause,
 		Usual:    p.usual.at(p.now()),
-		Down:     p.closed || (p.open == 0 && p.now() < p.redialAt) || p.health.silent(p.now()),
+		Down:     p.closed || (p.open == 0 && p.pause > 0 && p.now() < p.redialAt) || p.health.silent(p.now()),
 	}
 }
 
@@ -179,7 +189,7 @@
 		p.mu.Unlock()
 		return nil, result.Errorf(result.DatabaseDown, "database %s can't be reached at present", p.db.ID)
 	}
-	if p.open >= p.share {
+	if p.open >= p.sharing.Share {
 		p.mu.Unlock()
 		return nil, result.Errorf(result.ConnectionsBusy, "all connections to database %s are being opened", p.db.ID)
 	}
@@ -210,7 +220,7 @@
 	answered := errors.As(err, &refused) && refused.Code != result.WrongDatabase
 	p.health.end(began, now, answered)
 	if answered {
-		p.redialAt = now + limitPause
+		p.redialAt = now + limitPause/2 + rand.N(limitPause) // spreads the instances
 		return
 	}
 	p.pause = min(max(2*p.pause, redialMin), redialMax)
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -14,11 +14,14 @@
 
 const (
 	// maintainPeriod is the pause between two looks at the idle connections.
-	maintainPeriod = 500 * time.Millisecond
+	maintainPeriod = 100 * time.Millisecond
 	// maxShare bounds an instance's connections to one database. A database
 	// of the known deployments runs 2 to 4 statements at a time, and a
 	// transaction holds its connection between statements.
 	maxShare = 8
+	// lentShare is the bound where the limit has no room for two connections
+	// from each instance, so that they are lent.
+	lentShare = 2
 )
 
 // SetConfig configures a Set. All fields are required.
@@ -49,7 +52,7 @@
 	for {
 		changed := s.cfg.Topology.Changed()
 		for _, p := range s.sync() {
-			go p.Maintain(ctx)
+			p.maintainSoon(ctx)
 		}
 		t := time.NewTimer(maintainPeriod)
 		select {
@@ -72,10 +75,9 @@
 	var all []*Pool
 	known := make(map[string]bool)
 	for service, databases := range snap.Databases {
-		share := Share(snap.Services[service].MaxConnections, instances)
 		for _, d := range databases {
 			known[d.ID] = true
-			all = append(all, s.match(d, share))
+			all = append(all, s.match(d, Share(snap.Services[service].MaxConnections, instances, d.Primary)))
 		}
 	}
 	for id, p := range s.pools {
@@ -89,26 +91,20 @@
 
 // match returns the pool of a database and replaces one of an earlier life or
 // address. s.mu is held.
-func (s *Set) match(d topology.Database, share int) *Pool {
+func (s *Set) match(d topology.Database, sharing Sharing) *Pool {
 	p, ok := s.pools[d.ID]
 	if ok && p.db.Address == d.Address && p.db.Born == d.Born {
-		p.SetShare(share)
+		p.SetSharing(sharing)
 		return p
 	}
 	if ok {
 		p.Close()
 	}
-	p = New(Config{Database: d, Dial: s.cfg.Dial, Clock: s.cfg.Clock, Now: s.cfg.Now, Share: share})
+	p = New(Config{Database: d, Dial: s.cfg.Dial, Clock: s.cfg.Clock, Now: s.cfg.Now, Sharing: sharing})
 	s.pools[d.ID] = p
 	return p
 }
 
-// Share is how many connections to one database each of the instances may
-// hold, so that all of them together stay within the limit.
-func Share(limit, instances int) int {
-	return min(max(1, limit/max(1, instances)), maxShare)
-}
-
 // Pool returns the pool of a database.
 func (s *Set) Pool(id string) (*Pool, bool) {
 	s.mu.RLock()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -61,7 +61,7 @@
 	incarnation := cfg.Instance + "#" + strconv.FormatUint(rand.Uint64(), 36)
 	i := &Instance{
 		cfg: cfg, topology: topology.New(), metrics: proxy.NewMetrics(),
-		beliefs: primacy.NewBeliefs(incarnation, primacy.Validity, clock.SinceBoot),
+		beliefs: primacy.NewBeliefs(incarnation, primacy.Validity(1), clock.SinceBoot),
 	}
 	i.follower = topology.NewFollower(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
--- a/internal/primacy/beliefs.go
+++ b/internal/primacy/beliefs.go
@@ -140,6 +140,14 @@
 	return s.record, s.confirmed, true
 }
 
+// SetValidity changes how long knowledge may be used. A longer validity must be
+// in the registration first.
+func (b *Beliefs) SetValidity(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.validity = d
+}
+
 // Reincarnate notes that the instance is registered under the incarnation from
 // now on. All records must be confirmed again.
 func (b *Beliefs) Reincarnate(incarnation string) {
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -80,6 +80,8 @@
 	// UpdateRecord fails with ErrConflict unless r.Revision is current.
 	UpdateRecord(ctx context.Context, r Record) (Record, error)
 	Registrations(ctx context.Context) ([]Registration, error)
+	// CountInstances may return a number that is seconds old.
+	CountInstances(ctx context.Context) (int, error)
 	// Register creates or replaces a registration and returns it with its
 	// revision.
 	Register(ctx context.Context, r Registration) (Registration, error)
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -16,12 +17,13 @@
 )
 
 const (
-	// RenewPeriod is the pause between two questions that confirm the records.
-	RenewPeriod = 400 * time.Millisecond
-	// Validity is how long what a question showed may be used, counted from
-	// when it was sent. It covers a renewal that fails and the questions to
-	// databases that replace it.
-	Validity = 1500 * time.Millisecond
+	// minRenewPeriod and maxRenewPeriod bound the pause between two questions
+	// that confirm the records, and renewPerInstance is what each registered
+	// instance adds to it: all instances together ask 40 times a second, until
+	// the upper bound is reached.
+	minRenewPeriod   = 400 * time.Millisecond
+	maxRenewPeriod   = 2 * time.Second
+	renewPerInstance = 25 * time.Millisecond
 	// renewTimeout bounds a question. The store answers within 300 ms when it
 	// is slow.
 	renewTimeout = 400 * time.Millisecond
@@ -37,6 +39,10 @@
 	rankPause = 120 * time.Millisecond
 	// plannedRankPause does so for a primary that still works.
 	plannedRankPause = 400 * time.Millisecond
+	// quorumPause is the pause after a vote that found no quorum.
+	quorumPause = 150 * time.Millisecond
+	// bootstrapSpread separates instances that could record the same primary.
+	bootstrapSpread = 600 * time.Millisecond
 	// takeoverAfter is how long a replacement may stand still before another
 	// instance takes it over. A promoter may wait for Validity, and then for
 	// the promoted database to lead.
@@ -49,6 +55,18 @@
 	replaceLimit = 15 * time.Second
 )
 
+// RenewPeriod is the pause between two questions that confirm the records.
+func RenewPeriod(instances int) time.Duration {
+	return min(max(time.Duration(instances)*renewPerInstance, minRenewPeriod), maxRenewPeriod)
+}
+
+// Validity is how long what a question showed may be used, counted from when it
+// was sent. It covers a renewal that fails and the questions to databases that
+// replace it.
+func Validity(instances int) time.Duration {
+	return RenewPeriod(instances)*5/2 + 500*time.Millisecond
+}
+
 // Config holds what a Runner needs. All fields are required.
 type Config struct {
 	Instance    string
@@ -74,8 +92,8 @@
 
 	mu        sync.Mutex
 	reg       Registration
-	published string // incarnation that the store has
-	lives     int    // registrations of this process under new incarnations
+	published publication
+	lives     int // registrations of this process under new incarnations
 	dirty     chan struct{}
 	running   map[string]bool          // replacements that this instance carries out
 	seenAt    map[string]time.Duration // when the current record of a service was seen first
@@ -83,13 +101,19 @@
 	instances int
 }
 
+// publication is what the store has of this instance's registration.
+type publication struct {
+	incarnation string
+	validity    time.Duration
+}
+
 // NewRunner returns a runner; Run starts it.
 func NewRunner(cfg Config) *Runner {
 	return &Runner{
 		cfg: cfg,
 		log: cfg.Log,
 		reg: Registration{
-			Instance: cfg.Instance, Incarnation: cfg.Incarnation, Validity: Validity,
+			Instance: cfg.Instance, Incarnation: cfg.Incarnation, Validity: Validity(1),
 			Stopped: make(map[string]uint64), Suspects: make(map[string]uint64),
 		},
 		dirty:     make(chan struct{}, 1),
@@ -157,6 +181,10 @@
 	reg := r.reg
 	reg.Stopped, reg.Suspects = maps.Clone(reg.Stopped), maps.Clone(reg.Suspects)
 	r.mu.Unlock()
+	// A shorter validity is in force before it is published, a longer one after.
+	if reg.Validity < r.published.validity {
+		r.cfg.Beliefs.SetValidity(reg.Validity)
+	}
 	stored, err := r.cfg.Store.Register(ctx, reg)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("The registration was not written.")
@@ -165,8 +193,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reg.Revision = stored.Revision
-	if r.published != stored.Incarnation {
-		r.published = stored.Incarnation
+	r.cfg.Beliefs.SetValidity(stored.Validity)
+	known := r.published.incarnation
+	r.published = publication{stored.Incarnation, stored.Validity}
+	if known != stored.Incarnation {
 		r.cfg.Beliefs.Reincarnate(stored.Incarnation)
 	}
 	return nil
@@ -182,19 +212,19 @@
 func (r *Runner) isRegistered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.published != ""
+	return r.published.incarnation != ""
 }
 
 // renewLoop confirms the records from the store, or else from databases.
 func (r *Runner) renewLoop(ctx context.Context) {
 	for {
-		wait := RenewPeriod
+		wait := RenewPeriod(r.Instances())
 		if !r.isRegistered() {
 			wait = tick / 5
 		} else if err := r.renew(ctx); err != nil {
 			r.cfg.OnStoreAway()
 			r.renewFromDatabases(ctx)
-			wait = RenewPeriod / 4
+			wait = minRenewPeriod / 4
 		}
 		if pause(ctx, wait) != nil {
 			return
@@ -318,24 +348,34 @@
 	}
 }
 
-// countLoop keeps the number of instances, which shares out connections.
+const (
+	// countPeriod is the pause between two counts of the instances, and
+	// firstCount the one before the second count: all instances of a new
+	// deployment register within a second.
+	countPeriod = 10 * time.Second
+	firstCount  = 1500 * time.Millisecond
+)
+
+// countLoop keeps the number of instances, which shares out connections and
+// sets the period of renewals.
 func (r *Runner) countLoop(ctx context.Context) {
-	const period = 10 * time.Second
-	for {
-		wait := period
+	wait := firstCount
+	for pause(ctx, wait) == nil {
 		cctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		registered, err := r.cfg.Store.Registrations(cctx)
+		n, err := r.cfg.Store.CountInstances(cctx)
 		cancel()
-		if err == nil {
-			r.mu.Lock()
-			r.instances = max(1, len(registered))
-			r.mu.Unlock()
-		} else {
+		wait = countPeriod
+		if err != nil {
 			wait = maxBackoff
+			continue
 		}
-		if pause(ctx, wait) != nil {
-			return
+		r.mu.Lock()
+		r.instances = max(1, n)
+		if v := Validity(r.instances); v != r.reg.Validity {
+			r.reg.Validity = v
+			r.markDirty()
 		}
+		r.mu.Unlock()
 	}
 }
 
@@ -371,7 +411,7 @@
 	switch {
 	case !ok:
 		r.bootstrap(ctx, service)
-	case r.cfg.Now()-confirmed > Validity:
+	case r.cfg.Now()-confirmed > Validity(r.Instances()):
 		// The store is away, so nothing can be agreed.
 	case rec.Phase == Replacing:
 		r.takeOver(ctx, rec)
@@ -384,6 +424,14 @@
 
 // bootstrap records the primary that a service started with.
 func (r *Runner) bootstrap(ctx context.Context, service string) {
+	// All instances of a new deployment start together; the first to get here
+	// records the primary for all.
+	if pause(ctx, rand.N(bootstrapSpread)) != nil {
+		return
+	}
+	if _, _, known := r.cfg.Beliefs.Record(service); known {
+		return
+	}
 	for _, m := range r.cfg.Databases.Members(service) {
 		if !m.Primary {
 			continue
@@ -444,6 +492,7 @@
 	r.mu.Unlock()
 	registered, err := r.cfg.Store.Registrations(ctx)
 	if err != nil || !Quorum(registered, rec.Excluded, rec.Service, rec.Token) {
+		_ = pause(ctx, quorumPause) // the next check looks at the context
 		return
 	}
 	r.compete(ctx, rec, registered, rankPause, false)
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -17,6 +17,11 @@
 	// behindPenalty avoids a replica whose latest answer was behind what the
 	// read needs. It may have caught up since.
 	behindPenalty = 12 * time.Millisecond
+	// connectCost is the time that a new connection takes.
+	connectCost = 15 * time.Millisecond
+	// scarceCost keeps reads with the replica to which a connection is open
+	// while the limits have no room for connections to all.
+	scarceCost = 60 * time.Millisecond
 	// triedPenalty prefers databases that the request has not tried.
 	triedPenalty = 100 * time.Millisecond
 	// maxTries bounds the attempts at one database.
@@ -66,7 +71,14 @@
 
 // cost estimates the time until an answer, plus penalties.
 func cost(l dbpool.Load, remote, primary bool, required statement.Position) time.Duration {
-	c := l.Usual + l.Usual*time.Duration(l.InUse+l.Queued)/time.Duration(max(1, l.Share))
+	c := l.Usual
+	if l.Idle == 0 && l.InUse < l.Share {
+		c += connectCost
+		if l.Scarce {
+			c += scarceCost
+		}
+	}
+	c += l.Usual * time.Duration(l.InUse+l.Queued) / time.Duration(max(1, l.Share))
 	if remote {
 		c += remotePenalty
 	}
