--- /dev/null
+++ b/internal/dbpool/pool_test.go
@@ -0,0 +1,218 @@
+package dbpool
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/statement"
+)
+
+// Guards against a statement that runs with the variables of another session.
+func TestConnectionGetsExactlyTheSessionsVariables(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, Sharing{Share: 1})
+	run := func(vars map[string]string) []statement.Op {
+		l := acquire(t, p)
+		if _, err := l.Run(Exchange{Variables: vars, Deadline: time.Now().Add(time.Second)}); err != nil {
+			t.Fatal(err)
+		}
+		l.Release()
+		return ops(db.got[len(db.got)-1])
+	}
+	for i, c := range []struct {
+		vars map[string]string
+		want []statement.Op
+	}{
+		{map[string]string{"a": "1", "b": "2"}, []statement.Op{statement.OpSet, statement.OpSet, statement.OpStatement}},
+		{map[string]string{"a": "1", "b": "2"}, []statement.Op{statement.OpStatement}},
+		{map[string]string{"a": "1", "b": "3"}, []statement.Op{statement.OpSet, statement.OpStatement}},
+		{map[string]string{"a": "1"}, []statement.Op{statement.OpReset, statement.OpSet, statement.OpStatement}},
+		{nil, []statement.Op{statement.OpReset, statement.OpStatement}},
+	} {
+		if got := run(c.vars); !slices.Equal(got, c.want) {
+			t.Errorf("exchange %d sent %v, want %v", i, got, c.want)
+		}
+	}
+}
+
+// Guards against two sessions whose prepared statements have the same name and
+// different shapes.
+func TestPreparedStatementsAreNamedByShape(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, Sharing{Share: 1})
+	name := func(s Shape) (string, int) {
+		l := acquire(t, p)
+		if _, err := l.Run(Exchange{Shape: &s, Deadline: time.Now().Add(time.Second)}); err != nil {
+			t.Fatal(err)
+		}
+		l.Release()
+		sent := db.got[len(db.got)-1]
+		return sent[len(sent)-1].Name, len(sent)
+	}
+	first, n1 := name(Shape{Text: "q1"})
+	again, n2 := name(Shape{Text: "q1"})
+	writing, n3 := name(Shape{Text: "q1", Writes: true})
+	if first != again || n1 != 2 || n2 != 1 {
+		t.Errorf("the same shape is %q and %q, in %d and %d commands", first, again, n1, n2)
+	}
+	if writing == first || n3 != 2 {
+		t.Errorf("a writing shape is named %q like the reading one", writing)
+	}
+}
+
+// Guards against a statement that runs outside its transaction because a
+// replica refused Begin (PINNED on a day with an instance cut off).
+func TestStatementWaitsForBeginOfAReplica(t *testing.T) {
+	behind := result.Errorf(result.BehindFloor, "behind")
+	db := &fakeDatabase{answer: func(c statement.Command) (statement.Answer, error) {
+		if c.Statement.Kind == statement.Begin {
+			return statement.Answer{Err: behind}, nil
+		}
+		return statement.Answer{}, nil
+	}}
+	p, _ := newPool(db, plenty)
+	l := acquire(t, p)
+	begin := statement.Statement{Kind: statement.Begin, ReadOnly: true}
+	a, err := l.Run(Exchange{
+		Begin: &begin, Statement: statement.Statement{Kind: statement.Read}, WaitFor: statement.Position{Term: 1, Number: 9},
+		Deadline: time.Now().Add(time.Second),
+	})
+	if err != nil || !result.Is(a.Err, result.BehindFloor) {
+		t.Fatalf("answer %+v, %v", a, err)
+	}
+	if len(db.got) != 1 || len(db.got[0]) != 1 {
+		t.Errorf("sent %v although Begin was refused", db.got)
+	}
+}
+
+// Guards against a round trip for Begin at the primary, which the fence
+// protects from refusing it.
+func TestBeginAtThePrimaryIsSentWithTheStatement(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, plenty)
+	l := acquire(t, p)
+	begin := statement.Statement{Kind: statement.Begin}
+	if _, err := l.Run(Exchange{Begin: &begin, Statement: statement.Statement{Kind: statement.Write}, Deadline: time.Now().Add(time.Second)}); err != nil {
+		t.Fatal(err)
+	}
+	if len(db.got) != 1 || len(db.got[0]) != 2 {
+		t.Errorf("sent %v, want Begin and the statement together", db.got)
+	}
+}
+
+// Guards against reuse of a connection whose state is unknown.
+func TestFailedConnectionIsNotUsedAgain(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, Sharing{Share: 1})
+	db.answer = func(statement.Command) (statement.Answer, error) { return statement.Answer{}, errBroken }
+	l := acquire(t, p)
+	if _, err := l.Run(Exchange{Deadline: time.Now().Add(time.Second)}); err == nil {
+		t.Fatal("no error")
+	}
+	l.Discard()
+	if db.open != 0 {
+		t.Errorf("%d connections are open after the failure", db.open)
+	}
+	db.answer = nil
+	acquire(t, p).Release()
+	if db.open != 1 {
+		t.Errorf("%d connections are open, want a new one", db.open)
+	}
+}
+
+// Guards against a transaction that stays open on a connection of the pool.
+func TestRollbackThatFailsClosesTheConnection(t *testing.T) {
+	db := &fakeDatabase{answer: func(statement.Command) (statement.Answer, error) {
+		return statement.Answer{State: statement.InTx}, nil
+	}}
+	p, _ := newPool(db, Sharing{Share: 1})
+	acquire(t, p).Rollback(time.Now().Add(time.Second))
+	if db.open != 0 {
+		t.Error("a connection in a transaction went back to the pool")
+	}
+}
+
+// Guards against more connections than the instance's share, under any
+// interleaving of work.
+func TestShareIsNeverExceeded(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, Sharing{Share: 3, Idle: idleLongest, Warm: true})
+	var wg sync.WaitGroup
+	for range 30 {
+		wg.Go(func() {
+			for range 20 {
+				l, err := p.Acquire(context.Background(), work())
+				if err != nil {
+					continue
+				}
+				if _, err := l.Run(Exchange{Deadline: time.Now().Add(time.Second)}); err != nil {
+					l.Discard()
+					continue
+				}
+				l.Release()
+			}
+		})
+	}
+	for range 50 {
+		p.Maintain(context.Background())
+	}
+	wg.Wait()
+	if db.most > 3 {
+		t.Errorf("%d connections were open at once, want at most 3", db.most)
+	}
+}
+
+// Guards against a database that is at its limit and is taken for dead.
+func TestLimitIsNotTakenForACrash(t *testing.T) {
+	db := &fakeDatabase{refused: result.Errorf(result.ConnectionsBusy, "full")}
+	p, _ := newPool(db, plenty)
+	if _, err := p.Acquire(context.Background(), work()); !result.Is(err, result.ConnectionsBusy) {
+		t.Fatalf("error %v", err)
+	}
+	if _, troubled := p.Troubled(); troubled || p.Load().Down {
+		t.Error("a database at its limit is taken for dead")
+	}
+	db.refused = errBroken
+	p2, _ := newPool(db, plenty)
+	if _, err := p2.Acquire(context.Background(), work()); !result.Is(err, result.DatabaseDown) {
+		t.Fatalf("error %v", err)
+	}
+	if _, troubled := p2.Troubled(); !troubled {
+		t.Error("a database that refuses connections is not in doubt")
+	}
+}
+
+// Guards against connections that an instance keeps unused at a primary that
+// all instances need.
+func TestLentConnectionsGoBackSoon(t *testing.T) {
+	db := &fakeDatabase{}
+	p, clk := newPool(db, Share(46, 64, true))
+	acquire(t, p).Release()
+	clk.advance(idleLent - time.Millisecond)
+	p.Maintain(context.Background())
+	if db.open != 1 {
+		t.Fatal("the connection was closed early")
+	}
+	clk.advance(2 * time.Millisecond)
+	p.Maintain(context.Background())
+	if db.open != 0 {
+		t.Error("an unused connection is kept")
+	}
+}
+
+// Guards against shares that exceed the limit where nothing is lent.
+func TestSharesFitTheLimit(t *testing.T) {
+	for _, c := range []struct{ limit, instances, share int }{{16, 7, 2}, {16, 8, 2}, {30, 7, 4}, {136, 61, 2}, {300, 7, maxShare}} {
+		s := Share(c.limit, c.instances, true)
+		if s.Share != c.share || s.Share*c.instances > c.limit && s.Share != maxShare {
+			t.Errorf("limit %d, %d instances: share %d, want %d", c.limit, c.instances, s.Share, c.share)
+		}
+	}
+	if s := Share(46, 64, true); s.Warm || s.Idle != idleLent {
+		t.Errorf("a scarce limit gives %+v", s)
+	}
+}
--- /dev/null
+++ b/internal/proxy/harness_test.go
@@ -0,0 +1,280 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/primacy"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/statement"
+	"geraniumbeam/internal/topology"
+)
+
+const (
+	testService = "ledger"
+	testRoute   = "confirm"
+	readRoute   = "browse"
+)
+
+var errBroken = errors.New("the connection broke")
+
+// harness is a proxy in front of one primary (db-1) and two replicas.
+type harness struct {
+	t        *testing.T
+	server   *Server
+	topology *topology.Topology
+	beliefs  *primacy.Beliefs
+	record   primacy.Record
+
+	mu      sync.Mutex
+	sent    map[string][]statement.Command // by database
+	answers map[string]func(statement.Command) (statement.Answer, error)
+	closed  int
+}
+
+type harnessConn struct {
+	h  *harness
+	id string
+}
+
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	h := &harness{
+		t: t, sent: make(map[string][]statement.Command), topology: topology.New(),
+		answers: make(map[string]func(statement.Command) (statement.Answer, error)),
+		record:  primacy.Record{Service: testService, Revision: 1, Token: 1, Phase: primacy.Serving, Primary: "db-1", Term: 1},
+	}
+	h.beliefs = primacy.NewBeliefs("me", time.Minute, clock.SinceBoot)
+	h.beliefs.Reincarnate("me")
+	h.confirm()
+	h.configure(500 * time.Millisecond)
+	var all []topology.Database
+	for _, id := range []string{"db-1", "db-2", "db-3"} {
+		all = append(all, topology.Database{ID: id, Service: testService, Address: "10.0.0.1:1", DataCentre: "a", Primary: id == "db-1"})
+	}
+	h.topology.Replace(all, clock.SinceBoot())
+	pools := dbpool.NewSet(dbpool.SetConfig{
+		Dial:     func(_ context.Context, _, _, id string) (dbpool.Conn, error) { return &harnessConn{h, id}, nil },
+		Topology: h.topology, Clock: clock.Real{}, Now: clock.SinceBoot, Instances: func() int { return 2 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = pools.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	h.eventually("the pools exist", func() bool { _, ok := pools.Pool("db-3"); return ok })
+	h.server = New(Config{
+		Instance: "me", DataCentre: "a", Topology: h.topology, Beliefs: h.beliefs, Pools: pools, Now: clock.SinceBoot,
+		Log: zerolog.Nop(), Metrics: NewMetrics(), LeavingUse: time.Minute,
+	})
+	return h
+}
+
+func (h *harness) configure(timeout time.Duration) {
+	version := h.topology.Snapshot().Version + 1
+	h.topology.Apply(topology.Configuration{
+		Version:  version,
+		Services: map[string]topology.Service{testService: {Name: testService, MaxConnections: 16}},
+		TxIdle:   100 * time.Millisecond,
+		Routes: map[string]topology.Route{
+			testRoute: {Database: testRoute, Service: testService, Consistency: topology.FromPrimary, Timeout: timeout},
+			readRoute: {Database: readRoute, Service: testService, Consistency: topology.ReadYourWrites, Timeout: timeout, MaxAge: time.Minute, Priority: 1},
+		},
+	})
+}
+
+func (h *harness) confirm() { h.beliefs.Confirm([]primacy.Record{h.record}, clock.SinceBoot()) }
+
+// replace begins the replacement of the primary.
+func (h *harness) replace() {
+	h.record.Revision++
+	h.record.Token++
+	h.record.Phase = primacy.Replacing
+	h.confirm()
+}
+
+// promote ends it with another primary.
+func (h *harness) promote(id string) {
+	h.record.Revision++
+	h.record.Term++
+	h.record.Phase, h.record.Primary = primacy.Serving, id
+	h.confirm()
+}
+
+func (h *harness) eventually(what string, ok func() bool) {
+	h.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+// on sets how a database answers.
+func (h *harness) on(id string, answer func(statement.Command) (statement.Answer, error)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers[id] = answer
+}
+
+// runs counts the statements of a kind that a database was sent.
+func (h *harness) runs(id string, k statement.Kind) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, c := range h.sent[id] {
+		if c.Op == statement.OpStatement && c.Statement.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+// observed gives the proxy a position of the primary, so that replicas qualify.
+func (h *harness) observed(number uint64) {
+	h.server.history(testService).Observe(clock.SinceBoot(), statement.Position{Term: 1, Number: number})
+}
+
+func (c *harnessConn) Do(_ time.Time, commands []statement.Command) ([]statement.Answer, error) {
+	var answers []statement.Answer
+	for _, cmd := range commands {
+		c.h.mu.Lock()
+		c.h.sent[c.id] = append(c.h.sent[c.id], cmd)
+		answer := c.h.answers[c.id]
+		c.h.mu.Unlock()
+		a := statement.Answer{Signature: "sig " + c.id, Position: statement.Position{Term: 1, Number: 5}}
+		if answer != nil {
+			var err error
+			if a, err = answer(cmd); err != nil {
+				return answers, err
+			}
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+func (c *harnessConn) Status(time.Time, statement.Command) (statement.Status, error) {
+	return statement.Status{}, nil
+}
+func (c *harnessConn) Alive() bool { return true }
+func (c *harnessConn) Abort() error {
+	c.h.mu.Lock()
+	defer c.h.mu.Unlock()
+	c.h.closed++
+	return nil
+}
+func (c *harnessConn) Close() error { return c.Abort() }
+
+// session is a session without a connection; statements are handled directly.
+func (h *harness) session(database string) *session {
+	return &session{
+		s: h.server, number: 1, database: database,
+		variables: make(map[string]string), prepared: make(map[string]dbpool.Shape),
+	}
+}
+
+func st(k statement.Kind) statement.Statement {
+	s := statement.Statement{Kind: k, ID: "id"}
+	if k == statement.Set || k == statement.Prepare || k == statement.Execute || k == statement.Deallocate {
+		s.Name, s.Value = "n", "v"
+	}
+	return s
+}
+
+// inState answers with a transaction state.
+func inState(s statement.TxState) func(statement.Command) (statement.Answer, error) {
+	return func(c statement.Command) (statement.Answer, error) {
+		a := statement.Answer{Signature: "sig", State: s, Position: statement.Position{Term: 1, Number: 7}}
+		if c.Op == statement.OpRollback || c.Statement.Kind == statement.Commit {
+			a.State = statement.Idle
+		}
+		return a, nil
+	}
+}
+
+// scriptedCaller is a caller whose statements a test feeds.
+type scriptedCaller struct {
+	start      string
+	statements chan statement.Statement
+	answers    chan statement.Answer
+	wake       chan struct{}
+	closed     chan struct{}
+	once       sync.Once
+	refusal    *result.Error
+
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+func newCaller(database string) *scriptedCaller {
+	return &scriptedCaller{
+		start: database, statements: make(chan statement.Statement), answers: make(chan statement.Answer, 16),
+		wake: make(chan struct{}, 16), closed: make(chan struct{}),
+	}
+}
+
+type timeoutError struct{}
+
+func (timeoutError) Error() string   { return "timeout" }
+func (timeoutError) Timeout() bool   { return true }
+func (timeoutError) Temporary() bool { return true }
+
+var _ net.Error = timeoutError{}
+
+func (c *scriptedCaller) Start() (string, error) { return c.start, nil }
+func (c *scriptedCaller) Next() (statement.Statement, error) {
+	for {
+		c.mu.Lock()
+		deadline := c.deadline
+		c.mu.Unlock()
+		var expired <-chan time.Time
+		if !deadline.IsZero() {
+			expired = time.After(time.Until(deadline))
+		}
+		select {
+		case s, ok := <-c.statements:
+			if !ok {
+				return s, io.EOF
+			}
+			return s, nil
+		case <-expired:
+			return statement.Statement{}, timeoutError{}
+		case <-c.wake:
+		case <-c.closed:
+			return statement.Statement{}, net.ErrClosed
+		}
+	}
+}
+func (c *scriptedCaller) Pending() bool { return false }
+func (c *scriptedCaller) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadline = t
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+func (c *scriptedCaller) Ready() error                    { return nil }
+func (c *scriptedCaller) Refuse(e *result.Error) error    { c.refusal = e; return nil }
+func (c *scriptedCaller) Answer(a statement.Answer) error { c.answers <- a; return nil }
+func (c *scriptedCaller) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// connect starts a session of the caller.
+func (h *harness) connect(c *scriptedCaller) {
+	h.server.cfg.NewCaller = func(net.Conn) Caller { return c }
+	h.server.start(nil)
+}
--- /dev/null
+++ b/internal/proxy/outcome_test.go
@@ -0,0 +1,213 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/statement"
+)
+
+func wantCode(t *testing.T, a statement.Answer, c result.Code) {
+	t.Helper()
+	if !result.Is(a.Err, c) {
+		t.Errorf("answer %+v, want %s", a.Err, c)
+	}
+}
+
+func broken(statement.Command) (statement.Answer, error) { return statement.Answer{}, errBroken }
+
+// Guards against a write that is sent twice, or reported as not run, after its
+// answer was lost.
+func TestUnansweredWriteIsInDoubtAndSentOnce(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", broken)
+	a := h.session(testRoute).handle(st(statement.Write))
+	wantCode(t, a, result.OutcomeUnknown)
+	if n := h.runs("db-1", statement.Write); n != 1 {
+		t.Errorf("the write was sent %d times", n)
+	}
+}
+
+// Guards against a read that fails with its database while another can answer.
+func TestUnansweredReadGoesToAnotherDatabase(t *testing.T) {
+	h := newHarness(t)
+	h.observed(3)
+	for _, id := range []string{"db-2", "db-3"} {
+		h.on(id, broken)
+	}
+	a := h.session(readRoute).handle(st(statement.Read))
+	if a.Err != nil || a.Signature != "sig db-1" {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// Guards against a promise that a write was not run although the database ran
+// it and failed.
+func TestFailedWriteIsNotRepeated(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", func(statement.Command) (statement.Answer, error) {
+		return statement.Answer{Err: result.Errorf(result.StatementFailed, "no")}, nil
+	})
+	wantCode(t, h.session(testRoute).handle(st(statement.Write)), result.StatementFailed)
+	if n := h.runs("db-1", statement.Write); n != 1 {
+		t.Errorf("the write was sent %d times", n)
+	}
+}
+
+// Guards against an acknowledgement of a primary that was replaced while the
+// write was under way.
+func TestWriteIsInDoubtIfThePrimaryIsReplacedMeanwhile(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", func(statement.Command) (statement.Answer, error) {
+		h.replace()
+		return statement.Answer{Signature: "sig"}, nil
+	})
+	wantCode(t, h.session(testRoute).handle(st(statement.Write)), result.OutcomeUnknown)
+}
+
+// Guards against a read of a replaced primary on a route that promises every
+// acknowledged commit.
+func TestReadIsRepeatedIfThePrimaryIsReplacedMeanwhile(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", func(statement.Command) (statement.Answer, error) {
+		h.replace()
+		h.promote("db-2")
+		return statement.Answer{Signature: "old"}, nil
+	})
+	a := h.session(testRoute).handle(st(statement.Read))
+	if a.Err != nil || a.Signature != "sig db-2" {
+		t.Errorf("answer %+v, want one of the new primary", a)
+	}
+}
+
+// Guards against a write that waits for its deadline and is then said to have
+// run, and against one that is sent while nobody leads.
+func TestNothingIsSentWhileThePrimaryIsReplaced(t *testing.T) {
+	h := newHarness(t)
+	h.configure(150 * time.Millisecond)
+	h.replace()
+	a := h.session(testRoute).handle(st(statement.Write))
+	wantCode(t, a, result.NoPrimary)
+	if a.Err.Ran != result.RanNo || a.Err.RetryAfter == 0 {
+		t.Errorf("refusal %+v", a.Err)
+	}
+	if len(h.sent["db-1"]) != 0 {
+		t.Errorf("sent %v", h.sent["db-1"])
+	}
+}
+
+// Guards against a write that is refused although the new primary is there in
+// time.
+func TestWriteWaitsForTheNewPrimary(t *testing.T) {
+	h := newHarness(t)
+	h.replace()
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		h.promote("db-3")
+	}()
+	a := h.session(testRoute).handle(st(statement.Write))
+	if a.Err != nil || a.Signature != "sig db-3" {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// Guards against a transaction that is reported as kept, or in doubt, although
+// its commit was never sent.
+func TestBrokenTransactionIsRolledBack(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", inState(statement.InTx))
+	x := h.session(testRoute)
+	x.handle(st(statement.Begin))
+	if a := x.handle(st(statement.Write)); a.Err != nil || a.State != statement.InTx {
+		t.Fatalf("first write: %+v", a)
+	}
+	h.on("db-1", broken)
+	a := x.handle(st(statement.Write))
+	wantCode(t, a, result.RolledBack)
+	if a.State != statement.Failed || h.closed == 0 {
+		t.Errorf("state %d, %d connections closed", a.State, h.closed)
+	}
+	wantCode(t, x.handle(st(statement.Read)), result.ProtocolViolation)
+	if a := x.handle(st(statement.Rollback)); a.Err != nil || a.State != statement.Idle {
+		t.Errorf("rollback: %+v", a)
+	}
+}
+
+// Guards against a lost commit that is reported as not kept.
+func TestUnansweredCommitIsInDoubt(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", inState(statement.InTx))
+	x := h.session(testRoute)
+	x.handle(st(statement.Begin))
+	x.handle(st(statement.Write))
+	h.on("db-1", broken)
+	a := x.handle(st(statement.Commit))
+	wantCode(t, a, result.OutcomeUnknown)
+	if a.State != statement.Idle {
+		t.Errorf("state %d after the commit", a.State)
+	}
+}
+
+// Guards against a commit at a primary that was replaced between two statements
+// of the transaction.
+func TestTransactionEndsWithItsPrimary(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", inState(statement.InTx))
+	x := h.session(testRoute)
+	x.handle(st(statement.Begin))
+	x.handle(st(statement.Write))
+	h.replace()
+	h.promote("db-2")
+	wantCode(t, x.handle(st(statement.Commit)), result.RolledBack)
+	if n := h.runs("db-1", statement.Commit); n != 0 {
+		t.Error("the commit was sent to the former primary")
+	}
+}
+
+// Guards against a commit that is said to keep nothing while the connection
+// still could keep it.
+func TestRefusedCommitIsRolledBack(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", func(c statement.Command) (statement.Answer, error) {
+		a, err := inState(statement.InTx)(c)
+		if c.Statement.Kind == statement.Commit {
+			a.State, a.Err = statement.InTx, result.Errorf(result.Overloaded, "busy")
+		}
+		return a, err
+	})
+	x := h.session(testRoute)
+	x.handle(st(statement.Begin))
+	x.handle(st(statement.Write))
+	wantCode(t, x.handle(st(statement.Commit)), result.RolledBack)
+	h.eventually("the transaction is rolled back", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, c := range h.sent["db-1"] {
+			if c.Op == statement.OpRollback {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against a refusal for load that a short wait would avoid, and against
+// a promise of the database that is changed on the way.
+func TestBusyDatabaseIsAskedAgain(t *testing.T) {
+	h := newHarness(t)
+	n := 0
+	h.on("db-1", func(statement.Command) (statement.Answer, error) {
+		if n++; n == 1 {
+			return statement.Answer{Err: result.Errorf(result.Overloaded, "busy")}, nil
+		}
+		return statement.Answer{Signature: "sig"}, nil
+	})
+	if a := h.session(testRoute).handle(st(statement.Write)); a.Err != nil || n != 2 {
+		t.Errorf("answer %+v after %d attempts", a, n)
+	}
+	h.on("db-1", func(statement.Command) (statement.Answer, error) {
+		return statement.Answer{Err: result.Errorf(result.Overloaded, "busy")}, nil
+	})
+	wantCode(t, h.session(testRoute).handle(st(statement.Write)), result.Overloaded)
+}
--- /dev/null
+++ b/internal/proxy/session_test.go
@@ -0,0 +1,231 @@
+package proxy
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/statement"
+	"geraniumbeam/internal/topology"
+)
+
+// Guards against a session that reads from a replica that lacks its own write.
+func TestSessionReadsItsOwnWrites(t *testing.T) {
+	h := newHarness(t)
+	h.observed(2)
+	x := h.session(readRoute)
+	if a := x.handle(st(statement.Write)); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	x.handle(st(statement.Read))
+	for _, id := range []string{"db-2", "db-3"} {
+		for _, c := range h.sent[id] {
+			if c.WaitFor.Before(statement.Position{Term: 1, Number: 5}) {
+				t.Errorf("%s was asked for position %v, the session wrote at 1.5", id, c.WaitFor)
+			}
+		}
+	}
+}
+
+// Guards against a replica that fails a read because it is behind, and that is
+// asked again for each read.
+func TestReplicaThatIsBehindCostsOneAttempt(t *testing.T) {
+	h := newHarness(t)
+	h.observed(2)
+	behind := func(statement.Command) (statement.Answer, error) {
+		return statement.Answer{Err: result.Errorf(result.BehindFloor, "behind")}, nil
+	}
+	h.on("db-2", behind)
+	h.on("db-3", behind)
+	x := h.session(readRoute)
+	for range 2 {
+		if a := x.handle(st(statement.Read)); a.Err != nil || a.Signature != "sig db-1" {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+	if n := h.runs("db-2", statement.Read) + h.runs("db-3", statement.Read); n > 2 {
+		t.Errorf("%d attempts at replicas that are behind", n)
+	}
+}
+
+// Guards against a read of unknown age after the primary has been out of reach.
+func TestReplicaNeedsAProofOfAge(t *testing.T) {
+	h := newHarness(t)
+	h.configure(120 * time.Millisecond)
+	h.replace()
+	wantCode(t, h.session(readRoute).handle(st(statement.Read)), result.NoPrimary)
+	h.observed(2)
+	if a := h.session(readRoute).handle(st(statement.Read)); a.Err != nil {
+		t.Errorf("answer %+v although a position is known", a.Err)
+	}
+}
+
+// Guards against new work for a database that is leaving.
+func TestLeavingReplicaGetsNoWork(t *testing.T) {
+	h := newHarness(t)
+	h.observed(2)
+	for _, id := range []string{"db-2", "db-3"} {
+		h.topology.Register(topology.Database{ID: id, Service: testService, Address: "10.0.0.1:1", DataCentre: "a", Leaving: true}, clock.SinceBoot())
+	}
+	for range 5 {
+		h.session(readRoute).handle(st(statement.Read))
+	}
+	if n := h.runs("db-2", statement.Read) + h.runs("db-3", statement.Read); n != 0 {
+		t.Errorf("%d reads went to leaving databases", n)
+	}
+}
+
+// Guards against a transaction that mixes databases or connections, and against
+// statements that need a database although they do not.
+func TestTransactionStaysOnItsConnection(t *testing.T) {
+	h := newHarness(t)
+	h.observed(2)
+	for _, id := range []string{"db-1", "db-2", "db-3"} {
+		h.on(id, inState(statement.InTx))
+	}
+	x := h.session(readRoute)
+	begin := st(statement.Begin)
+	begin.ReadOnly = true
+	x.handle(begin)
+	for range 4 {
+		x.handle(st(statement.Read))
+	}
+	if a := x.handle(st(statement.Commit)); a.Err != nil || a.State != statement.Idle {
+		t.Fatalf("commit: %+v", a)
+	}
+	used := 0
+	for _, id := range []string{"db-1", "db-2", "db-3"} {
+		if h.runs(id, statement.Read) > 0 {
+			used++
+			if h.runs(id, statement.Begin) != 1 || h.runs(id, statement.Commit) != 1 || h.runs(id, statement.Read) != 4 {
+				t.Errorf("%s got %v", id, h.sent[id])
+			}
+		}
+	}
+	if used != 1 {
+		t.Errorf("the transaction used %d databases", used)
+	}
+}
+
+// Guards against names of prepared statements and variables that get lost.
+func TestSessionStateIsKeptHere(t *testing.T) {
+	h := newHarness(t)
+	x := h.session(testRoute)
+	wantCode(t, x.handle(st(statement.Execute)), result.UnknownStatement)
+	wantCode(t, x.handle(st(statement.Deallocate)), result.UnknownStatement)
+	for _, k := range []statement.Kind{statement.Set, statement.Prepare} {
+		if a := x.handle(st(k)); a.Err != nil {
+			t.Fatalf("%s: %v", k, a.Err)
+		}
+	}
+	if len(h.sent["db-1"]) != 0 {
+		t.Error("a database was asked")
+	}
+	if a := x.handle(st(statement.Execute)); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	var got []statement.Op
+	for _, c := range h.sent["db-1"] {
+		got = append(got, c.Op)
+	}
+	if len(got) != 3 || got[0] != statement.OpSet || got[1] != statement.OpPrepare {
+		t.Errorf("sent %v", got)
+	}
+	x.handle(st(statement.Deallocate))
+	wantCode(t, x.handle(st(statement.Execute)), result.UnknownStatement)
+}
+
+// Guards against a caller that holds a connection by resting in a transaction.
+func TestIdleTransactionIsRolledBack(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", inState(statement.InTx))
+	c := newCaller(testRoute)
+	h.connect(c)
+	c.statements <- st(statement.Begin)
+	<-c.answers
+	c.statements <- st(statement.Write)
+	<-c.answers
+	h.eventually("the connection is free", func() bool {
+		p, _ := h.server.cfg.Pools.Pool("db-1")
+		return p.Load().InUse == 0
+	})
+	c.statements <- st(statement.Write)
+	if a := <-c.answers; a.Err == nil || a.State != statement.Failed {
+		t.Errorf("answer %+v after the rollback", a)
+	}
+	c.statements <- st(statement.Rollback)
+	if a := <-c.answers; a.Err != nil || a.State != statement.Idle {
+		t.Errorf("rollback: %+v", a)
+	}
+	close(c.statements)
+	<-c.closed
+}
+
+// Guards against a connection that stays in the transaction of a caller that
+// has gone.
+func TestVanishedCallerIsRolledBackAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.on("db-1", inState(statement.InTx))
+	c := newCaller(testRoute)
+	h.connect(c)
+	c.statements <- st(statement.Begin)
+	<-c.answers
+	c.statements <- st(statement.Write)
+	<-c.answers
+	close(c.statements)
+	h.eventually("the connection is free", func() bool {
+		p, _ := h.server.cfg.Pools.Pool("db-1")
+		return p.Load().InUse == 0
+	})
+}
+
+// Guards against a session for a route that does not exist.
+func TestUnknownRouteIsRefused(t *testing.T) {
+	h := newHarness(t)
+	c := newCaller("nowhere")
+	h.connect(c)
+	<-c.closed
+	if !result.Is(c.refusal, result.UnknownService) {
+		t.Errorf("refusal %v", c.refusal)
+	}
+}
+
+// Guards against a shutdown that cuts transactions at once, leaves idle
+// sessions open, or hangs on a caller that does nothing.
+func TestShutdownFollowsItsSchedule(t *testing.T) {
+	h := newHarness(t)
+	h.topology.Apply(topology.Configuration{Version: 99, Routes: h.topology.Snapshot().Routes, Services: h.topology.Snapshot().Services})
+	h.on("db-1", inState(statement.InTx))
+	idle, busy := newCaller(testRoute), newCaller(testRoute)
+	h.connect(idle)
+	h.eventually("the idle session is open", func() bool { return len(h.server.sessions) == 1 })
+	idle.statements <- st(statement.Set)
+	<-idle.answers
+	h.connect(busy)
+	busy.statements <- st(statement.Begin)
+	<-busy.answers
+	busy.statements <- st(statement.Write)
+	<-busy.answers
+
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.server.Shutdown(context.Background(), Drain{
+			CloseIdle: 20 * time.Millisecond, EndTransactions: 10 * time.Second, Stop: 20 * time.Second,
+		})
+	}()
+	<-idle.closed
+	select {
+	case <-busy.closed:
+		t.Fatal("an open transaction was cut")
+	default:
+	}
+	busy.statements <- st(statement.Commit)
+	if a := <-busy.answers; a.Err != nil {
+		t.Errorf("commit during the shutdown: %+v", a.Err)
+	}
+	<-busy.closed
+	<-done
+}
