Leave what only this instance can't serve, and remember a raise

An instance without the store, which did not know the new primary, saw all others unraised in that moment and went on. A raise that was seen counts until the store confirms the record, and a database that some instances may not know is promoted last while they are out of reach.

--- a/internal/dbpool/lending.go
+++ b/internal/dbpool/lending.go
@@ -6,6 +6,10 @@
 	// idleLongest is how long an unused connection stays open where there is
 	// room for all instances.
 	idleLongest = 20 * time.Second
+	// idleExtra is how long an unused connection beyond the first stays open
+	// where the limit has no room for a second set. After a loss of power a
+	// database keeps the former connections for 3 s.
+	idleExtra = 1 * time.Second
 	// idleLent is how long it stays open at a primary that all instances need
 	// and whose limit has no room for all of them. With 64 instances, a limit
 	// of 46 and about one request a second from each, 15 connections wait
@@ -20,15 +24,18 @@
 // shares with other instances.
 type Sharing struct {
 	Share int           // connections that the instance may hold
-	Idle  time.Duration // how long an unused one stays open
+	Idle  time.Duration // how long an unused one beyond the first stays open
 	Warm  bool          // one is opened ahead of need and stays open
 }
 
 // Share divides a connection limit among instances. All of them together stay
-// within the limit unless connections are lent. Replicas need not be lent:
-// reads stay with a replica to which a connection is open, so that each
-// instance holds connections to one replica of a service.
+// within the limit unless connections are lent. If possible they use half of
+// it: the other half is for instances that start again while the database still
+// keeps their former connections. Replicas need not be lent: reads stay with a
+// replica to which a connection is open, so that each instance holds
+// connections to one replica of a service.
 func Share(limit, instances int, primary bool) Sharing {
+	instances = max(1, instances)
 	if float64(limit) < lendingRoom*float64(instances) {
 		s := Sharing{Share: lentShare, Idle: idleLongest}
 		if primary {
@@ -36,7 +43,10 @@
 		}
 		return s
 	}
-	return Sharing{Share: min(max(1, limit/max(1, instances)), maxShare), Idle: idleLongest, Warm: true}
+	if half := limit / 2 / instances; half >= lentShare {
+		return Sharing{Share: min(half, maxShare), Idle: idleLongest, Warm: true}
+	}
+	return Sharing{Share: min(max(1, limit/instances), maxShare), Idle: idleExtra, Warm: true}
 }
 
 // scarce reports that connections are lent.
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -19,6 +19,9 @@
 	// of the known deployments runs 2 to 4 statements at a time, and a
 	// transaction holds its connection between statements.
 	maxShare = 8
+	// settledAfter is how long a database must have been registered until every
+	// instance is taken to know it. Outages of the store last up to 12 s.
+	settledAfter = 20 * time.Second
 	// lentShare is the bound where the limit has no room for two connections
 	// from each instance, so that they are lent.
 	lentShare = 2
@@ -148,7 +151,9 @@
 func (s *Set) Members(service string) []primacy.Member {
 	var members []primacy.Member
 	for _, d := range s.cfg.Topology.Snapshot().Databases[service] {
-		members = append(members, primacy.Member{ID: d.ID, Leaving: d.Leaving, Primary: d.Primary})
+		members = append(members, primacy.Member{
+			ID: d.ID, Leaving: d.Leaving, Primary: d.Primary, New: d.KnownFor(s.cfg.Now()) < settledAfter,
+		})
 	}
 	return members
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -96,10 +96,39 @@
 	return names
 }
 
+// evictLoop closes idle sessions while the instance is isolated, so that their
+// callers come back at another one. It begins when the balancer has taken the
+// instance out of rotation.
+func (i *Instance) evictLoop(ctx context.Context) error {
+	var isolated time.Duration
+	t := time.NewTicker(evictPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		now := clock.SinceBoot()
+		switch {
+		case !i.primacy.Isolated():
+			isolated = 0
+			i.proxy.Evict(false)
+		case isolated == 0:
+			isolated = now
+		case now-isolated > outOfRotation:
+			i.proxy.Evict(true)
+		}
+	}
+}
+
+// evictPeriod is the pause between two looks whether the instance is isolated.
+const evictPeriod = 200 * time.Millisecond
+
 // Ready reports whether new callers should be sent here.
 func (i *Instance) Ready() bool {
 	snap := i.topology.Snapshot()
-	return !i.stopping.Load() && snap.Version != 0 && len(snap.Databases) > 0
+	return !i.stopping.Load() && !i.primacy.Isolated() && snap.Version != 0 && len(snap.Databases) > 0
 }
 
 // WriteMetrics writes counters and latencies as text.
@@ -129,7 +158,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, part := range []func(context.Context) error{i.follower.Run, i.pools.Run, i.primacy.Run} {
+	for _, part := range []func(context.Context) error{i.follower.Run, i.pools.Run, i.primacy.Run, i.evictLoop} {
 		wg.Go(func() {
 			if err := part(ctx); err != nil && !errors.Is(err, context.Canceled) {
 				log.Error().Err(err).Msg("A part ended.")
--- a/internal/primacy/beliefs.go
+++ b/internal/primacy/beliefs.go
@@ -21,6 +21,7 @@
 type belief struct {
 	record    Record
 	confirmed time.Duration // when the last question that showed the record was sent
+	denied    uint64        // token for which a database showed that it is being replaced
 }
 
 // Beliefs is what an instance knows of the records. It is safe for concurrent
@@ -93,12 +94,24 @@
 func (b *Beliefs) Extend(service string, token uint64, asked time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s, ok := b.services[service]; ok && s.record.Token == token {
+	if s, ok := b.services[service]; ok && s.record.Token == token && s.denied != token {
 		b.confirm(s, asked)
 		b.signal()
 	}
 }
 
+// Deny stops the use of the primary under the token: a database showed that
+// somebody replaces it. Only the store can confirm the record again. A promotion
+// clears what databases show, so later answers of theirs mean nothing.
+func (b *Beliefs) Deny(service string, token uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.services[service]; ok && s.record.Token == token && s.denied != token {
+		s.denied, s.confirmed = token, 0
+		b.signal()
+	}
+}
+
 // confirm ignores questions that were sent before the registration: a promoter
 // may have listed the registrations since.
 func (b *Beliefs) confirm(s *belief, asked time.Duration) {
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -97,7 +97,7 @@
 	if done, ok := r.alreadyLeads(ctx, rec, excluded); ok {
 		return r.finish(ctx, rec, done, excluded)
 	}
-	for _, c := range Candidates(observed) {
+	for _, c := range Candidates(observed, len(excluded) > len(rec.Excluded)) {
 		rec.Candidate = c.ID
 		if rec, err = r.update(ctx, rec); err != nil {
 			return err
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -105,6 +105,7 @@
 	ID      string
 	Leaving bool
 	Primary bool // as the database sees itself
+	New     bool // registered so recently that some instances may not know it
 }
 
 // Promotions asks the platform to make a database the primary.
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -99,6 +100,8 @@
 	seenAt    map[string]time.Duration // when the current record of a service was seen first
 	suspectAt map[string]time.Duration
 	instances int
+	// failedRounds counts the rounds of questions since one was answered.
+	failedRounds int
 }
 
 // publication is what the store has of this instance's registration.
@@ -221,9 +224,11 @@
 		wait := RenewPeriod(r.Instances())
 		if !r.isRegistered() {
 			wait = tick / 5
-		} else if err := r.renew(ctx); err != nil {
+		} else if err := r.renew(ctx); err == nil {
+			r.noteRound(true)
+		} else {
 			r.cfg.OnStoreAway()
-			r.renewFromDatabases(ctx)
+			r.noteRound(r.renewFromDatabases(ctx))
 			wait = minRenewPeriod / 4
 		}
 		if pause(ctx, wait) != nil {
@@ -248,27 +253,74 @@
 }
 
 // renewFromDatabases extends the knowledge of each service whose other
-// databases all answer and were not raised above the record's term.
-func (r *Runner) renewFromDatabases(ctx context.Context) {
+// databases all answer and were not raised above the record's term. It reports
+// whether that was so for any.
+func (r *Runner) renewFromDatabases(ctx context.Context) bool {
+	var (
+		extended atomic.Bool
+		wg       sync.WaitGroup
+	)
 	for _, service := range r.cfg.Services() {
-		rec, _, ok := r.cfg.Beliefs.Record(service)
-		if !ok || rec.Phase != Serving {
-			continue
-		}
-		asked := r.cfg.Now()
-		others := 0
-		for _, m := range r.cfg.Databases.Members(service) {
-			if m.ID != rec.Primary {
-				others++
-			}
+		if rec, _, ok := r.cfg.Beliefs.Record(service); ok && rec.Phase == Serving {
+			wg.Go(func() {
+				if r.extend(ctx, rec) {
+					extended.Store(true)
+				}
+			})
 		}
-		answered := r.ask(ctx, rec, func(m Member) (statement.Command, bool) {
-			return statement.Command{Op: statement.OpStatus}, m.ID != rec.Primary
-		})
-		if Unraised(answered, others, rec.Term) {
-			r.cfg.Beliefs.Extend(service, rec.Token, asked)
+	}
+	wg.Wait()
+	return extended.Load()
+}
+
+// extend asks the other databases of one service.
+func (r *Runner) extend(ctx context.Context, rec Record) bool {
+	asked := r.cfg.Now()
+	others := 0
+	for _, m := range r.cfg.Databases.Members(rec.Service) {
+		if m.ID != rec.Primary {
+			others++
 		}
 	}
+	answered := r.ask(ctx, rec, func(m Member) (statement.Command, bool) {
+		return statement.Command{Op: statement.OpStatus}, m.ID != rec.Primary
+	})
+	if Raised(answered, rec.Term) {
+		r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Msg("A database was raised; the primary is not used any more.")
+		r.cfg.Beliefs.Deny(rec.Service, rec.Token)
+	}
+	if !Unraised(answered, others, rec.Term) {
+		return false
+	}
+	r.cfg.Beliefs.Extend(rec.Service, rec.Token, asked)
+	return true
+}
+
+// noteRound notes whether a round of questions confirmed anything.
+func (r *Runner) noteRound(confirmed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.failedRounds >= isolatedAfter
+	if confirmed {
+		r.failedRounds = 0
+	} else {
+		r.failedRounds++
+	}
+	if is := r.failedRounds >= isolatedAfter; is != was {
+		r.log.Warn().Bool("isolated", is).Int("failed_rounds", r.failedRounds).Msg("The reach of store and databases changed.")
+	}
+}
+
+// isolatedAfter is the number of rounds without an answer from the store or
+// from a complete set of databases after which an instance counts as isolated.
+const isolatedAfter = 2
+
+// Isolated reports that this instance reaches neither the store nor the
+// databases of any service, so that it can serve almost nothing.
+func (r *Runner) Isolated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedRounds >= isolatedAfter
 }
 
 // Unraised reports whether all of the other databases of a service answered and
@@ -276,10 +328,12 @@
 // database that it promotes and then waits for Validity, so the primary of the
 // term may be used for that long.
 func Unraised(answered []Observation, others int, term uint64) bool {
-	if others == 0 || len(answered) != others {
-		return false
-	}
-	return !slices.ContainsFunc(answered, func(o Observation) bool {
+	return others > 0 && len(answered) == others && !Raised(answered, term)
+}
+
+// Raised reports whether any database was raised above the term or promoted.
+func Raised(answered []Observation, term uint64) bool {
+	return slices.ContainsFunc(answered, func(o Observation) bool {
 		return o.Status.HeldTerm > term || o.Status.Term > term || o.Status.Primary
 	})
 }
--- a/internal/primacy/suspicion.go
+++ b/internal/primacy/suspicion.go
@@ -53,8 +53,11 @@
 }
 
 // Candidates orders the databases that may be promoted: those that stay before
-// those that leave, then by the end of their log, then by id.
-func Candidates(observed []Observation) []Observation {
+// those that leave, then by the end of their log, then by id. With avoidNew set,
+// databases that every instance has had time to hear of come before the others:
+// an instance without the store asks the databases that it knows, and one that
+// it doesn't know can't tell it of its lead.
+func Candidates(observed []Observation, avoidNew bool) []Observation {
 	ordered := slices.Clone(observed)
 	slices.SortFunc(ordered, func(a, b Observation) int {
 		switch {
@@ -63,6 +66,11 @@
 				return 1
 			}
 			return -1
+		case avoidNew && a.New != b.New:
+			if a.New {
+				return 1
+			}
+			return -1
 		case a.Status.Received != b.Status.Received:
 			if a.Status.Received.Before(b.Status.Received) {
 				return 1
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -7,6 +7,7 @@
 
 	"geraniumbeam/internal/admission"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
 )
@@ -19,6 +20,10 @@
 	// demotedPause is the pause after the believed primary refused a write. A
 	// replacement is under way then, and takes longer.
 	demotedPause = 150 * time.Millisecond
+	// outOfReach is how long a primary must have been out of reach before a
+	// request is refused at once. A primary that is out of everybody's reach is
+	// being replaced by then.
+	outOfReach = 1200 * time.Millisecond
 	// tryTimeout bounds one attempt of a read that may be repeated elsewhere.
 	// It is above the longest work of a read on a database that is five times
 	// slower than usual in nine cases of ten.
@@ -52,7 +57,7 @@
 		}
 		t, ok := x.choose(q)
 		if !ok {
-			if x.hopeless(q) {
+			if x.hopeless(q) || x.onlyHere(q) {
 				return x.outOfTime(q, last)
 			}
 			q.waited = true
@@ -95,6 +100,27 @@
 	return true
 }
 
+// onlyHere reports that this instance alone can't use the databases, as far as
+// it knows, so that waiting is of no use and another instance may serve the
+// caller: its knowledge of a working primary ran out, or a primary that nobody
+// replaces has been out of its reach for long.
+func (x *session) onlyHere(q *request) bool {
+	s := x.s
+	rec, _, known := s.cfg.Beliefs.Record(q.route.Service)
+	if !known || rec.Phase != primacy.Serving {
+		return false
+	}
+	if _, valid := s.cfg.Beliefs.Primary(q.route.Service); !valid {
+		return true
+	}
+	pool, ok := s.cfg.Pools.Pool(rec.Primary)
+	if !ok {
+		return false
+	}
+	since, troubled := pool.Troubled()
+	return troubled && s.cfg.Now()-since > outOfReach
+}
+
 // outOfTime is the refusal of a request that was not run, or of a read.
 func (x *session) outOfTime(q *request, last *result.Error) outcome {
 	if last != nil && (last.Ran == result.RanNo || q.attempts == 0) {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -75,6 +75,7 @@
 	cfg     Config
 	budgets *retry.Budgets
 	stage   atomic.Int32
+	evict   atomic.Bool // idle sessions are closed, and others once they are idle
 	ids     atomic.Uint64
 
 	mu        sync.Mutex
@@ -187,6 +188,24 @@
 	}
 }
 
+// Evict starts or stops closing sessions that are idle.
+func (s *Server) Evict(on bool) {
+	if s.evict.Swap(on) == on || !on {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Log.Warn().Int("sessions", len(s.sessions)).Msg("Idle sessions are closed; this instance can't serve them.")
+	for x := range s.sessions {
+		_ = x.caller.SetReadDeadline(past) // fails only if the session has ended
+	}
+}
+
+// closesIdle reports that idle sessions are to be closed.
+func (s *Server) closesIdle() bool {
+	return s.evict.Load() || stage(s.stage.Load()) >= closingIdle
+}
+
 // enter begins a stage of the shutdown and wakes the sessions that wait for
 // their callers.
 func (s *Server) enter(to stage) {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -45,6 +45,8 @@
 	at     target
 	wrote  bool
 	failed bool // can only be rolled back
+	// lastUsed is when the caller's latest statement was answered.
+	lastUsed time.Time
 }
 
 func (x *session) run() {
@@ -58,7 +60,11 @@
 			x.reportEnd(err)
 			return
 		}
-		if err := x.caller.Answer(x.handle(st)); err != nil {
+		answer := x.handle(st)
+		if x.tx != nil {
+			x.tx.lastUsed = time.Now()
+		}
+		if err := x.caller.Answer(answer); err != nil {
 			return
 		}
 	}
@@ -122,7 +128,7 @@
 }
 
 // errClosing ends an idle session during a shutdown.
-var errClosing = errors.New("the instance is stopping")
+var errClosing = errors.New("the instance closes idle sessions")
 
 // next reads the next statement. It ends transactions that are idle for too
 // long, and idle sessions during a shutdown.
@@ -143,7 +149,7 @@
 			x.expireTransaction()
 			continue
 		}
-		if stage(x.s.stage.Load()) >= closingIdle {
+		if x.s.closesIdle() {
 			return st, errClosing
 		}
 	}
@@ -156,7 +162,7 @@
 		return time.Now().Add(startTimeout)
 	}
 	if x.tx == nil {
-		if at >= closingIdle {
+		if x.s.closesIdle() {
 			return past
 		}
 		return time.Time{}
@@ -177,8 +183,8 @@
 // learns of it with its next statement.
 func (x *session) expireTransaction() {
 	idle := x.s.cfg.Topology.Snapshot().TxIdle
-	if stage(x.s.stage.Load()) >= closingIdle && stage(x.s.stage.Load()) < endingTransactions {
-		return // woken by the shutdown; the transaction still has time
+	if x.s.closesIdle() && stage(x.s.stage.Load()) < endingTransactions && (idle == 0 || time.Since(x.tx.lastUsed) < idle) {
+		return // woken early; the transaction still has time
 	}
 	if x.tx.failed {
 		return
--- a/internal/topology/follow.go
+++ b/internal/topology/follow.go
@@ -140,7 +140,7 @@
 	snap := f.Topology.Snapshot()
 	for _, d := range all {
 		old, known := snap.Find(d.Service, d.ID)
-		old.leavingSince = 0
+		old.leavingSince, old.knownSince = 0, 0
 		if known && old == d {
 			continue
 		}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -61,8 +61,15 @@
 	Born       int64 // start time in Unix milliseconds, as the database reports it
 
 	leavingSince time.Duration
+	// knownSince is when the registration was seen first; 0 if it was there
+	// when this instance first listed the registrations.
+	knownSince time.Duration
 }
 
+// KnownFor returns for how long the instance has known the registration. One
+// that is older than the instance counts as known since boot.
+func (d Database) KnownFor(now time.Duration) time.Duration { return now - d.knownSince }
+
 // LeavingFor returns for how long the database has been known to leave; 0 if it
 // stays.
 func (d Database) LeavingFor(now time.Duration) time.Duration {
@@ -86,6 +93,7 @@
 type Topology struct {
 	mu        sync.Mutex
 	entries   map[string]entry
+	listed    bool          // the registrations were listed once
 	listeners chan struct{} // closed at each change
 
 	current atomic.Pointer[Snapshot]
@@ -137,6 +145,12 @@
 func (t *Topology) register(d Database, now time.Duration) {
 	d.leavingSince = now
 	old, known := t.entries[d.ID]
+	switch {
+	case known && old.Born == d.Born:
+		d.knownSince = old.knownSince
+	case t.listed:
+		d.knownSince = now
+	}
 	if known && old.Leaving && old.Born == d.Born {
 		d.Leaving, d.leavingSince = true, old.leavingSince
 	}
@@ -174,6 +188,7 @@
 			t.unregister(id, now)
 		}
 	}
+	t.listed = true
 	t.publish(t.current.Load().Configuration)
 }
 
