--- a/internal/dbpool/lending.go
+++ b/internal/dbpool/lending.go
@@ -9,7 +9,7 @@
 	// idleExtra is how long an unused connection beyond the first stays open
 	// where the limit has no room for a second set. After a loss of power a
 	// database keeps the former connections for 3 s.
-	idleExtra = 1 * time.Second
+	idleExtra = 200 * time.Millisecond
 	// idleLent is how long it stays open at a primary that all instances need
 	// and whose limit has no room for all of them. With 64 instances, a limit
 	// of 46 and about one request a second from each, 15 connections wait
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -13,7 +13,7 @@
 	// waiting time to be preferred: its traffic is paid for.
 	remotePenalty = 4 * time.Millisecond
 	// primaryPenalty leaves the primary to the work that only it can do.
-	primaryPenalty = 4 * time.Millisecond
+	primaryPenalty = 20 * time.Millisecond
 	// behindPenalty avoids a replica whose latest answer was behind what the
 	// read needs. It may have caught up since.
 	behindPenalty = 12 * time.Millisecond
