--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -148,6 +148,9 @@
 	// lastReserve is the part of the grace period that is left for the end of
 	// the process.
 	lastReserve = 700 * time.Millisecond
+	// rollbackReserve is how long before the sessions end open transactions are
+	// rolled back, so that their callers are told.
+	rollbackReserve = 500 * time.Millisecond
 	// withdrawTimeout bounds the removal of the registration.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -203,12 +206,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), i.cfg.GracePeriod-lastReserve)
 	defer cancel()
 	closeIdle := min(outOfRotation, i.cfg.GracePeriod/2)
+	end := i.cfg.GracePeriod - lastReserve
 	go func() {
 		time.Sleep(closeIdle)
 		_ = callers.Close() // Serve ends whatever this returns
 	}()
 	i.proxy.Shutdown(ctx, proxy.Drain{
-		CloseIdle: closeIdle, EndTransactions: i.cfg.GracePeriod / 2, Stop: i.cfg.GracePeriod - lastReserve,
+		CloseIdle: closeIdle, EndTransactions: end - rollbackReserve, Stop: end,
 	})
 	_ = callers.Close() // the shutdown may be over before closeIdle
 	wctx, wcancel := context.WithTimeout(context.Background(), withdrawTimeout)
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -45,6 +45,9 @@
 	at     target
 	wrote  bool
 	failed bool // can only be rolled back
+	// untold says that the instance rolled the transaction back by itself and
+	// the caller does not know it.
+	untold bool
 	// lastUsed is when the caller's latest statement was answered.
 	lastUsed time.Time
 }
@@ -191,6 +194,7 @@
 	}
 	x.s.cfg.Log.Info().Str("id", x.tx.begin.ID).Uint64("session", x.number).Dur("idle_ms", idle).Msg("An idle transaction was rolled back.")
 	x.failTransaction()
+	x.tx.untold = true
 }
 
 // failTransaction frees the connection and leaves a transaction that can only
@@ -221,6 +225,10 @@
 
 // handle runs one statement and returns its answer.
 func (x *session) handle(st statement.Statement) statement.Answer {
+	if x.tx != nil && x.tx.untold && st.Kind != statement.Rollback && st.Kind != statement.Commit {
+		x.tx.untold = false
+		return x.refuse(st, result.Errorf(result.RolledBack, "the transaction was rolled back by the instance"))
+	}
 	if x.tx != nil && x.tx.failed && st.Kind != statement.Rollback && st.Kind != statement.Commit {
 		return x.refuse(st, result.Errorf(result.ProtocolViolation, "the transaction has failed and must be rolled back"))
 	}
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -151,10 +151,16 @@
 		p, _ := h.server.cfg.Pools.Pool("db-1")
 		return p.Load().InUse == 0
 	})
+	// The caller did nothing wrong and learns that nothing is kept; the soak
+	// found that it was told of a malformed statement instead.
 	c.statements <- st(statement.Write)
-	if a := <-c.answers; a.Err == nil || a.State != statement.Failed {
-		t.Errorf("answer %+v after the rollback", a)
+	a := <-c.answers
+	wantCode(t, a, result.RolledBack)
+	if a.State != statement.Failed {
+		t.Errorf("state %d after the rollback", a.State)
 	}
+	c.statements <- st(statement.Write)
+	wantCode(t, <-c.answers, result.ProtocolViolation)
 	c.statements <- st(statement.Rollback)
 	if a := <-c.answers; a.Err != nil || a.State != statement.Idle {
 		t.Errorf("rollback: %+v", a)
--- /dev/null
+++ b/test/hosted_cluster_test.go
@@ -0,0 +1,194 @@
+package integration
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/standin/hosted"
+)
+
+// Routes of the hosted deployment, each to every service in turn.
+const (
+	routePrimary = "confirm" // every acknowledged commit is seen
+	routeBounded = "browse"  // commits older than boundedAge are seen
+	routeSession = "adjust"  // as bounded, and the session's own commits
+
+	boundedAge = 1500 * time.Millisecond
+)
+
+// hostedCluster is a deployment of real instances in front of stand-ins of the
+// platform.
+type hostedCluster struct {
+	t         *testing.T
+	store     *hosted.Store
+	groups    []*hosted.Group
+	instances []*process
+	addresses []string // of the callers' listeners
+}
+
+func startHosted(t *testing.T, instances, services int) *hostedCluster {
+	t.Helper()
+	h := &hostedCluster{t: t, store: hosted.NewStore()}
+	t.Cleanup(h.store.Close)
+	var routes, names []map[string]any
+	for i := range services {
+		service := fmt.Sprintf("svc%d", i)
+		g, err := hosted.NewGroup(hosted.GroupConfig{
+			Service: service, Databases: 3, Slots: 2, MaxConnections: 4 * instances, Lag: 8 * time.Millisecond,
+			Work: 2 * time.Millisecond, Promote: 200 * time.Millisecond,
+		}, h.store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.groups = append(h.groups, g)
+		names = append(names, map[string]any{"name": service, "max_connections": 4 * instances})
+		for route, kind := range map[string]string{routePrimary: "primary", routeBounded: "bounded", routeSession: "read_your_writes"} {
+			routes = append(routes, map[string]any{
+				"name": route + service, "database": route + service, "route_type": kind, "service": service,
+				"timeout_ms": 800, "target_latency_ms": 250, "priority": 1, "max_staleness_ms": boundedAge.Milliseconds(),
+			})
+		}
+	}
+	h.store.Put("config", "main", map[string]any{
+		"version": 7, "routes": routes, "services": names, "limits": map[string]any{"tx_idle_ms": 3000},
+	})
+	promotions, stop, err := hosted.ListenPromotions(h.groups...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	for i := range instances {
+		h.addInstance(i, promotions)
+	}
+	for i := range h.addresses {
+		h.awaitReady(i)
+	}
+	return h
+}
+
+func (h *hostedCluster) addInstance(i int, promotions string) {
+	t := h.t
+	name := fmt.Sprintf("inst-%d", i)
+	store, err := h.store.Listen(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers := freeAddress(t)
+	settings := fmt.Sprintf("instance: %s\ndata_centre: z%d\nlisten_callers: %s\nlisten_ready: %s\nlisten_metrics: %s\nstore: %s\n"+
+		"promotions: %s\nmemory_mb: 128\nmax_open_files: 1024\ngrace_period: 3s\ndrain_time: 7s\n",
+		name, i%3, callers, freeAddress(t), freeAddress(t), store, promotions)
+	path := filepath.Join(t.TempDir(), name+".yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := newProcess(name, "geraniumbeam-platformd", "run", "--settings", path)
+	p.start(t)
+	t.Cleanup(p.cleanup)
+	h.instances = append(h.instances, p)
+	h.addresses = append(h.addresses, callers)
+}
+
+// awaitReady waits until an instance serves a write of each service.
+func (h *hostedCluster) awaitReady(i int) {
+	h.t.Helper()
+	for s := range h.groups {
+		for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			if c, err := dialHosted(h.addresses[i], fmt.Sprintf("%ssvc%d", routePrimary, s)); err == nil {
+				a, err := c.query(fmt.Sprintf("ready-%d-%d-%d", i, s, time.Now().UnixNano()), "WRITE ready x")
+				c.close()
+				if err == nil && a.problem == "" {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				h.t.Fatalf("instance %d does not serve:\n%s", i, h.instances[i].log.tail(maxLog))
+			}
+		}
+	}
+}
+
+// hostedConn is a caller's connection.
+type hostedConn struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// hostedAnswer is the answer to one statement.
+type hostedAnswer struct {
+	rows    []string
+	problem string // code of the error, or ""
+	state   string
+}
+
+// answerTimeout bounds the wait for an answer. It is far above the routes' time
+// limit, so that only an instance that gives no answer at all reaches it.
+const answerTimeout = 10 * time.Second
+
+func netDial(address string) (*hostedConn, error) {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &hostedConn{conn: conn, r: bufio.NewReader(conn)}, nil
+}
+
+func dialHosted(address, database string) (*hostedConn, error) {
+	c, err := netDial(address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.send("START " + database + " test"); err != nil {
+		c.close()
+		return nil, err
+	}
+	line, err := c.line()
+	if err != nil || !strings.HasPrefix(line, "READY I") {
+		c.close()
+		return nil, fmt.Errorf("start: %q, %w", line, err)
+	}
+	return c, nil
+}
+
+func (c *hostedConn) close() { _ = c.conn.Close() }
+
+func (c *hostedConn) send(line string) error {
+	if err := c.conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
+		return err
+	}
+	_, err := c.conn.Write([]byte(line + "\r\n"))
+	return err
+}
+
+func (c *hostedConn) line() (string, error) {
+	line, err := c.r.ReadString('\n')
+	return strings.TrimSuffix(line, "\r\n"), err
+}
+
+func (c *hostedConn) query(id, text string) (hostedAnswer, error) {
+	if err := c.send("QUERY " + id + " " + text); err != nil {
+		return hostedAnswer{}, err
+	}
+	var a hostedAnswer
+	for {
+		line, err := c.line()
+		if err != nil {
+			return a, err
+		}
+		word, rest, _ := strings.Cut(line, " ")
+		switch word {
+		case "DATAROW":
+			a.rows = append(a.rows, rest)
+		case "ERROR":
+			a.problem, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			a.state, _, _ = strings.Cut(rest, " ")
+			return a, nil
+		}
+	}
+}
--- /dev/null
+++ b/test/hosted_test.go
@@ -0,0 +1,215 @@
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/standin/hosted"
+)
+
+// verdict stops the callers' work and checks it.
+func (h *hostedCluster) verdict(hist *history) []string {
+	var runs [][]hosted.Run
+	var logs [][]hosted.Commit
+	for _, g := range h.groups {
+		runs = append(runs, g.Runs())
+		logs = append(logs, g.Log())
+	}
+	return check(hist.ops, runs, logs)
+}
+
+func (h *hostedCluster) report(hist *history) {
+	h.t.Helper()
+	broken := h.verdict(hist)
+	for i, b := range broken {
+		if i < 10 {
+			h.t.Error(b)
+		}
+	}
+	served, codes := 0, map[string]int{}
+	for _, op := range hist.ops {
+		if op.problem == "" {
+			served++
+		}
+		codes[op.problem]++
+	}
+	h.t.Logf("%d statements, %d served, outcomes %v, %d broken promises", len(hist.ops), served, codes, len(broken))
+	if served == 0 {
+		h.t.Error("nothing was served")
+	}
+}
+
+// awaitServed fails unless every instance serves writes of every service again.
+func (h *hostedCluster) awaitServed() {
+	h.t.Helper()
+	for i := range h.addresses {
+		h.awaitReady(i)
+	}
+}
+
+// Guards against a path that breaks a promise without any fault: sessions,
+// transactions, reads of each kind and variables through several instances.
+func TestHostedPathOnACalmDay(t *testing.T) {
+	h := startHosted(t, 3, 2)
+	hist := &history{}
+	stop := runCallers(h, hist, 12, 1)
+	time.Sleep(2 * time.Second)
+	stop()
+	h.report(hist)
+	for _, op := range hist.ops {
+		if op.problem != "" && op.problem != rolledBack {
+			t.Errorf("%s was answered with %s", op.id, op.problem)
+			break
+		}
+	}
+}
+
+// Guards against a crashed primary that nobody replaces, and against
+// acknowledgements that the replacement loses track of.
+func TestHostedPrimaryIsReplaced(t *testing.T) {
+	h := startHosted(t, 3, 1)
+	hist := &history{}
+	stop := runCallers(h, hist, 12, 2)
+	time.Sleep(300 * time.Millisecond)
+	former := h.groups[0].Leader()
+	former.Crash()
+	waitFor(t, 30*time.Second, "another database leads", func() bool { return h.groups[0].Leader() != former })
+	h.awaitServed()
+	if err := former.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	stop()
+	h.report(hist)
+}
+
+// Guards against an instance without the store that goes on with a primary
+// which the others replace.
+func TestHostedInstanceWithoutStoreStops(t *testing.T) {
+	h := startHosted(t, 3, 1)
+	hist := &history{}
+	stop := runCallers(h, hist, 12, 3)
+	h.store.SetFault("inst-0", hosted.Silent)
+	time.Sleep(time.Second)
+	former := h.groups[0].Leader()
+	// The primary is alive; the other instances can't reach it.
+	for _, instance := range []string{"inst-1", "inst-2"} {
+		former.SetDeafTo(instance, true)
+	}
+	former.SetCut(true)
+	waitFor(t, 30*time.Second, "another database leads", func() bool { return h.groups[0].Leader() != former })
+	time.Sleep(500 * time.Millisecond)
+	h.store.SetFault("inst-0", hosted.Healthy)
+	for _, instance := range []string{"inst-1", "inst-2"} {
+		former.SetDeafTo(instance, false)
+	}
+	former.SetCut(false)
+	h.awaitServed()
+	stop()
+	h.report(hist)
+}
+
+// Guards against an outage of the store that stops service, and against a storm
+// of calls when it returns.
+func TestHostedStoreOutageStopsNothing(t *testing.T) {
+	h := startHosted(t, 3, 1)
+	hist := &history{}
+	for _, f := range []hosted.Fault{hosted.Busy, hosted.Reset, hosted.Silent} {
+		h.store.SetFault("", f)
+		stop := runCallers(h, hist, 8, uint64(len(f)))
+		time.Sleep(2500 * time.Millisecond) // above the validity of what instances know
+		from := hist.len()
+		time.Sleep(500 * time.Millisecond)
+		stop()
+		for _, op := range hist.ops[from:] {
+			if op.problem != "" && op.problem != rolledBack {
+				t.Errorf("store %s: %s was answered with %s", f, op.id, op.problem)
+				break
+			}
+		}
+		h.store.SetFault("", hosted.Healthy)
+		before := h.store.Calls()
+		time.Sleep(time.Second)
+		if n := h.store.Calls() - before; n > 60 {
+			t.Errorf("store %s: %d calls in the second after the outage", f, n)
+		}
+	}
+	h.report(hist)
+}
+
+// Guards against a stop that cuts work: SIGTERM lets statements and transactions
+// end, and the process exits by itself.
+func TestHostedGracefulStop(t *testing.T) {
+	h := startHosted(t, 2, 1)
+	c, err := dialHosted(h.addresses[0], routePrimary+"svc0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	mustQuery := func(id, text string) {
+		t.Helper()
+		if a, err := c.query(id, text); err != nil || a.problem != "" {
+			t.Fatalf("%s: %+v, %v", text, a, err)
+		}
+	}
+	mustQuery("s1.1", "BEGIN")
+	mustQuery("s1.1/0", "WRITE k1 v")
+	h.instances[0].signal(t, syscall.SIGHUP) // must not end the process
+	h.instances[0].signal(t, syscall.SIGTERM)
+	time.Sleep(300 * time.Millisecond)
+	mustQuery("s1.1/commit", "COMMIT")
+	if code := h.instances[0].terminate(t, 20*time.Second); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	log := h.instances[0].log.tail(maxLog)
+	if !strings.Contains(log, "The instance has stopped.") {
+		t.Error("the stop is not in the log")
+	}
+}
+
+// Guards against damaged input that ends a process or hurts another session.
+func TestHostedBadInput(t *testing.T) {
+	h := startHosted(t, 1, 1)
+	good, err := dialHosted(h.addresses[0], routePrimary+"svc0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer good.close()
+	for _, bad := range []string{
+		"START\r\n", "HELLO\r\n", "START nowhere x\r\n", "START confirmsvc0 x\r\nQUERY\r\n", "START confirmsvc0 x\r\nREAD k\r\n",
+		"START confirmsvc0 x\r\nQUERY - READ k\r\n", "START confirmsvc0 x\nQUERY a READ k\n", "START confirmsvc0 x\r\nQUERY a RE",
+		"START confirmsvc0 x\r\nQUERY a " + strings.Repeat("y", 1<<21) + "\r\n", "\r\n\r\n", "\x00\x01\x02",
+	} {
+		c, err := dialAndLeave(h.addresses[0], bad)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.close()
+	}
+	h.store.Put("servers", "broken-1", "text instead of a table")
+	h.store.Put("servers", "broken-2", map[string]any{"service": 7})
+	h.store.Put("config", "main", map[string]any{"version": 8, "routes": "none"})
+	time.Sleep(time.Second)
+	for i, c := range []struct{ text, want string }{
+		{"READ k", ""}, {"MERGE k", "MALFORMED"}, {"WAITFOR 1.1 READ k", "MALFORMED"}, {"STATUS", "MALFORMED"},
+		{"COMMIT", "MALFORMED"}, {"EXECUTE none k", "NOTFOUND"}, {"READ k", ""},
+	} {
+		a, err := good.query(fmt.Sprintf("s1.%d", i), c.text)
+		if err != nil || a.problem != c.want || a.state != "I" {
+			t.Errorf("%s: %+v, %v; want %q", c.text, a, err, c.want)
+		}
+	}
+}
+
+// dialAndLeave sends bytes and leaves without an answer.
+func dialAndLeave(address, data string) (*hostedConn, error) {
+	raw, err := netDial(address)
+	if err != nil {
+		return nil, err
+	}
+	_, _ = raw.conn.Write([]byte(data)) // the instance may close first
+	return raw, nil
+}
