Let a replacement wait longer than the validity before it is taken over

A database that took the former primary's place under a new id, with its log and term, was not seen as the leader that it is.

Change: the limit follows from the validity; a primary of the same term under another id is adopted without a promotion.

--- a/internal/primacy/beliefs_test.go
+++ b/internal/primacy/beliefs_test.go
@@ -212,6 +212,9 @@
 		if Validity(n) < 2*p+renewTimeout {
 			t.Errorf("%d instances: validity %v for a period of %v", n, Validity(n), p)
 		}
+		if TakeoverAfter(n) < Validity(n)+validityMargin+leadTime {
+			t.Errorf("%d instances: a replacement is taken over before its promoter has waited", n)
+		}
 		if rate := float64(n) / p.Seconds(); n <= 80 && rate > 41 {
 			t.Errorf("%d instances ask %.0f times a second", n, rate)
 		}
--- /dev/null
+++ b/internal/primacy/fake_test.go
@@ -0,0 +1,311 @@
+package primacy
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/statement"
+)
+
+// fakeStore keeps records and registrations. before and after run around the
+// effect of an update; an error of theirs replaces its answer.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	records  map[string]Record
+	regs     map[string]Registration
+	changed  chan struct{}
+	down     bool
+	before   func(Record) error
+	after    func(Record) error
+}
+
+var errDown = errors.New("the store is down")
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{records: map[string]Record{}, regs: map[string]Registration{}, changed: make(chan struct{})}
+}
+
+func (f *fakeStore) put(r Record) Record {
+	f.revision++
+	r.Revision = f.revision
+	f.records[r.Service] = r
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return r
+}
+
+func (f *fakeStore) Records(context.Context) ([]Record, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, 0, errDown
+	}
+	var all []Record
+	for _, r := range f.records {
+		all = append(all, r)
+	}
+	return all, f.revision, nil
+}
+
+func (f *fakeStore) WatchRecords(ctx context.Context, after uint64, _ time.Duration) ([]Record, uint64, error) {
+	for {
+		f.mu.Lock()
+		changed, at := f.changed, f.revision
+		f.mu.Unlock()
+		if at > after {
+			return f.Records(ctx)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
+}
+
+func (f *fakeStore) CreateRecord(_ context.Context, r Record) (Record, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.records[r.Service]; ok {
+		return Record{}, ErrConflict
+	}
+	return f.put(r), nil
+}
+
+func (f *fakeStore) UpdateRecord(_ context.Context, r Record) (Record, error) {
+	f.mu.Lock()
+	before, after := f.before, f.after
+	f.mu.Unlock()
+	if before != nil {
+		if err := before(r); err != nil {
+			return Record{}, err
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return Record{}, errDown
+	}
+	if f.records[r.Service].Revision != r.Revision {
+		return Record{}, ErrConflict
+	}
+	stored := f.put(r)
+	if after != nil {
+		if err := after(r); err != nil {
+			return Record{}, err
+		}
+	}
+	return stored, nil
+}
+
+func (f *fakeStore) Registrations(context.Context) ([]Registration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errDown
+	}
+	var all []Registration
+	for _, r := range f.regs {
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+func (f *fakeStore) CountInstances(ctx context.Context) (int, error) {
+	all, err := f.Registrations(ctx)
+	return len(all), err
+}
+
+func (f *fakeStore) Register(_ context.Context, r Registration) (Registration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return r, errDown
+	}
+	f.regs[r.Instance] = r
+	return r, nil
+}
+
+func (f *fakeStore) Unregister(_ context.Context, instance string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.regs, instance)
+	return nil
+}
+
+func (f *fakeStore) record() Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.records["ledger"]
+}
+
+// fakeGroup is three databases.
+type fakeGroup struct {
+	mu       sync.Mutex
+	members  []Member
+	status   map[string]statement.Status
+	dead     map[string]bool
+	cutFrom  map[string]bool // instances that can't reach the primary
+	refused  map[string]bool // by the promotion call
+	promoted []string
+	tokens   []uint64
+	inert    bool // promotions have no effect
+}
+
+func newFakeGroup() *fakeGroup {
+	g := &fakeGroup{
+		status: map[string]statement.Status{}, dead: map[string]bool{}, cutFrom: map[string]bool{}, refused: map[string]bool{},
+	}
+	for i, id := range []string{"db-1", "db-2", "db-3"} {
+		g.members = append(g.members, Member{ID: id, Primary: i == 0})
+		g.status[id] = statement.Status{Primary: i == 0, Term: 1, Received: statement.Position{Term: 1, Number: uint64(10 - i)}}
+	}
+	return g
+}
+
+func (g *fakeGroup) set(id string, change func(*statement.Status)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.status[id]
+	change(&s)
+	g.status[id] = s
+}
+
+func (g *fakeGroup) get(id string) statement.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.status[id]
+}
+
+// promotions returns the databases that were promoted, and the tokens.
+func (g *fakeGroup) promotions() ([]string, []uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.promoted), slices.Clone(g.tokens)
+}
+
+func (g *fakeGroup) kill(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead[id] = true
+}
+
+func (g *fakeGroup) Promote(_ context.Context, _, id, _ string, token uint64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.refused[id] {
+		return ErrNotRunning
+	}
+	g.promoted = append(g.promoted, id)
+	g.tokens = append(g.tokens, token)
+	if g.inert {
+		return errDown
+	}
+	s := g.status[id]
+	s.Primary, s.Term, s.HeldTerm = true, 2, 0
+	g.status[id] = s
+	return nil
+}
+
+// view is a group as one instance reaches it.
+type view struct {
+	*fakeGroup
+	instance string
+}
+
+var errUnreachable = errors.New("the database can't be reached")
+
+func (v view) Status(ctx context.Context, service, id string, timeout time.Duration) (statement.Status, error) {
+	return v.Control(ctx, service, id, statement.Command{Op: statement.OpStatus}, timeout)
+}
+
+func (v view) Control(_ context.Context, _, id string, c statement.Command, _ time.Duration) (statement.Status, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.dead[id] || (id == "db-1" && v.cutFrom[v.instance]) {
+		return statement.Status{}, errUnreachable
+	}
+	s := v.status[id]
+	switch c.Op {
+	case statement.OpPause:
+		s.HeldTerm = max(s.HeldTerm, c.Term)
+	case statement.OpResume:
+		s.HeldTerm = 0
+	case statement.OpDemote:
+		s.Primary = s.Primary && s.Term >= c.Term
+	}
+	v.status[id] = s
+	return s, nil
+}
+
+func (v view) Troubled(_, id string) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return 1, v.dead[id] || (id == "db-1" && v.cutFrom[v.instance])
+}
+
+func (v view) Members(string) []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.members)
+}
+
+// instance is a runner with its beliefs.
+type instance struct {
+	runner  *Runner
+	beliefs *Beliefs
+	stop    func()
+}
+
+// startInstances runs instances until the test ends.
+func startInstances(t *testing.T, store *fakeStore, g *fakeGroup, names ...string) map[string]*instance {
+	t.Helper()
+	all := make(map[string]*instance)
+	for _, name := range names {
+		b := NewBeliefs(name, Validity(1), clock.SinceBoot)
+		r := NewRunner(Config{
+			Instance: name, Incarnation: name, Store: store, Databases: view{g, name}, Promotions: g, Beliefs: b,
+			Services: func() []string { return []string{"ledger"} }, Now: clock.SinceBoot, Log: zerolog.Nop(),
+			OnStoreAway: func() {}, OnRevision: func(uint64) {},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = r.Run(ctx) }()
+		x := &instance{r, b, func() { cancel(); <-done }}
+		t.Cleanup(x.stop)
+		all[name] = x
+	}
+	for name, x := range all {
+		eventually(t, name+" knows the primary", func() bool { _, ok := x.beliefs.Primary("ledger"); return ok })
+	}
+	return all
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+// leads reports that all instances use a database.
+func leads(all map[string]*instance, id string) func() bool {
+	return func() bool {
+		for _, x := range all {
+			if p, ok := x.beliefs.Primary("ledger"); !ok || p.ID != id {
+				return false
+			}
+		}
+		return true
+	}
+}
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	observed := r.raise(ctx, rec)
-	if done, ok := r.alreadyLeads(ctx, rec, excluded); ok {
+	if done, ok := r.alreadyLeads(ctx, rec); ok {
 		return r.finish(ctx, rec, done, excluded)
 	}
 	for _, c := range Candidates(observed, len(excluded) > len(rec.Excluded)) {
@@ -222,12 +222,13 @@
 	return answered
 }
 
-// alreadyLeads finds a database that an earlier promoter promoted.
-func (r *Runner) alreadyLeads(ctx context.Context, rec Record, _ []string) (leader, bool) {
+// alreadyLeads finds a database that an earlier promoter promoted, or one that
+// took the place of the former primary under another id, with its log and term.
+func (r *Runner) alreadyLeads(ctx context.Context, rec Record) (leader, bool) {
 	for _, o := range r.ask(ctx, rec, func(m Member) (statement.Command, bool) {
 		return statement.Command{Op: statement.OpStatus}, m.ID != rec.Primary
 	}) {
-		if o.Status.Primary && o.Status.Term > rec.Term {
+		if o.Status.Primary && o.Status.Term >= rec.Term {
 			return leader{o.ID, o.Status.Term}, true
 		}
 	}
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -44,10 +44,10 @@
 	quorumPause = 150 * time.Millisecond
 	// bootstrapSpread separates instances that could record the same primary.
 	bootstrapSpread = 600 * time.Millisecond
-	// takeoverAfter is how long a replacement may stand still before another
-	// instance takes it over. A promoter may wait for Validity, and then for
-	// the promoted database to lead.
-	takeoverAfter = 4 * time.Second
+	// leadTime is what a replacement may take besides the wait for the validity
+	// of the instances' knowledge: control commands, the promotion and the wait
+	// for the promoted database to lead.
+	leadTime = 3 * time.Second
 	// ownRetry is the pause before an instance repeats its own failed attempt.
 	ownRetry = 700 * time.Millisecond
 	// maxBackoff bounds the pause between calls to a store that does not answer.
@@ -68,6 +68,12 @@
 	return RenewPeriod(instances)*5/2 + 500*time.Millisecond
 }
 
+// TakeoverAfter is how long a replacement may stand still before another
+// instance takes it over. It is above the time that a promoter may wait.
+func TakeoverAfter(instances int) time.Duration {
+	return Validity(instances) + validityMargin + leadTime
+}
+
 // Config holds what a Runner needs. All fields are required.
 type Config struct {
 	Instance    string
@@ -606,7 +612,7 @@
 	r.mu.Lock()
 	age := r.cfg.Now() - r.seenAt[rec.Service]
 	r.mu.Unlock()
-	limit := takeoverAfter
+	limit := TakeoverAfter(r.Instances())
 	if rec.Promoter == r.incarnation() {
 		limit = ownRetry // its own attempt failed
 	}
