Share connections fairly when all instances start at once

Ruled out: the registrations, which are there within 50 ms of a start.

Change: an instance holds one connection to each database until it has counted the instances, which it does at once. Requests wait in the first 3 s of an instance instead of being refused for what it does not know yet.

--- a/internal/dbpool/lending.go
+++ b/internal/dbpool/lending.go
@@ -37,8 +37,13 @@
 // keeps their former connections. Replicas need not be lent: reads stay with a
 // replica to which a connection is open, so that each instance holds
 // connections to one replica of a service.
+//
+// With instances 0 their number is not known yet: an instance that starts alone
+// in its view must not take the connections of all others, which start too.
 func Share(limit, instances int, primary bool) Sharing {
-	instances = max(1, instances)
+	if instances == 0 {
+		return Sharing{Share: 1, Idle: idleExtra}
+	}
 	if float64(limit) < lendingRoom*float64(instances) {
 		if primary {
 			return Sharing{Share: lentShare, Idle: idleLent}
--- a/internal/dbpool/pool_test.go
+++ b/internal/dbpool/pool_test.go
@@ -229,6 +229,10 @@
 			t.Errorf("limit %d, %d instances: share %d, want %d", c.limit, c.instances, s.Share, c.share)
 		}
 	}
+	// After a loss of power the first instance to start held 8 of 16 connections.
+	if s := Share(16, 0, true); s.Share != 1 {
+		t.Errorf("an unknown number of instances gives %+v", s)
+	}
 	if s := Share(46, 64, true); s.Warm || s.Idle != idleLent {
 		t.Errorf("a scarce limit gives %+v at a primary", s)
 	}
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -132,7 +132,6 @@
 		running:   make(map[string]bool),
 		seenAt:    make(map[string]time.Duration),
 		suspectAt: make(map[string]time.Duration),
-		instances: 1,
 	}
 }
 
@@ -146,7 +145,8 @@
 	return ctx.Err()
 }
 
-// Instances returns how many instances are registered, as last seen.
+// Instances returns how many instances are registered, as last seen; 0 if that
+// is not known yet.
 func (r *Runner) Instances() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -417,7 +417,8 @@
 const (
 	// countPeriod is the pause between two counts of the instances, and
 	// firstCount the one before the second count: all instances of a new
-	// deployment register within a second.
+	// deployment register within a second. After a restart of all, the first
+	// count finds the registrations of their former lives.
 	countPeriod = 10 * time.Second
 	firstCount  = 1500 * time.Millisecond
 )
@@ -425,12 +426,16 @@
 // countLoop keeps the number of instances, which shares out connections, and
 // the relays.
 func (r *Runner) countLoop(ctx context.Context) {
-	wait := firstCount
-	for pause(ctx, wait) == nil {
+	waits := []time.Duration{0, firstCount}
+	for wait := time.Duration(0); pause(ctx, wait) == nil; {
 		cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		registered, err := r.cfg.Store.KnownInstances(cctx)
 		cancel()
 		wait = countPeriod
+		if len(waits) > 1 {
+			waits = waits[1:]
+			wait = waits[0]
+		}
 		if err != nil {
 			wait = maxBackoff
 			continue
--- a/internal/proxy/outcome_test.go
+++ b/internal/proxy/outcome_test.go
@@ -211,3 +211,32 @@
 	})
 	wantCode(t, h.session(testRoute).handle(st(statement.Write)), result.Overloaded)
 }
+
+// Guards against a request that waits for its deadline at an instance that alone
+// can't use the databases, while its caller could go to another one.
+func TestWhatOnlyThisInstanceCantDoIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.configure(time.Hour) // a request that waits does not end
+	h.server.started -= time.Hour
+	h.beliefs.Deny(testService, 1)
+	a := h.session(testRoute).handle(st(statement.Write))
+	wantCode(t, a, result.NoPrimary)
+	if a.Err.Ran != result.RanNo {
+		t.Error("the refusal does not say that nothing was run")
+	}
+}
+
+// Guards against refusals right after a start, before the store was asked.
+func TestRequestsWaitWhileTheInstanceSettles(t *testing.T) {
+	h := newHarness(t)
+	h.configure(10 * time.Second)
+	h.beliefs.Deny(testService, 1)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		h.record.Revision++
+		h.confirm()
+	}()
+	if a := h.session(testRoute).handle(st(statement.Write)); a.Err != nil {
+		t.Errorf("answer %+v", a.Err)
+	}
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -24,6 +24,9 @@
 	// request is refused at once. A primary that is out of everybody's reach is
 	// being replaced by then.
 	outOfReach = 1200 * time.Millisecond
+	// settleTime is how long after its start an instance may not know the
+	// primaries yet, so that requests wait.
+	settleTime = 3 * time.Second
 	// tryTimeout bounds one attempt of a read that may be repeated elsewhere.
 	// It is above the longest work of a read on a database that is five times
 	// slower than usual in nine cases of ten.
@@ -111,7 +114,7 @@
 		return false
 	}
 	if _, valid := s.cfg.Beliefs.Primary(q.route.Service); !valid {
-		return true
+		return s.cfg.Now()-s.started > settleTime
 	}
 	pool, ok := s.cfg.Pools.Pool(rec.Primary)
 	if !ok {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -74,6 +74,7 @@
 type Server struct {
 	cfg     Config
 	budgets *retry.Budgets
+	started time.Duration
 	stage   atomic.Int32
 	evict   atomic.Bool // idle sessions are closed, and others once they are idle
 	ids     atomic.Uint64
@@ -90,6 +91,7 @@
 	return &Server{
 		cfg:       cfg,
 		budgets:   retry.NewBudgets(),
+		started:   cfg.Now(),
 		sessions:  make(map[*session]struct{}),
 		histories: make(map[string]*freshness.History),
 		empty:     make(chan struct{}),
