--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -26,6 +26,9 @@
 	directValidity = 1500 * time.Millisecond
 	// relayedValidity covers the age of what a relay knows as well.
 	relayedValidity = 2200 * time.Millisecond
+	// awayPeriod is the pause while the store does not answer. With renewTimeout
+	// it leaves room for a round that fails within the validity.
+	awayPeriod = 250 * time.Millisecond
 	// renewTimeout bounds a question. The store answers within 300 ms when it
 	// is slow.
 	renewTimeout = 400 * time.Millisecond
@@ -238,7 +241,7 @@
 		} else {
 			r.cfg.OnStoreAway()
 			r.noteRound(r.renewFromDatabases(ctx))
-			wait = renewPeriod / 4
+			wait = awayPeriod
 		}
 		if pause(ctx, wait) != nil {
 			return
@@ -325,7 +328,8 @@
 
 // isolatedAfter is the number of rounds without an answer from the store or
 // from a complete set of databases after which an instance counts as isolated.
-const isolatedAfter = 2
+// One round takes 0.8 s, and the balancer wants two misses a second apart.
+const isolatedAfter = 1
 
 // Isolated reports that this instance reaches neither the store nor the
 // databases of any service, so that it can serve almost nothing.
