Explain requests and beliefs from log lines

geraniumbeam-platformd explain ID and timeline read the lines of any number of instances from files or standard input and say in sentences what happened, with the inputs that decided and their ages. Times have milliseconds. A test takes each failed request of a played crash and finds its cause by its id alone.

--- a/cmd/geraniumbeam-platformd/main.go
+++ b/cmd/geraniumbeam-platformd/main.go
@@ -14,9 +14,11 @@
 )
 
 type grammar struct {
-	Run     runCommand       `cmd:"" help:"Run the instance. SIGTERM starts a graceful shutdown."`
-	Check   checkCommand     `cmd:"" help:"Check a settings file and exit."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Run      runCommand       `cmd:"" help:"Run the instance. SIGTERM starts a graceful shutdown."`
+	Check    checkCommand     `cmd:"" help:"Check a settings file and exit."`
+	Explain  explainCommand   `cmd:"" help:"Say what became of a request, from log lines."`
+	Timeline timelineCommand  `cmd:"" help:"Say what instances believed over time, from log lines."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
 type runCommand struct {
@@ -41,26 +43,41 @@
 	if k == nil {
 		return code
 	}
+	switch k.Command() {
+	case "explain <id>", "explain <id> <files>":
+		return c.Explain.run(out, errOut)
+	case "timeline", "timeline <files>":
+		return c.Timeline.run(out, errOut)
+	case "check <settings>":
+		if _, _, err := load(c.Check.Settings); err != nil {
+			return program.Fail(errOut, cli.ExitUsage, err)
+		}
+		fmt.Fprintf(out, "%s is valid.\n", c.Check.Settings)
+		return cli.ExitOK
+	}
 	path := c.Run.Settings
-	if k.Command() == "check <settings>" {
-		path = c.Check.Settings
-	} else if path == "" {
+	if path == "" {
 		path = platform.SettingsPath()
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return program.Fail(errOut, cli.ExitUsage, fmt.Errorf("read settings: %w", err))
-	}
-	settings, err := platform.ParseSettings(data)
+	raw, settings, err := load(path)
 	if err != nil {
-		return program.Fail(errOut, cli.ExitUsage, fmt.Errorf("%s: %w", path, err))
-	}
-	if k.Command() == "check <settings>" {
-		fmt.Fprintf(out, "%s is valid.\n", path)
-		return cli.ExitOK
+		return program.Fail(errOut, cli.ExitUsage, err)
 	}
-	if err := run(ctx, path, data, settings, c.Run.LogLevel, out); err != nil {
+	if err := run(ctx, path, raw, settings, c.Run.LogLevel, out); err != nil {
 		return program.Fail(errOut, cli.ExitFailed, err)
 	}
 	return cli.ExitOK
 }
+
+// load reads and checks a settings file.
+func load(path string) ([]byte, platform.Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, platform.Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	settings, err := platform.ParseSettings(raw)
+	if err != nil {
+		return nil, settings, fmt.Errorf("%s: %w", path, err)
+	}
+	return raw, settings, nil
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,7 @@
 // NewLogger returns a logger that writes lines of JSON to w. Level is one of
 // debug, info, warn and error.
 func NewLogger(w io.Writer, instance, level string) (zerolog.Logger, error) {
+	setTimeFormat()
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return zerolog.Nop(), fmt.Errorf("log level %q: %w", level, err)
@@ -37,6 +39,12 @@
 	return zerolog.New(w).Level(l).With().Timestamp().Str("instance", instance).Logger(), nil
 }
 
+// timeFormat has milliseconds, so that lines of several instances can be joined.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// setTimeFormat sets zerolog's global format once.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = timeFormat })
+
 // Part returns l with the part's fixed prefix.
 func Part(l zerolog.Logger, part string) zerolog.Logger {
 	return l.With().Str("part", part).Logger()
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"geraniumbeam/internal/explain"
 	"geraniumbeam/internal/standin/hosted"
 )
 
@@ -84,6 +85,35 @@
 	time.Sleep(300 * time.Millisecond)
 	stop()
 	h.report(hist)
+	h.explainFailures(hist)
+}
+
+// explainFailures finds the cause of each failed request by its id alone, from
+// the logs of all instances.
+func (h *hostedCluster) explainFailures(hist *history) {
+	h.t.Helper()
+	var logs strings.Builder
+	for _, p := range h.instances {
+		logs.WriteString(p.log.tail(maxLog))
+	}
+	lines, _, err := explain.Read(strings.NewReader(logs.String()))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	explained := 0
+	for _, op := range hist.ops {
+		if op.problem == "" || op.problem == rolledBack || op.problem == "cut" {
+			continue
+		}
+		var out strings.Builder
+		if !explain.Request(&out, lines, op.id) || !strings.Contains(out.String(), "Cause: ") {
+			h.t.Errorf("%s (%s) is not explained:\n%s", op.id, op.problem, out.String())
+		}
+		explained++
+	}
+	if explained == 0 {
+		h.t.Error("no request failed, so nothing was explained")
+	}
 }
 
 // Guards against an instance without the store that goes on with a primary
