--- a/internal/dbpool/health.go
+++ b/internal/dbpool/health.go
@@ -7,7 +7,7 @@
 	// answer before it is treated as silent. The slowest statements take
 	// 550 ms on a database that is five times slower than usual, but others
 	// are answered meanwhile.
-	silentAfter = 300 * time.Millisecond
+	silentAfter = 250 * time.Millisecond
 )
 
 // health follows whether a database answers. The owner's lock protects it.
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -44,6 +44,10 @@
 	rankPause = 120 * time.Millisecond
 	// plannedRankPause does so for a primary that still works.
 	plannedRankPause = 400 * time.Millisecond
+	// probeTimeout bounds the question to a primary that seems not to answer.
+	// A database that is five times slower than usual and has work for all
+	// connections answers others meanwhile, which ends the suspicion.
+	probeTimeout = 250 * time.Millisecond
 	// quorumPause is the pause after a vote that found no quorum.
 	quorumPause = 150 * time.Millisecond
 	// bootstrapSpread separates instances that could record the same primary.
@@ -594,7 +598,7 @@
 	if !troubled || r.cfg.Now()-since < suspectAfter {
 		return false
 	}
-	_, err := r.cfg.Databases.Status(ctx, rec.Service, rec.Primary, controlTimeout)
+	_, err := r.cfg.Databases.Status(ctx, rec.Service, rec.Primary, probeTimeout)
 	if err == nil {
 		return false
 	}
