--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -6,7 +6,7 @@
 )
 
 // The tests of this file are the rows of the table "What is served during a
-// partition" in docs/operators.md. The group's primary is in taipei-a, its
+// partition" in docs/OPERATIONS.md. The group's primary is in taipei-a, its
 // replicas in taipei-b and keelung; taoyuan has none of its databases.
 
 // Guards against a data centre that stops its provable reads, or serves reads
