Let half of the other databases extend what an instance knows

Change: the primary and half of the others must answer; a promoter that can't hear from an instance must raise so many that the two sets meet, and goes on trying until then.

--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -19,6 +19,9 @@
 	// plannedConfirm is how long a planned replacement waits for all instances
 	// to confirm before it treats some as cut off from the store.
 	plannedConfirm = 400 * time.Millisecond
+	// raisePause is how long the promoter waits for confirmations before it
+	// looks whether enough databases were raised.
+	raisePause = 100 * time.Millisecond
 	// catchUpLimit bounds the wait of a planned replacement for the candidate
 	// to hold what the former primary holds.
 	catchUpLimit = 600 * time.Millisecond
@@ -131,8 +134,14 @@
 	// extends its knowledge any more, so its validity counts from here. The
 	// former primary is not demoted before: a statement that follows Begin
 	// would run outside its transaction there.
-	r.raise(ctx, rec)
-	missing, err := r.awaitStopped(ctx, rec, func(validity time.Duration) time.Duration { return validity + validityMargin })
+	missing, err := r.raiseEnough(ctx, rec)
+	if err != nil {
+		return nil, err
+	}
+	if len(missing) == 0 {
+		return rec.Excluded, nil
+	}
+	missing, err = r.awaitStopped(ctx, rec, func(validity time.Duration) time.Duration { return validity + validityMargin })
 	if err != nil {
 		return nil, err
 	}
@@ -143,6 +152,21 @@
 	return append(append([]string{}, rec.Excluded...), missing...), nil
 }
 
+// raiseEnough raises databases until no instance that did not confirm can extend
+// its knowledge without meeting one of them, or all have confirmed. It returns the
+// incarnations that have not confirmed.
+func (r *Runner) raiseEnough(ctx context.Context, rec Record) ([]string, error) {
+	for {
+		raised := r.raise(ctx, rec)
+		missing, err := r.awaitStopped(ctx, rec, func(time.Duration) time.Duration { return raisePause })
+		if err != nil || len(missing) == 0 || len(raised) >= raising(r.others(rec)) {
+			return missing, err
+		}
+		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Int("raised", len(raised)).Strs("missing", missing).
+			Msg("Too few databases were raised to go on without the missing instances.")
+	}
+}
+
 // awaitStopped waits until every registered instance has stopped using the
 // former primary, or the limit has passed, which follows from the validity of
 // the missing ones' knowledge. It returns the incarnations that did not confirm.
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -271,9 +271,9 @@
 	return nil
 }
 
-// renewFromDatabases extends the knowledge of each service whose other
-// databases all answer and were not raised above the record's term. It reports
-// whether that was so for any.
+// renewFromDatabases extends the knowledge of each service whose primary and
+// enough other databases answer, of which none was raised above the record's
+// term. It reports whether that was so for any.
 func (r *Runner) renewFromDatabases(ctx context.Context) bool {
 	var (
 		extended atomic.Bool
@@ -292,29 +292,36 @@
 	return extended.Load()
 }
 
-// extend asks the other databases of one service.
+// extend asks the databases of one service.
 func (r *Runner) extend(ctx context.Context, rec Record) bool {
 	asked := r.cfg.Now()
-	others := 0
-	for _, m := range r.cfg.Databases.Members(rec.Service) {
-		if m.ID != rec.Primary {
-			others++
-		}
-	}
-	answered := r.ask(ctx, rec, func(m Member) (statement.Command, bool) {
-		return statement.Command{Op: statement.OpStatus}, m.ID != rec.Primary
+	others := r.others(rec)
+	answered := r.ask(ctx, rec, func(Member) (statement.Command, bool) {
+		return statement.Command{Op: statement.OpStatus}, true
 	})
-	if Raised(answered, rec.Term) {
+	if Raised(rec, answered) {
 		r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Msg("A database was raised; the primary is not used any more.")
 		r.cfg.Beliefs.Deny(rec.Service, rec.Token)
+		return false
 	}
-	if !Unraised(answered, others, rec.Term) {
+	if !Extends(rec, answered, others) {
 		return false
 	}
 	r.cfg.Beliefs.Extend(rec.Service, rec.Token, asked)
 	return true
 }
 
+// others counts the databases of a service besides the recorded primary.
+func (r *Runner) others(rec Record) int {
+	n := 0
+	for _, m := range r.cfg.Databases.Members(rec.Service) {
+		if m.ID != rec.Primary {
+			n++
+		}
+	}
+	return n
+}
+
 // noteRound notes whether a round of questions confirmed anything.
 func (r *Runner) noteRound(confirmed bool) {
 	r.mu.Lock()
@@ -343,21 +350,6 @@
 	return r.failedRounds >= isolatedAfter
 }
 
-// Unraised reports whether all of the other databases of a service answered and
-// none of them was raised above the term or promoted. A promoter raises the
-// database that it promotes and then waits for Validity, so the primary of the
-// term may be used for that long.
-func Unraised(answered []Observation, others int, term uint64) bool {
-	return others > 0 && len(answered) == others && !Raised(answered, term)
-}
-
-// Raised reports whether any database was raised above the term or promoted.
-func Raised(answered []Observation, term uint64) bool {
-	return slices.ContainsFunc(answered, func(o Observation) bool {
-		return o.Status.HeldTerm > term || o.Status.Term > term || o.Status.Primary
-	})
-}
-
 // watchLoop learns of changed records at once.
 func (r *Runner) watchLoop(ctx context.Context) {
 	backoff := storePause
--- a/internal/primacy/runner_test.go
+++ b/internal/primacy/runner_test.go
@@ -151,3 +151,26 @@
 		t.Errorf("promoted %v", promoted)
 	}
 }
+
+// Guards against a promotion while an instance that can't be heard may go on
+// with the former primary and with the database that the promoter did not raise.
+func TestTooFewRaisedDatabasesHoldThePromotion(t *testing.T) {
+	store, g := newFakeStore(), newFakeGroup()
+	all := startInstances(t, store, g, "a", "b")
+	store.mu.Lock()
+	store.regs["c"] = Registration{Instance: "c", Incarnation: "c", Validity: InitialValidity}
+	store.mu.Unlock()
+	g.kill("db-1")
+	g.kill("db-3")
+	eventually(t, "the replacement begins", func() bool { return store.record().Phase == Replacing })
+	time.Sleep(2 * InitialValidity)
+	if promoted, _ := g.promotions(); len(promoted) != 0 {
+		t.Fatalf("%v was promoted", promoted)
+	}
+	store.mu.Lock()
+	store.regs["c"] = Registration{
+		Instance: "c", Incarnation: "c", Validity: InitialValidity, Stopped: map[string]uint64{"ledger": 1 << 20},
+	}
+	store.mu.Unlock()
+	eventually(t, "db-2 leads", leads(all, "db-2"))
+}
--- a/internal/primacy/suspicion.go
+++ b/internal/primacy/suspicion.go
@@ -46,7 +46,41 @@
 	return missing, validity
 }
 
-// Observation is the status of one replica after it was raised.
+// Two sets of databases, besides the primary, must have one in common: those
+// that extend an instance's knowledge, and those that a promoter raises while it
+// can't hear from that instance.
+
+// extending returns how many of the others must answer an instance: half.
+func extending(others int) int { return (others + 1) / 2 }
+
+// raising returns how many of the others a promoter must raise.
+func raising(others int) int { return others - extending(others) + 1 }
+
+// Extends reports whether the answers of databases show that nobody has begun to
+// replace the primary of a record: the primary leads its term, and enough of the
+// others were not raised. A promoter raises the databases and then waits for the
+// validity, so the primary may be used for that long.
+func Extends(rec Record, answered []Observation, others int) bool {
+	leads, unraised := false, 0
+	for _, o := range answered {
+		if o.ID == rec.Primary {
+			leads = o.Status.Primary && o.Status.Term == rec.Term
+		} else {
+			unraised++
+		}
+	}
+	return leads && others > 0 && unraised >= extending(others) && !Raised(rec, answered)
+}
+
+// Raised reports whether any database was raised above the record's term, or
+// another than its primary leads.
+func Raised(rec Record, answered []Observation) bool {
+	return slices.ContainsFunc(answered, func(o Observation) bool {
+		return o.Status.HeldTerm > rec.Term || o.Status.Term > rec.Term || (o.Status.Primary && o.ID != rec.Primary)
+	})
+}
+
+// Observation is the status of one database.
 type Observation struct {
 	Member
 	Status statement.Status
