--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -33,6 +33,9 @@
 	// settingsPeriod is the pause between two looks at the settings file,
 	// which may change without a signal.
 	settingsPeriod = 2 * time.Second
+	// reservedFiles are descriptors for connections to databases, the store and
+	// peers, and for files: 24 databases with 8 connections each take 192.
+	reservedFiles = 500
 	// pathMetrics is the path of the metrics.
 	pathMetrics = "GET /metrics"
 )
@@ -63,6 +66,7 @@
 		},
 		NewCaller:   func(c net.Conn) proxy.Caller { return platform.NewCaller(c) },
 		Log:         log,
+		MaxSessions: max(1, s.MaxOpenFiles-reservedFiles),
 		GracePeriod: time.Duration(s.GracePeriod),
 		DrainTime:   time.Duration(s.DrainTime),
 	})
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -39,6 +39,8 @@
 	Dial       dbpool.Dial
 	NewCaller  func(net.Conn) proxy.Caller
 	Log        zerolog.Logger
+	// MaxSessions bounds the callers' connections.
+	MaxSessions int
 	// GracePeriod is the time from the start of a shutdown to its end.
 	GracePeriod time.Duration
 	// DrainTime is how long a leaving database may get work.
@@ -78,7 +80,7 @@
 		OnRevision:  i.follower.SeeRevision,
 	})
 	i.proxy = proxy.New(proxy.Config{
-		Instance: cfg.Instance, DataCentre: cfg.DataCentre, Topology: i.topology, Beliefs: i.beliefs,
+		DataCentre: cfg.DataCentre, MaxSessions: cfg.MaxSessions, Topology: i.topology, Beliefs: i.beliefs,
 		Pools: i.pools, Now: clock.SinceBoot, Log: cfg.Log.With().Str("part", "proxy").Logger(),
 		NewCaller: cfg.NewCaller, Metrics: i.metrics, LeavingUse: cfg.DrainTime * leavingUseShare / 100,
 	})
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -52,7 +52,7 @@
 	for {
 		done, err := r.cfg.Store.UpdateRecord(ctx, next)
 		if err == nil {
-			r.adopt(ctx, done, "written by this instance")
+			r.adopt(done, "written by this instance")
 			return done, nil
 		}
 		if !errors.Is(err, ErrConflict) {
@@ -72,10 +72,10 @@
 		case current.Revision == next.Revision:
 			continue // not executed so far; a late execution finds another revision
 		case current.Promoter == next.Promoter && current.Token == next.Token && current.Phase == next.Phase && current.Candidate == next.Candidate:
-			r.adopt(ctx, current, "read back")
+			r.adopt(current, "read back")
 			return current, nil
 		}
-		r.adopt(ctx, current, "read back")
+		r.adopt(current, "read back")
 		return Record{}, errLost
 	}
 }
--- /dev/null
+++ b/internal/primacy/register.go
@@ -0,0 +1,104 @@
+package primacy
+
+import (
+	"context"
+	"maps"
+	"time"
+)
+
+// publishLoop writes this instance's registration whenever it changed. Beliefs
+// are confirmed only after the first success, so that a promoter knows of every
+// instance that uses a primary.
+func (r *Runner) publishLoop(ctx context.Context) {
+	r.markDirty()
+	for {
+		select {
+		case <-r.dirty:
+		case <-ctx.Done():
+			return
+		}
+		for r.publish(ctx) != nil {
+			if pause(ctx, storePause) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (r *Runner) publish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	r.mu.Lock()
+	reg := r.reg
+	reg.Stopped, reg.Suspects = maps.Clone(reg.Stopped), maps.Clone(reg.Suspects)
+	r.mu.Unlock()
+	// A shorter validity is in force before it is published, a longer one after.
+	if reg.Validity < r.published.validity {
+		r.cfg.Beliefs.SetValidity(reg.Validity)
+	}
+	stored, err := r.cfg.Store.Register(ctx, reg)
+	if err != nil {
+		r.log.Warn().Err(err).Msg("The registration was not written.")
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reg.Revision = stored.Revision
+	r.cfg.Beliefs.SetValidity(stored.Validity)
+	known := r.published.incarnation
+	r.published = publication{stored.Incarnation, stored.Validity}
+	if known != stored.Incarnation {
+		r.cfg.Beliefs.Reincarnate(stored.Incarnation)
+	}
+	return nil
+}
+
+func (r *Runner) markDirty() {
+	select {
+	case r.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) isRegistered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.published.incarnation != ""
+}
+
+const (
+	// countPeriod is the pause between two counts of the instances, and
+	// firstCount the one before the second count: all instances of a new
+	// deployment register within a second. After a restart of all, the first
+	// count finds the registrations of their former lives.
+	countPeriod = 10 * time.Second
+	firstCount  = 1500 * time.Millisecond
+)
+
+// countLoop keeps the number of instances, which shares out connections, and
+// the relays.
+func (r *Runner) countLoop(ctx context.Context) {
+	waits := []time.Duration{0, firstCount}
+	for wait := time.Duration(0); pause(ctx, wait) == nil; {
+		cctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		registered, err := r.cfg.Store.KnownInstances(cctx)
+		cancel()
+		wait = countPeriod
+		if len(waits) > 1 {
+			waits = waits[1:]
+			wait = waits[0]
+		}
+		if err != nil {
+			wait = maxBackoff
+			continue
+		}
+		r.mu.Lock()
+		r.instances = max(1, len(registered))
+		r.relays = Relays(registered, r.cfg.Instance, r.cfg.DataCentre)
+		if v := validityOf(r.relays != nil); v != r.reg.Validity {
+			r.reg.Validity = v
+			r.markDirty()
+		}
+		r.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/primacy/renew.go
@@ -0,0 +1,191 @@
+package primacy
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"geraniumbeam/internal/statement"
+)
+
+// renewLoop confirms the records from the store, or else from databases.
+func (r *Runner) renewLoop(ctx context.Context) {
+	for {
+		wait := renewPeriod
+		if !r.isRegistered() {
+			wait = tick / 5
+		} else if err := r.renew(ctx); err == nil {
+			r.noteRound(true)
+		} else {
+			r.cfg.OnStoreAway()
+			r.noteRound(r.renewFromDatabases(ctx))
+			wait = awayPeriod
+		}
+		if pause(ctx, wait) != nil {
+			return
+		}
+	}
+}
+
+func (r *Runner) renew(ctx context.Context) error {
+	if r.renewFromRelays(ctx) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	asked := r.cfg.Now()
+	records, at, err := r.cfg.Store.Records(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.lastSeen = seen{records, at, asked}
+	r.mu.Unlock()
+	r.confirm(records, at, asked)
+	return nil
+}
+
+// renewFromDatabases extends the knowledge of each service whose primary and
+// enough other databases answer, of which none was raised above the record's
+// term. It reports whether that was so for any.
+func (r *Runner) renewFromDatabases(ctx context.Context) bool {
+	var (
+		extended atomic.Bool
+		wg       sync.WaitGroup
+	)
+	for _, service := range r.cfg.Services() {
+		if rec, _, ok := r.cfg.Beliefs.Record(service); ok && rec.Phase == Serving {
+			wg.Go(func() {
+				if r.extend(ctx, rec) {
+					extended.Store(true)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return extended.Load()
+}
+
+// extend asks the databases of one service.
+func (r *Runner) extend(ctx context.Context, rec Record) bool {
+	asked := r.cfg.Now()
+	others := r.others(rec)
+	answered := r.ask(ctx, rec, func(Member) (statement.Command, bool) {
+		return statement.Command{Op: statement.OpStatus}, true
+	})
+	if Raised(rec, answered) {
+		r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Msg("A database was raised; the primary is not used any more.")
+		r.cfg.Beliefs.Deny(rec.Service, rec.Token)
+		return false
+	}
+	if !Extends(rec, answered, others) {
+		return false
+	}
+	r.cfg.Beliefs.Extend(rec.Service, rec.Token, asked)
+	return true
+}
+
+// others counts the databases of a service besides the recorded primary.
+func (r *Runner) others(rec Record) int {
+	n := 0
+	for _, m := range r.cfg.Databases.Members(rec.Service) {
+		if m.ID != rec.Primary {
+			n++
+		}
+	}
+	return n
+}
+
+// noteRound notes whether a round of questions confirmed anything.
+func (r *Runner) noteRound(confirmed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.failedRounds >= isolatedAfter
+	if confirmed {
+		r.failedRounds = 0
+	} else {
+		r.failedRounds++
+	}
+	if is := r.failedRounds >= isolatedAfter; is != was {
+		r.log.Warn().Bool("isolated", is).Int("failed_rounds", r.failedRounds).Msg("The reach of store and databases changed.")
+	}
+}
+
+// isolatedAfter is the number of rounds without an answer from the store or
+// from a complete set of databases after which an instance counts as isolated.
+// One round takes 0.8 s, and the balancer wants two misses a second apart.
+const isolatedAfter = 1
+
+// Isolated reports that this instance reaches neither the store nor the
+// databases of any service, so that it can serve almost nothing.
+func (r *Runner) Isolated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedRounds >= isolatedAfter
+}
+
+// watchLoop learns of changed records at once.
+func (r *Runner) watchLoop(ctx context.Context) {
+	backoff := storePause
+	for ctx.Err() == nil {
+		if err := r.watch(ctx); err != nil && ctx.Err() == nil {
+			r.log.Warn().Err(err).Msg("The watch of the records ended.")
+			_ = pause(ctx, backoff) // the loop's condition looks at the context
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = storePause
+	}
+}
+
+func (r *Runner) watch(ctx context.Context) error {
+	lctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	records, at, err := r.cfg.Store.Records(lctx)
+	cancel()
+	if err != nil {
+		return err
+	}
+	for _, rec := range records {
+		r.adopt(rec, "listed")
+	}
+	for ctx.Err() == nil {
+		wctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		records, at, err = r.cfg.Store.WatchRecords(wctx, at, watchWait)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for _, rec := range records {
+			r.adopt(rec, "watched")
+		}
+	}
+	return nil
+}
+
+func (r *Runner) adopt(rec Record, how string) {
+	if r.cfg.Beliefs.Adopt(rec) {
+		r.adopted(rec, how)
+	}
+}
+
+// adopted reacts to a record that is new to this instance. The beliefs deny the
+// former primary already when it is called, so the confirmation is true.
+func (r *Runner) adopted(rec Record, how string) {
+	r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Str("phase", string(rec.Phase)).
+		Str("primary", rec.Primary).Uint64("term", rec.Term).Uint64("revision", rec.Revision).Str("how", how).
+		Str("promoter", rec.Promoter).Str("candidate", rec.Candidate).Msg("The record of a service changed.")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seenAt[rec.Service] = r.cfg.Now()
+	if rec.Phase == Replacing && r.reg.Stopped[rec.Service] < rec.Token {
+		r.reg.Stopped[rec.Service] = rec.Token
+		r.markDirty()
+	}
+	if slices.Contains(rec.Excluded, r.reg.Incarnation) {
+		r.lives++
+		r.reg.Incarnation = r.cfg.Incarnation + "+" + strconv.Itoa(r.lives)
+		r.markDirty()
+	}
+}
--- /dev/null
+++ b/internal/primacy/vote.go
@@ -0,0 +1,208 @@
+package primacy
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"geraniumbeam/internal/ownership"
+)
+
+// failoverLoop looks for primaries that failed, leave or were never recorded,
+// and for replacements that stand still.
+func (r *Runner) failoverLoop(ctx context.Context) {
+	for pause(ctx, tick) == nil {
+		if !r.isRegistered() {
+			continue
+		}
+		for _, service := range r.cfg.Services() {
+			r.mu.Lock()
+			busy := r.running[service]
+			r.running[service] = true
+			r.mu.Unlock()
+			if busy {
+				continue
+			}
+			go func() {
+				r.check(ctx, service)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.running[service] = false
+			}()
+		}
+	}
+}
+
+func (r *Runner) check(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, replaceLimit)
+	defer cancel()
+	rec, confirmed, ok := r.cfg.Beliefs.Record(service)
+	switch {
+	case !ok:
+		r.bootstrap(ctx, service)
+	case r.cfg.Now()-confirmed > relayedValidity:
+		// The store is away, so nothing can be agreed.
+	case rec.Phase == Replacing:
+		r.takeOver(ctx, rec)
+	case r.leaving(rec):
+		r.replacePlanned(ctx, rec)
+	default:
+		r.replaceFailed(ctx, rec)
+	}
+}
+
+// bootstrap records the primary that a service started with.
+func (r *Runner) bootstrap(ctx context.Context, service string) {
+	// All instances of a new deployment start together; the first to get here
+	// records the primary for all.
+	if pause(ctx, rand.N(bootstrapSpread)) != nil {
+		return
+	}
+	if _, _, known := r.cfg.Beliefs.Record(service); known {
+		return
+	}
+	for _, m := range r.cfg.Databases.Members(service) {
+		if !m.Primary {
+			continue
+		}
+		s, err := r.cfg.Databases.Status(ctx, service, m.ID, controlTimeout)
+		if err != nil || !s.Primary {
+			continue
+		}
+		rec, err := r.cfg.Store.CreateRecord(ctx, Record{Service: service, Token: 1, Phase: Serving, Primary: m.ID, Term: s.Term})
+		if err == nil {
+			r.adopt(rec, "created")
+		}
+		return // if it exists by now, the next renewal shows it
+	}
+}
+
+func (r *Runner) member(rec Record) (Member, bool) {
+	for _, m := range r.cfg.Databases.Members(rec.Service) {
+		if m.ID == rec.Primary {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// leaving reports that the primary is leaving and another database stays.
+func (r *Runner) leaving(rec Record) bool {
+	m, ok := r.member(rec)
+	if !ok || !m.Leaving {
+		return false
+	}
+	return slices.ContainsFunc(r.cfg.Databases.Members(rec.Service), func(m Member) bool {
+		return m.ID != rec.Primary && !m.Leaving
+	})
+}
+
+func (r *Runner) replacePlanned(ctx context.Context, rec Record) {
+	registered, err := r.cfg.Store.Registrations(ctx)
+	if err != nil {
+		return
+	}
+	r.compete(ctx, rec, registered, plannedRankPause, true)
+}
+
+// replaceFailed votes on a primary that does not answer and replaces it when
+// enough instances agree.
+func (r *Runner) replaceFailed(ctx context.Context, rec Record) {
+	if !r.suspects(ctx, rec) {
+		r.clearSuspicion(rec.Service)
+		return
+	}
+	r.mu.Lock()
+	if t, ok := r.reg.Suspects[rec.Service]; !ok || t != rec.Token {
+		r.reg.Suspects[rec.Service] = rec.Token
+		r.markDirty()
+		r.log.Warn().Str("service", rec.Service).Str("database", rec.Primary).Uint64("token", rec.Token).Msg("The primary does not answer this instance.")
+	}
+	r.mu.Unlock()
+	registered, err := r.cfg.Store.Registrations(ctx)
+	if err != nil || !Quorum(registered, rec.Excluded, rec.Service, rec.Token) {
+		_ = pause(ctx, quorumPause) // the next check looks at the context
+		return
+	}
+	r.compete(ctx, rec, registered, rankPause, false)
+}
+
+func (r *Runner) clearSuspicion(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.reg.Suspects[service]; ok {
+		delete(r.reg.Suspects, service)
+		r.markDirty()
+		r.log.Info().Str("service", service).Msg("The primary answers this instance again.")
+	}
+}
+
+// suspects reports whether the primary has left this instance's questions
+// without an answer.
+func (r *Runner) suspects(ctx context.Context, rec Record) bool {
+	if _, ok := r.member(rec); !ok {
+		return true
+	}
+	since, troubled := r.cfg.Databases.Troubled(rec.Service, rec.Primary)
+	if !troubled || r.cfg.Now()-since < suspectAfter {
+		return false
+	}
+	_, err := r.cfg.Databases.Status(ctx, rec.Service, rec.Primary, probeTimeout)
+	if err == nil {
+		return false
+	}
+	_, troubled = r.cfg.Databases.Troubled(rec.Service, rec.Primary)
+	return troubled
+}
+
+// compete waits for this instance's turn among the registered ones and begins
+// the replacement unless somebody else did.
+func (r *Runner) compete(ctx context.Context, rec Record, registered []Registration, rank time.Duration, planned bool) {
+	var instances []ownership.Instance
+	for _, reg := range registered {
+		if !planned && reg.Suspects[rec.Service] != rec.Token {
+			continue
+		}
+		instances = append(instances, ownership.Instance{Name: reg.Instance})
+	}
+	order := ownership.Order(rec.Service, instances)
+	place := max(0, slices.IndexFunc(order, func(i ownership.Instance) bool { return i.Name == r.cfg.Instance }))
+	if pause(ctx, time.Duration(place)*rank) != nil {
+		return
+	}
+	if now, _, _ := r.cfg.Beliefs.Record(rec.Service); now.Revision != rec.Revision {
+		return
+	}
+	r.carryOut(ctx, rec, planned)
+}
+
+// takeOver continues a replacement that stands still.
+func (r *Runner) takeOver(ctx context.Context, rec Record) {
+	r.mu.Lock()
+	age := r.cfg.Now() - r.seenAt[rec.Service]
+	r.mu.Unlock()
+	limit := takeoverAfter
+	if rec.Promoter == r.incarnation() {
+		limit = ownRetry // its own attempt failed
+	}
+	if age < limit {
+		return
+	}
+	registered, err := r.cfg.Store.Registrations(ctx)
+	if err != nil {
+		return
+	}
+	r.compete(ctx, rec, registered, rankPause, true)
+}
+
+func (r *Runner) carryOut(ctx context.Context, rec Record, planned bool) {
+	held, err := r.begin(ctx, rec, planned && rec.Phase == Serving)
+	if err == nil {
+		err = r.replace(ctx, held)
+	}
+	if err != nil && !errors.Is(err, errLost) {
+		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token+1).Err(err).Msg("The primary was not replaced.")
+	}
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -72,7 +72,7 @@
 	t.Cleanup(func() { cancel(); <-done })
 	h.eventually("the pools exist", func() bool { _, ok := pools.Pool("db-3"); return ok })
 	h.server = New(Config{
-		Instance: "me", DataCentre: "a", Topology: h.topology, Beliefs: h.beliefs, Pools: pools, Now: clock.SinceBoot,
+		DataCentre: "a", MaxSessions: 2, Topology: h.topology, Beliefs: h.beliefs, Pools: pools, Now: clock.SinceBoot,
 		Log: zerolog.Nop(), Metrics: NewMetrics(), LeavingUse: time.Minute,
 	})
 	return h
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/freshness"
@@ -46,7 +47,6 @@
 
 // Config holds what a Server needs. All fields are required.
 type Config struct {
-	Instance   string
 	DataCentre string
 	Topology   *topology.Topology
 	Beliefs    *primacy.Beliefs
@@ -55,6 +55,8 @@
 	Log        zerolog.Logger
 	NewCaller  func(net.Conn) Caller
 	Metrics    *Metrics
+	// MaxSessions bounds the callers' connections.
+	MaxSessions int
 	// LeavingUse is how long a leaving primary may still get work while no
 	// other database has taken over.
 	LeavingUse time.Duration
@@ -78,6 +80,8 @@
 	stage   atomic.Int32
 	evict   atomic.Bool // idle sessions are closed, and others once they are idle
 	ids     atomic.Uint64
+	// refusals bounds the lines about connections beyond MaxSessions.
+	refusals rate.Sometimes
 
 	mu        sync.Mutex
 	sessions  map[*session]struct{}
@@ -92,6 +96,7 @@
 		cfg:       cfg,
 		budgets:   retry.NewBudgets(),
 		started:   cfg.Now(),
+		refusals:  rate.Sometimes{Interval: time.Second},
 		sessions:  make(map[*session]struct{}),
 		histories: make(map[string]*freshness.History),
 		empty:     make(chan struct{}),
@@ -119,6 +124,16 @@
 }
 
 func (s *Server) start(conn net.Conn) {
+	s.mu.Lock()
+	full := len(s.sessions) >= s.cfg.MaxSessions
+	s.mu.Unlock()
+	if full {
+		_ = conn.Close() // the caller comes back, here or at another instance
+		s.refusals.Do(func() {
+			s.cfg.Log.Warn().Int("max_sessions", s.cfg.MaxSessions).Msg("Connections are closed at once; there are too many.")
+		})
+		return
+	}
 	x := &session{
 		s: s, caller: s.cfg.NewCaller(conn), number: s.ids.Add(1),
 		variables: make(map[string]string), prepared: make(map[string]dbpool.Shape),
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -198,6 +199,25 @@
 	}
 }
 
+// Guards against callers that use up the process's descriptors.
+func TestSessionsAreBounded(t *testing.T) {
+	h := newHarness(t)
+	for range h.server.cfg.MaxSessions {
+		c := newCaller(testRoute)
+		h.connect(c)
+		c.statements <- st(statement.Set)
+		<-c.answers
+	}
+	one, other := net.Pipe()
+	h.server.start(one)
+	if _, err := other.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection beyond the limit is open")
+	}
+	if n := len(h.server.sessions); n != h.server.cfg.MaxSessions {
+		t.Errorf("%d sessions", n)
+	}
+}
+
 // Guards against a shutdown that cuts transactions at once, leaves idle
 // sessions open, or hangs on a caller that does nothing.
 func TestShutdownFollowsItsSchedule(t *testing.T) {
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -42,11 +42,10 @@
 
 // Configuration is what the operators set.
 type Configuration struct {
-	Version   uint64
-	Routes    map[string]Route // by Route.Database
-	Services  map[string]Service
-	TxIdle    time.Duration // a transaction idle for longer may be ended; 0 means no limit
-	MaxLength int           // bytes of one message; 0 means no limit of its own
+	Version  uint64
+	Routes   map[string]Route // by Route.Database
+	Services map[string]Service
+	TxIdle   time.Duration // a transaction idle for longer may be ended; 0 means no limit
 }
 
 // Database is the registration of a backend server.
@@ -157,14 +156,8 @@
 	t.entries[d.ID] = entry{Database: d}
 }
 
-// Unregister records that the store no longer has a registration. It counts
-// until GoneAfter has passed; see Expire.
-func (t *Topology) Unregister(id string, now time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.unregister(id, now)
-}
-
+// unregister records that the store no longer has a registration. It counts
+// until GoneAfter has passed; see Expire. t.mu is held.
 func (t *Topology) unregister(id string, now time.Duration) {
 	e, ok := t.entries[id]
 	if !ok || e.missingSince != 0 {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -33,7 +33,7 @@
 	if gone := tp.Expire(time.Hour); len(gone) != 0 {
 		t.Fatalf("%v expired although registered", gone)
 	}
-	tp.Unregister("a", 2*time.Hour)
+	tp.Replace(nil, 2*time.Hour)
 	tp.StoreAway(2*time.Hour + time.Second)
 	if gone := tp.Expire(2*time.Hour + GoneAfter); len(gone) != 0 {
 		t.Fatalf("%v expired while the store was away", gone)
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -224,8 +224,13 @@
 	h.store.Put("config", "main", map[string]any{"version": 8, "routes": "none"})
 	time.Sleep(time.Second)
 	for i, c := range []struct{ text, want string }{
-		{"READ k", ""}, {"MERGE k", "MALFORMED"}, {"WAITFOR 1.1 READ k", "MALFORMED"}, {"STATUS", "MALFORMED"},
-		{"COMMIT", "MALFORMED"}, {"EXECUTE none k", "NOTFOUND"}, {"READ k", ""},
+		{"READ k", ""},
+		{"MERGE k", "MALFORMED"},
+		{"WAITFOR 1.1 READ k", "MALFORMED"},
+		{"STATUS", "MALFORMED"},
+		{"COMMIT", "MALFORMED"},
+		{"EXECUTE none k", "NOTFOUND"},
+		{"READ k", ""},
 	} {
 		a, err := good.query(fmt.Sprintf("s1.%d", i), c.text)
 		if err != nil || a.problem != c.want || a.state != "I" {
