--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -80,6 +80,9 @@
 			c += scarceCost
 		}
 	}
+	if l.Full {
+		c += fullCost
+	}
 	c += l.Usual * time.Duration(l.InUse+l.Queued) / time.Duration(max(1, l.Share))
 	if remote {
 		c += remotePenalty
