Do not say "not run" after an attempt that was not answered

A read whose first attempt was sent and not answered, and whose second one was refused, was answered with the refusal, which says that nothing was run. It is answered as failed now, which callers may repeat as well. Found by reading; the test failed before. The stand-in writes the configuration, so that the tests of the whole path don't spell its fields.

--- a/internal/proxy/outcome_test.go
+++ b/internal/proxy/outcome_test.go
@@ -240,3 +240,21 @@
 		t.Errorf("answer %+v", a.Err)
 	}
 }
+
+// Guards against "not run" for a read whose first attempt was sent and not
+// answered, and whose second one was refused.
+func TestRefusalAfterAnUnansweredAttemptDoesNotSayNotRun(t *testing.T) {
+	h := newHarness(t)
+	n := 0
+	h.on("db-1", func(statement.Command) (statement.Answer, error) {
+		if n++; n == 1 {
+			return statement.Answer{}, errBroken
+		}
+		return statement.Answer{Err: result.Errorf(result.Overloaded, "busy")}, nil
+	})
+	a := h.session(testRoute).handle(st(statement.Read))
+	wantCode(t, a, result.StatementFailed)
+	if a.Err == nil || a.Err.Ran == result.RanNo {
+		t.Errorf("answer %+v says that the read was not run", a.Err)
+	}
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -50,6 +50,16 @@
 // runFirst runs a request that is bound to no connection. The first statement
 // of a transaction leaves its connection with the transaction.
 func (x *session) runFirst(q *request) outcome {
+	o := x.attempts(q)
+	if e := o.answer.Err; e != nil && q.timeouts > 0 && q.mayRepeat() && e.Ran == result.RanNo {
+		// An earlier attempt was sent and not answered, so it may have been run.
+		o.answer.Err = result.Errorf(result.StatementFailed, "no answer in time, then: %s", e.Message)
+	}
+	return o
+}
+
+// attempts makes attempts until one ends the request.
+func (x *session) attempts(q *request) outcome {
 	x.s.budgets.Class(q.route.Database).Earn()
 	q.tried = make(map[string]int)
 	var last *result.Error
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -322,3 +322,31 @@
 	}
 	return events, s.revision, s.changed, after+1 < oldest
 }
+
+// Route is a route of the operators' configuration.
+type Route struct {
+	Database string // the name that callers connect to
+	Type     string // primary, bounded or read_your_writes
+	Service  string
+	Timeout  time.Duration
+	MaxAge   time.Duration
+}
+
+// Configure writes a configuration as the operators do.
+func (s *Store) Configure(version int, routes []Route, maxConnections map[string]int, txIdle time.Duration) {
+	encodedRoutes := make([]map[string]any, 0, len(routes))
+	for _, r := range routes {
+		encodedRoutes = append(encodedRoutes, map[string]any{
+			"name": "r-" + r.Database, "database": r.Database, "route_type": r.Type, "service": r.Service, "priority": 1,
+			"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": 250, "max_staleness_ms": r.MaxAge.Milliseconds(),
+		})
+	}
+	services := make([]map[string]any, 0, len(maxConnections))
+	for name, limit := range maxConnections {
+		services = append(services, map[string]any{"name": name, "max_connections": limit})
+	}
+	s.Put("config", "main", map[string]any{
+		"version": version, "routes": encodedRoutes, "services": services,
+		"limits": map[string]any{"tx_idle_ms": txIdle.Milliseconds()},
+	})
+}
--- a/test/hosted_cluster_test.go
+++ b/test/hosted_cluster_test.go
@@ -36,7 +36,8 @@
 	t.Helper()
 	h := &hostedCluster{t: t, store: hosted.NewStore()}
 	t.Cleanup(h.store.Close)
-	var routes, names []map[string]any
+	var routes []hosted.Route
+	limits := make(map[string]int)
 	for i := range services {
 		service := fmt.Sprintf("svc%d", i)
 		g, err := hosted.NewGroup(hosted.GroupConfig{
@@ -47,17 +48,14 @@
 			t.Fatal(err)
 		}
 		h.groups = append(h.groups, g)
-		names = append(names, map[string]any{"name": service, "max_connections": 4 * instances})
+		limits[service] = 4 * instances
 		for route, kind := range map[string]string{routePrimary: "primary", routeBounded: "bounded", routeSession: "read_your_writes"} {
-			routes = append(routes, map[string]any{
-				"name": route + service, "database": route + service, "route_type": kind, "service": service,
-				"timeout_ms": 800, "target_latency_ms": 250, "priority": 1, "max_staleness_ms": boundedAge.Milliseconds(),
+			routes = append(routes, hosted.Route{
+				Database: route + service, Type: kind, Service: service, Timeout: 800 * time.Millisecond, MaxAge: boundedAge,
 			})
 		}
 	}
-	h.store.Put("config", "main", map[string]any{
-		"version": 7, "routes": routes, "services": names, "limits": map[string]any{"tx_idle_ms": 3000},
-	})
+	h.store.Configure(7, routes, limits, 3*time.Second)
 	promotions, stop, err := hosted.ListenPromotions(h.groups...)
 	if err != nil {
 		t.Fatal(err)
