Return the cut replica after the choice in the proof without fencing

Cause: the scenario let both replicas reach the old primary before the candidate had read their positions. Without the raise, a replica that was cut first could have caught up by then, even be ahead of the other one, and be promoted. The instances that still serve the old primary run the connections to that replica, so they saw the promotion within 0.9 s, made the old primary follow and redirected the writes: the race that the proof is about did not come up.

Change: in the proof without fencing the replica that is behind returns once the other one is promoted. The proof with fencing runs in both orders, so it covers what it covered and one case more.

--- a/test/failover_race_test.go
+++ b/test/failover_race_test.go
@@ -167,18 +167,30 @@
 	c.reportPromotions(t, failoverGroup)
 }
 
+// returnOrder says when the two replicas reach the old primary again.
+type returnOrder int
+
+const (
+	// bothBeforeChoice: either replica may be the furthest when the candidate
+	// reads the positions.
+	bothBeforeChoice returnOrder = iota
+	// behindAfterChoice: the replica that was cut first returns once the other
+	// one is promoted, so that it is never the one that is chosen.
+	behindAfterChoice
+)
+
 // promoteDuringReturn lets a primary that lost its replicas reach them again
 // after a candidate took a term and before it raised one. Only the instances of
 // taipei-b can be candidates. They are cut off from the other instances once they
-// have decided, and from the second replica once the first one is promoted, so
-// that nothing but the raise of the term keeps the old primary from confirming
-// writes with the second replica.
-func promoteDuringReturn(t *testing.T, opts options) verdict {
+// have decided, and from the replica that is not promoted once the other one is,
+// so that nothing but the raise of the term keeps the old primary from confirming
+// writes with it.
+func promoteDuringReturn(t *testing.T, opts options, order returnOrder) verdict {
 	t.Helper()
 	c, l := startWriting(t, opts)
 	api := c.api()
 	defer api.Close()
-	const old, other = "huts-1-a", "huts-1-c"
+	const old, behind = "huts-1-a", "huts-1-c"
 	if p := c.primary(t, failoverGroup); p != old {
 		t.Fatalf("the first primary is %s, want %s", p, old)
 	}
@@ -186,8 +198,7 @@
 	rest := names("gb-1", "gb-2", "gb-5", "gb-6", "gb-7")
 	replication := func(l link) bool { return members[l.from] && (l.from == old || l.to == old) }
 	c.delayDatabases(t, candidates, failoverGroup, 100*time.Millisecond)
-	// The replica that is cut first is behind the other one and is not chosen.
-	c.links.cutLinks(t, func(l link) bool { return replication(l) && (l.from == other || l.to == other) })
+	c.links.cutLinks(t, func(l link) bool { return replication(l) && (l.from == behind || l.to == behind) })
 	cut := time.Now()
 	waitFor(t, 20*time.Second, "a write is acknowledged by the other replica", func() bool {
 		_, ok := l.acknowledgedAfter(cut.Add(100 * time.Millisecond))
@@ -203,12 +214,23 @@
 	waitFor(t, 60*time.Second, "it takes a term", func() bool {
 		return c.groupObject(t, api, failoverGroup).Term > 1
 	})
-	c.links.healLinks(t, replication)
-	c.links.reset(t, replication) // replicas connect again at once
+	returning := replication
+	if order == behindAfterChoice {
+		returning = func(l link) bool { return replication(l) && l.from != behind && l.to != behind }
+	}
+	c.links.healLinks(t, returning)
+	c.links.reset(t, returning) // replicas connect again at once
+	chosen := old
 	waitFor(t, 60*time.Second, "another primary is chosen", func() bool {
-		return c.primary(t, failoverGroup) != old
+		chosen = c.primary(t, failoverGroup)
+		return chosen != old
 	})
-	c.links.cutLinks(t, func(l link) bool { return candidates[l.from] && l.to == other })
+	t.Logf("%s was promoted", chosen)
+	c.links.cutLinks(t, func(l link) bool { return candidates[l.from] && members[l.to] && l.to != old && l.to != chosen })
+	if order == behindAfterChoice {
+		c.links.healLinks(t, replication)
+		c.links.reset(t, replication)
+	}
 	time.Sleep(time.Second) // time for the old primary to confirm writes
 	c.removeDelays(t)
 	c.links.heal(t)
@@ -219,16 +241,25 @@
 // in the meantime.
 func TestPromotionWithFencingLosesNothing(t *testing.T) {
 	heavy(t)
-	promoteDuringReturn(t, options{}).report(t)
+	for name, order := range map[string]returnOrder{
+		"both replicas return before the choice":  bothBeforeChoice,
+		"the one behind returns after the choice": behindAfterChoice,
+	} {
+		t.Run(name, func(t *testing.T) {
+			promoteDuringReturn(t, options{}, order).report(t)
+		})
+	}
 }
 
-// Shows that raising a majority first is what keeps the promise.
+// Shows that raising a majority first is what keeps the promise. The replica that
+// is behind must not be the promoted one: the instances that still serve the old
+// primary run its connections, would see the promotion at once and redirect.
 func TestPromotionWithoutFencingLoses(t *testing.T) {
 	heavy(t)
 	v := promoteDuringReturn(t, options{
 		unsafe:   settings.Unsafe{NoFencing: true},
 		database: []string{"--unsafe"},
-	})
+	}, behindAfterChoice)
 	if len(v.lost) == 0 {
 		t.Fatal("no acknowledged write was lost with fencing off; the proof shows nothing")
 	}
