Ask instances directly where they stand in a replacement

With a data centre cut off and the store refusing three of the four instances left, one of four could publish its suspicion, so the primary behind the cut was not replaced before the store answered all.

Ruled out: the quorum itself, and the wait for validity, which had not begun.

Change: an instance without a quorum asks the silent ones directly, and a promoter tells the record to those that have not confirmed and asks them too. The record carries its revision, so one that says that it stopped has adopted it, and a late answer of the store does not make it go on. An instance that the store does not answer asks three others what they saw in it before it asks the databases.

--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -93,7 +93,7 @@
 
 func innerHandler(i *hosted.Instance, store *platform.Store, log zerolog.Logger) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, i.PeerHandler())
+	mux.Handle(peer.PathPrefix, i.PeerHandler())
 	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, _ *http.Request) {
 		if err := i.WriteMetrics(w); err != nil {
 			log.Warn().Err(err).Msg("The metrics were not written.")
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -136,7 +136,7 @@
 func (i *Instance) WriteMetrics(w io.Writer) error { return i.metrics.WriteText(w) }
 
 // PeerHandler answers peers.
-func (i *Instance) PeerHandler() http.Handler { return peer.Handler(i.primacy.Report) }
+func (i *Instance) PeerHandler() http.Handler { return peer.Handler(i.primacy) }
 
 // Listeners are the sockets of an instance.
 type Listeners struct {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,12 +1,14 @@
-// Package peer lets instances of one data centre share answers of the store.
-// An instance that asks the store itself, a relay, tells the others what it last
-// saw and how old that is.
+// Package peer lets instances tell each other what they know of the store. An
+// instance that asks the store itself, a relay, tells the others of its data
+// centre what it last saw and how old that is. Instances that the store does not
+// answer are told of a record, and asked where they stand, directly.
 //
 // Invariant: the age counts from when the relay sent its question, on a clock
 // that counts suspension, so an answer never looks fresher than it is.
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,8 +19,12 @@
 	"geraniumbeam/internal/primacy"
 )
 
-// Path is where a relay answers.
-const Path = "/peer/records"
+// Paths at which an instance answers.
+const (
+	PathPrefix  = "/peer/"
+	PathRecords = "/peer/records"
+	PathVote    = "/peer/vote"
+)
 
 // maxAnswer bounds an answer in bytes; a record has about 200.
 const maxAnswer = 4 << 20
@@ -33,9 +39,37 @@
 	AgeMicros int64            `json:"age_us"`
 }
 
-// Handler answers with what report returns. It answers 503 if there is nothing
+// Runner is what an instance answers from.
+type Runner interface {
+	Report() (primacy.Report, bool)
+	Vote(primacy.Record) primacy.Vote
+}
+
+// Handler answers peers.
+func Handler(r Runner) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+PathRecords, records(r.Report))
+	mux.Handle("POST "+PathVote, vote(r.Vote))
+	return mux
+}
+
+// vote answers 400 to a body that is no record.
+func vote(ask func(primacy.Record) primacy.Vote) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var rec primacy.Record
+		if err := json.NewDecoder(io.LimitReader(req.Body, maxAnswer)).Decode(&rec); err != nil || rec.Service == "" || rec.Revision == 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A peer that has gone asks again.
+		_ = json.NewEncoder(w).Encode(ask(rec))
+	})
+}
+
+// records answers with what report returns. It answers 503 if there is nothing
 // to report.
-func Handler(report func() (primacy.Report, bool)) http.Handler {
+func records(report func() (primacy.Report, bool)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		r, ok := report()
 		if !ok {
@@ -58,24 +92,42 @@
 
 // Ask implements primacy.Peers.
 func (c *Client) Ask(ctx context.Context, address string) (primacy.Report, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
+	var a answer
+	if err := c.call(ctx, http.MethodGet, address, PathRecords, nil, &a); err != nil {
+		return primacy.Report{}, err
+	}
+	if a.AgeMicros < 0 {
+		return primacy.Report{}, fmt.Errorf("peer %s: age %d µs is negative", address, a.AgeMicros)
+	}
+	return primacy.Report{Records: a.Records, Revision: a.Revision, Age: time.Duration(a.AgeMicros) * time.Microsecond}, nil
+}
+
+// Vote implements primacy.Peers.
+func (c *Client) Vote(ctx context.Context, address string, r primacy.Record) (primacy.Vote, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return primacy.Vote{}, fmt.Errorf("encode record of service %s: %w", r.Service, err)
+	}
+	var v primacy.Vote
+	return v, c.call(ctx, http.MethodPost, address, PathVote, body, &v)
+}
+
+// call decodes the answer to one question into out.
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return primacy.Report{}, fmt.Errorf("peer %s: %w", address, err)
+		return fmt.Errorf("peer %s: %w", address, err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return primacy.Report{}, fmt.Errorf("peer %s: %w", address, err)
+		return fmt.Errorf("peer %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // read to its end or given up
 	if resp.StatusCode != http.StatusOK {
-		return primacy.Report{}, fmt.Errorf("peer %s: status %d", address, resp.StatusCode)
+		return fmt.Errorf("peer %s: status %d", address, resp.StatusCode)
 	}
-	var a answer
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&a); err != nil {
-		return primacy.Report{}, fmt.Errorf("peer %s: %w", address, err)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
+		return fmt.Errorf("peer %s: %w", address, err)
 	}
-	if a.AgeMicros < 0 {
-		return primacy.Report{}, fmt.Errorf("peer %s: age %d µs is negative", address, a.AgeMicros)
-	}
-	return primacy.Report{Records: a.Records, Revision: a.Revision, Age: time.Duration(a.AgeMicros) * time.Microsecond}, nil
+	return nil
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,32 @@
 	"geraniumbeam/internal/primacy"
 )
 
+type fakeRunner struct {
+	report func() (primacy.Report, bool)
+	vote   func(primacy.Record) primacy.Vote
+}
+
+func (f fakeRunner) Report() (primacy.Report, bool)     { return f.report() }
+func (f fakeRunner) Vote(r primacy.Record) primacy.Vote { return f.vote(r) }
+
+// Guards against a record or a vote that changes on the way, and against a body
+// that is taken for a record.
+func TestVoteRoundTrip(t *testing.T) {
+	var told primacy.Record
+	want := primacy.Vote{Incarnation: "a#1", Suspects: true, Stopped: 4}
+	srv := httptest.NewServer(Handler(fakeRunner{vote: func(r primacy.Record) primacy.Vote { told = r; return want }}))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	rec := primacy.Record{Service: "ledger", Revision: 7, Token: 4, Phase: primacy.Replacing, Primary: "db-1", Term: 3, Excluded: []string{"x"}}
+	got, err := NewClient().Vote(context.Background(), address, rec)
+	if err != nil || got != want || !reflect.DeepEqual(told, rec) {
+		t.Errorf("got %+v, %v; told %+v", got, err, told)
+	}
+	if _, err := NewClient().Vote(context.Background(), address, primacy.Record{}); err == nil {
+		t.Error("an empty record is accepted")
+	}
+}
+
 // Guards against records or an age that change on the way between instances,
 // and against a relay that has nothing to say.
 func TestReportRoundTrip(t *testing.T) {
@@ -18,7 +45,7 @@
 		Revision: 12, Age: 345 * time.Microsecond,
 	}
 	known := true
-	srv := httptest.NewServer(Handler(func() (primacy.Report, bool) { return want, known }))
+	srv := httptest.NewServer(Handler(fakeRunner{report: func() (primacy.Report, bool) { return want, known }}))
 	defer srv.Close()
 	address := strings.TrimPrefix(srv.URL, "http://")
 	got, err := NewClient().Ask(context.Background(), address)
--- a/internal/primacy/beliefs_test.go
+++ b/internal/primacy/beliefs_test.go
@@ -155,7 +155,8 @@
 		{Incarnation: "c", Validity: 3 * time.Second, Stopped: map[string]uint64{"other": 9}},
 		{Incarnation: "d", Validity: 9 * time.Second},
 	}
-	missing, longest := Unstopped(regs, []string{"d"}, "ledger", 4)
+	stale := Unstopped(regs, []string{"d"}, "ledger", 4)
+	missing, longest := incarnations(stale), longestValidity(stale)
 	if len(missing) != 2 || missing[0] != "b" || missing[1] != "c" || longest != 3*time.Second {
 		t.Errorf("Unstopped = %v, %v", missing, longest)
 	}
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,6 +147,89 @@
 	return f.records["ledger"]
 }
 
+// storeView is the store as one instance reaches it.
+type storeView struct {
+	*fakeStore
+	refuses *atomic.Bool
+}
+
+func (v storeView) Records(ctx context.Context) ([]Record, uint64, error) {
+	if v.refuses.Load() {
+		return nil, 0, errDown
+	}
+	return v.fakeStore.Records(ctx)
+}
+
+func (v storeView) WatchRecords(ctx context.Context, after uint64, wait time.Duration) ([]Record, uint64, error) {
+	records, at, err := v.fakeStore.WatchRecords(ctx, after, wait)
+	if v.refuses.Load() {
+		return nil, 0, errDown
+	}
+	return records, at, err
+}
+
+func (v storeView) UpdateRecord(ctx context.Context, r Record) (Record, error) {
+	if v.refuses.Load() {
+		return Record{}, errDown
+	}
+	return v.fakeStore.UpdateRecord(ctx, r)
+}
+
+func (v storeView) Registrations(ctx context.Context) ([]Registration, error) {
+	if v.refuses.Load() {
+		return nil, errDown
+	}
+	return v.fakeStore.Registrations(ctx)
+}
+
+func (v storeView) KnownInstances(ctx context.Context) ([]Registration, error) {
+	return v.Registrations(ctx)
+}
+
+func (v storeView) Register(ctx context.Context, r Registration) (Registration, error) {
+	if v.refuses.Load() {
+		return r, errDown
+	}
+	return v.fakeStore.Register(ctx, r)
+}
+
+// network carries questions between the instances of a test by their names.
+type network struct {
+	mu      sync.Mutex
+	runners map[string]*Runner
+	cut     bool
+}
+
+func (n *network) reach(address string) (*Runner, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r, ok := n.runners[address]
+	if !ok || n.cut {
+		return nil, errUnreachable
+	}
+	return r, nil
+}
+
+func (n *network) Ask(_ context.Context, address string) (Report, error) {
+	r, err := n.reach(address)
+	if err != nil {
+		return Report{}, err
+	}
+	report, ok := r.Report()
+	if !ok {
+		return Report{}, errDown
+	}
+	return report, nil
+}
+
+func (n *network) Vote(_ context.Context, address string, rec Record) (Vote, error) {
+	r, err := n.reach(address)
+	if err != nil {
+		return Vote{}, err
+	}
+	return r.Vote(rec), nil
+}
+
 // fakeGroup is three databases.
 type fakeGroup struct {
 	mu       sync.Mutex
@@ -262,23 +346,31 @@
 	runner  *Runner
 	beliefs *Beliefs
 	stop    func()
+	refused *atomic.Bool // by the store
+	network *network     // shared by the instances of a test
 }
 
 // startInstances runs instances until the test ends.
 func startInstances(t *testing.T, store *fakeStore, g *fakeGroup, names ...string) map[string]*instance {
 	t.Helper()
 	all := make(map[string]*instance)
+	peers := &network{runners: make(map[string]*Runner)}
 	for _, name := range names {
+		refused := &atomic.Bool{}
 		b := NewBeliefs(name, InitialValidity, clock.SinceBoot)
 		r := NewRunner(Config{
-			Instance: name, Incarnation: name, Store: store, Databases: view{g, name}, Promotions: g, Beliefs: b,
+			Instance: name, Address: name, Peers: peers, Incarnation: name, Store: storeView{store, refused},
+			Databases: view{g, name}, Promotions: g, Beliefs: b,
 			Services: func() []string { return []string{"ledger"} }, Now: clock.SinceBoot, Log: zerolog.Nop(),
 			OnStoreAway: func() {}, OnRevision: func(uint64) {},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); _ = r.Run(ctx) }()
-		x := &instance{r, b, func() { cancel(); <-done }}
+		peers.mu.Lock()
+		peers.runners[name] = r
+		peers.mu.Unlock()
+		x := &instance{r, b, func() { cancel(); <-done }, refused, peers}
 		t.Cleanup(x.stop)
 		all[name] = x
 	}
--- a/internal/primacy/model_test.go
+++ b/internal/primacy/model_test.go
@@ -30,7 +30,8 @@
 	beliefs *Beliefs
 	pending []modelAnswer
 	frozen  bool
-	store   bool // reaches the store
+	store   bool        // reaches the store
+	seen    modelAnswer // latest answer of the store itself
 }
 
 // modelAnswer is an answer of the store that has not arrived.
@@ -107,7 +108,26 @@
 		},
 		"ask": func(*rapid.T) {
 			if x := m.pick(); x.store && !x.frozen {
-				x.pending = append(x.pending, modelAnswer{m.now, m.record})
+				x.seen = modelAnswer{m.now, m.record}
+				x.pending = append(x.pending, x.seen)
+			}
+		},
+		// A question to the store whose answer is what another instance saw.
+		"askPeer": func(*rapid.T) {
+			x, y := m.pick(), m.pick()
+			if !x.frozen && !y.frozen && y.seen.asked != 0 {
+				x.pending = append(x.pending, y.seen)
+			}
+		},
+		// A promoter tells an instance of its record; the answer may be lost.
+		"tell": func(*rapid.T) {
+			x := m.pick()
+			if x.frozen || m.waiting == nil {
+				return
+			}
+			x.beliefs.Adopt(m.record)
+			if m.reaches("told") {
+				m.regs[x.name].Stopped["ledger"] = max(m.regs[x.name].Stopped["ledger"], m.record.Token)
 			}
 		},
 		"answer": func(t *rapid.T) {
@@ -170,15 +190,15 @@
 			for _, x := range m.members {
 				regs = append(regs, *m.regs[x.name])
 			}
-			missing, longest := Unstopped(regs, m.record.Excluded, "ledger", p.token)
-			if len(missing) > 0 && (p.reached < raising(2) || m.now-p.raised <= longest+validityMargin) {
+			missing := Unstopped(regs, m.record.Excluded, "ledger", p.token)
+			if len(missing) > 0 && (p.reached < raising(2) || m.now-p.raised <= longestValidity(missing)+validityMargin) {
 				return
 			}
 			m.leader = p.target
 			m.claims[p.target] = true // the former primary goes on until it is demoted
 			m.terms[p.target] = m.record.Term + 1
 			r := m.record
-			r.Phase, r.Primary, r.Term, r.Excluded = Serving, dbName(p.target), m.record.Term+1, append(r.Excluded, missing...)
+			r.Phase, r.Primary, r.Term, r.Excluded = Serving, dbName(p.target), m.record.Term+1, append(r.Excluded, incarnations(missing)...)
 			m.write(r)
 			m.held = [3]uint64{} // at once; replicas follow the new term later
 			m.waiting = nil
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -120,8 +120,9 @@
 // stopAll makes sure that no instance uses the former primary and returns the
 // incarnations that did not confirm it.
 func (r *Runner) stopAll(ctx context.Context, rec Record) ([]string, error) {
+	direct := newStops()
 	if rec.Planned {
-		missing, err := r.awaitStopped(ctx, rec, func(time.Duration) time.Duration { return plannedConfirm })
+		missing, err := r.awaitStopped(ctx, rec, direct, func(time.Duration) time.Duration { return plannedConfirm })
 		if err != nil {
 			return nil, err
 		}
@@ -134,14 +135,14 @@
 	// extends its knowledge any more, so its validity counts from here. The
 	// former primary is not demoted before: a statement that follows Begin
 	// would run outside its transaction there.
-	missing, err := r.raiseEnough(ctx, rec)
+	missing, err := r.raiseEnough(ctx, rec, direct)
 	if err != nil {
 		return nil, err
 	}
 	if len(missing) == 0 {
 		return rec.Excluded, nil
 	}
-	missing, err = r.awaitStopped(ctx, rec, func(validity time.Duration) time.Duration { return validity + validityMargin })
+	missing, err = r.awaitStopped(ctx, rec, direct, func(validity time.Duration) time.Duration { return validity + validityMargin })
 	if err != nil {
 		return nil, err
 	}
@@ -155,10 +156,10 @@
 // raiseEnough raises databases until no instance that did not confirm can extend
 // its knowledge without meeting one of them, or all have confirmed. It returns the
 // incarnations that have not confirmed.
-func (r *Runner) raiseEnough(ctx context.Context, rec Record) ([]string, error) {
+func (r *Runner) raiseEnough(ctx context.Context, rec Record, direct *stops) ([]string, error) {
 	for {
 		raised := r.raise(ctx, rec)
-		missing, err := r.awaitStopped(ctx, rec, func(time.Duration) time.Duration { return raisePause })
+		missing, err := r.awaitStopped(ctx, rec, direct, func(time.Duration) time.Duration { return raisePause })
 		if err != nil || len(missing) == 0 || len(raised) >= raising(r.others(rec)) {
 			return missing, err
 		}
@@ -169,16 +170,18 @@
 
 // awaitStopped waits until every registered instance has stopped using the
 // former primary, or the limit has passed, which follows from the validity of
-// the missing ones' knowledge. It returns the incarnations that did not confirm.
-func (r *Runner) awaitStopped(ctx context.Context, rec Record, limit func(validity time.Duration) time.Duration) ([]string, error) {
+// the missing ones' knowledge. It returns the incarnations that did not confirm,
+// neither in the store nor directly.
+func (r *Runner) awaitStopped(ctx context.Context, rec Record, direct *stops, limit func(validity time.Duration) time.Duration) ([]string, error) {
 	since := r.cfg.Now()
 	for {
 		registered, err := r.cfg.Store.Registrations(ctx)
 		if err == nil {
-			missing, validity := Unstopped(registered, rec.Excluded, rec.Service, rec.Token)
-			if len(missing) == 0 || r.cfg.Now()-since > limit(validity) {
-				return missing, nil
+			missing := direct.remaining(registered, rec)
+			if len(missing) == 0 || r.cfg.Now()-since > limit(longestValidity(missing)) {
+				return incarnations(missing), nil
 			}
+			r.askStopped(ctx, rec, missing, direct)
 		}
 		if err := pause(ctx, confirmPause); err != nil {
 			return nil, err
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumbeam/internal/ownership"
@@ -20,6 +23,14 @@
 	relayTimeout = 120 * time.Millisecond
 	// relayMaxAge is the age from which a relay's knowledge is not worth having.
 	relayMaxAge = 900 * time.Millisecond
+	// fallbackPeers is how many instances are asked at once for what they saw in
+	// the store by one that the store does not answer. With a third of the
+	// instances refused by the store, one of three reaches it in 96 % of rounds.
+	fallbackPeers = 3
+	// inTouchAge is the age up to which what a peer saw shows that the peer is in
+	// touch with the store: the pause between its questions and two ways. A peer
+	// that was cut off together with this instance still knows as much as it.
+	inTouchAge = renewPeriod + 100*time.Millisecond
 )
 
 // Report is what a relay last saw in the store.
@@ -29,9 +40,12 @@
 	Age      time.Duration // since the relay sent its question
 }
 
-// Peers asks relays.
+// Peers asks other instances.
 type Peers interface {
+	// Ask returns what an instance last saw in the store.
 	Ask(ctx context.Context, address string) (Report, error)
+	// Vote tells an instance of a record and asks where it stands.
+	Vote(ctx context.Context, address string, r Record) (Vote, error)
 }
 
 // seen is the latest answer of the store.
@@ -41,14 +55,16 @@
 	asked    time.Duration
 }
 
-// Report returns what this instance last saw in the store itself.
+// Report returns what this instance last saw in the store itself, if that is
+// not too long ago.
 func (r *Runner) Report() (Report, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.lastSeen.asked == 0 {
+	age := r.cfg.Now() - r.lastSeen.asked
+	if r.lastSeen.asked == 0 || age > relayMaxAge {
 		return Report{}, false
 	}
-	return Report{Records: r.lastSeen.records, Revision: r.lastSeen.revision, Age: r.cfg.Now() - r.lastSeen.asked}, true
+	return Report{Records: r.lastSeen.records, Revision: r.lastSeen.revision, Age: age}, true
 }
 
 // Relays returns the instances that ask the store for the data centre, in the
@@ -93,6 +109,49 @@
 	return false
 }
 
+// renewFromPeers confirms the records from instances that the store answers. It
+// reports whether there is one.
+func (r *Runner) renewFromPeers(ctx context.Context) bool {
+	var (
+		wg    sync.WaitGroup
+		touch atomic.Bool
+	)
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	for _, address := range r.somePeers() {
+		wg.Go(func() {
+			asked := r.cfg.Now()
+			report, err := r.cfg.Peers.Ask(ctx, address)
+			if err != nil || report.Age > relayMaxAge {
+				return // the databases are asked if no peer knows more
+			}
+			if report.Age <= inTouchAge {
+				touch.Store(true)
+			}
+			for _, rec := range r.cfg.Beliefs.Confirm(report.Records, asked-report.Age) {
+				r.adopted(rec, "told by a peer")
+			}
+		})
+	}
+	wg.Wait()
+	return touch.Load()
+}
+
+// somePeers returns the addresses of a few other instances, drawn anew each
+// time.
+func (r *Runner) somePeers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var some []string
+	for _, i := range rand.Perm(len(r.peers)) {
+		if len(some) == fallbackPeers {
+			break
+		}
+		some = append(some, r.peers[i])
+	}
+	return some
+}
+
 // confirm takes over a complete list of records that was asked for at asked.
 func (r *Runner) confirm(records []Record, revision uint64, asked time.Duration) {
 	r.cfg.OnRevision(revision)
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -60,6 +60,7 @@
 	mu      sync.Mutex
 	reports map[string]Report
 	asked   int
+	votes   int
 }
 
 func (f *fakePeers) Ask(_ context.Context, address string) (Report, error) {
@@ -73,6 +74,13 @@
 	return r, nil
 }
 
+func (f *fakePeers) Vote(context.Context, string, Record) (Vote, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.votes++
+	return Vote{}, errors.New("unreachable")
+}
+
 // Guards against knowledge that counts from the relay's answer instead of the
 // relay's own question, and against a relay that lost the store itself.
 func TestRelayedKnowledgeKeepsItsAge(t *testing.T) {
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -10,7 +10,8 @@
 	"geraniumbeam/internal/statement"
 )
 
-// renewLoop confirms the records from the store, or else from databases.
+// renewLoop confirms the records from the store, or else from instances that it
+// answers, or else from databases.
 func (r *Runner) renewLoop(ctx context.Context) {
 	for {
 		wait := renewPeriod
@@ -20,7 +21,7 @@
 			r.noteRound(true)
 		} else {
 			r.cfg.OnStoreAway()
-			r.noteRound(r.renewFromDatabases(ctx))
+			r.noteRound(r.renewFromPeers(ctx) || r.renewFromDatabases(ctx))
 			wait = awayPeriod
 		}
 		if pause(ctx, wait) != nil {
@@ -113,9 +114,9 @@
 	}
 }
 
-// isolatedAfter is the number of rounds without an answer from the store or
-// from enough databases of any service after which an instance counts as isolated.
-// One round takes 0.8 s, and the balancer wants two misses a second apart.
+// isolatedAfter is the number of rounds without an answer from the store, from a
+// peer that it answers or from enough databases of any service after which an
+// instance counts as isolated. One round takes 0.9 s, and the balancer wants two misses a second apart.
 const isolatedAfter = 1
 
 // Isolated reports that this instance reaches neither the store nor the
--- a/internal/primacy/suspicion.go
+++ b/internal/primacy/suspicion.go
@@ -29,21 +29,29 @@
 	return 2*suspects > all
 }
 
-// Unstopped returns the incarnations that have not confirmed that they stopped
-// using the primary that the token replaces, and the longest validity of their
-// knowledge.
-func Unstopped(registered []Registration, excluded []string, service string, token uint64) ([]string, time.Duration) {
-	var (
-		missing  []string
-		validity time.Duration
-	)
-	for _, r := range registered {
-		if r.Stopped[service] < token && !slices.Contains(excluded, r.Incarnation) {
-			missing = append(missing, r.Incarnation)
-			validity = max(validity, r.Validity)
-		}
+// Unstopped returns the registrations of the instances that have not confirmed
+// there that they stopped using the primary that the token replaces.
+func Unstopped(registered []Registration, excluded []string, service string, token uint64) []Registration {
+	return slices.DeleteFunc(slices.Clone(registered), func(r Registration) bool {
+		return r.Stopped[service] >= token || slices.Contains(excluded, r.Incarnation)
+	})
+}
+
+// longestValidity returns for how long any of the instances uses what it knows.
+func longestValidity(of []Registration) time.Duration {
+	var longest time.Duration
+	for _, r := range of {
+		longest = max(longest, r.Validity)
+	}
+	return longest
+}
+
+func incarnations(of []Registration) []string {
+	var all []string
+	for _, r := range of {
+		all = append(all, r.Incarnation)
 	}
-	return missing, validity
+	return all
 }
 
 // Two sets of databases, besides the primary, must have one in common: those
--- a/internal/primacy/vote.go
+++ b/internal/primacy/vote.go
@@ -122,6 +122,9 @@
 	}
 	r.mu.Unlock()
 	registered, err := r.cfg.Store.Registrations(ctx)
+	if err == nil && !Quorum(registered, rec.Excluded, rec.Service, rec.Token) {
+		registered = r.withSuspicions(ctx, rec, registered)
+	}
 	if err != nil || !Quorum(registered, rec.Excluded, rec.Service, rec.Token) {
 		_ = pause(ctx, quorumPause) // the next check looks at the context
 		return
