Measure queue wait, connecting, exchanges and beliefs

Cause: the metrics told requests and store calls only. An engineer who sees a slow route could not tell a wait for a connection from a slow database, nor see how old an instance's knowledge of a primary is.

Pools measure the wait for a connection, the opening and the exchange, and count both by database and outcome; an instance tells the age of each record, its token, whether the primary may be used, its configuration, readiness and isolation.

--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -11,6 +11,7 @@
 
 	"geraniumbeam/internal/admission"
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
@@ -39,10 +40,11 @@
 
 // Pool holds the connections to one database. It is safe for concurrent use.
 type Pool struct {
-	db    topology.Database
-	dial  Dial
-	now   func() time.Duration // counts suspension
-	queue *admission.Queue
+	db      topology.Database
+	dial    Dial
+	now     func() time.Duration // counts suspension
+	queue   *admission.Queue
+	metrics *measure.Set
 
 	maintaining atomic.Bool
 
@@ -68,6 +70,7 @@
 	Clock    clock.Clock
 	Now      func() time.Duration // a clock that counts suspension
 	Sharing  Sharing
+	Metrics  *measure.Set // may be nil
 }
 
 // New returns a pool without connections.
@@ -77,6 +80,7 @@
 		dial:    cfg.Dial,
 		now:     cfg.Now,
 		sharing: cfg.Sharing,
+		metrics: cfg.Metrics,
 		warmAt:  cfg.Now() + rand.N(warmSpread),
 		queue:   admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sharing.Share, FixedConcurrency: true}),
 	}
@@ -151,7 +155,9 @@
 
 // Acquire waits for a connection. On an error nothing was sent.
 func (p *Pool) Acquire(ctx context.Context, r admission.Request) (*Lease, error) {
+	began := p.now()
 	ticket, err := p.queue.Acquire(ctx, r)
+	p.observePhase(phaseQueue, p.now()-began)
 	if err != nil {
 		return nil, err
 	}
@@ -212,6 +218,9 @@
 	defer cancel()
 	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID)
 
+	p.countConnect(err)
+	ended := p.now()
+	p.observePhase(phaseConnect, ended-now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -219,7 +228,7 @@
 		p.dialFailed(now, err)
 		return nil, dialError(p.db.ID, err)
 	}
-	p.health.end(now, p.now(), true)
+	p.health.end(now, ended, true)
 	p.pause, p.redialAt = 0, 0
 	return newPooled(conn), nil
 }
@@ -317,6 +326,8 @@
 	p.mu.Unlock()
 	answers, err := l.conn.Do(deadline, commands)
 	ended := p.now()
+	p.countExchange(err)
+	p.observePhase(phaseAnswer, ended-began)
 	p.mu.Lock()
 	p.health.end(began, ended, err == nil)
 	if err == nil {
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
@@ -20,13 +21,14 @@
 	settledAfter = 20 * time.Second
 )
 
-// SetConfig configures a Set. All fields are required.
+// SetConfig configures a Set. All fields but Metrics are required.
 type SetConfig struct {
 	Dial      Dial
 	Topology  *topology.Topology
 	Clock     clock.Clock
 	Now       func() time.Duration // counts suspension
 	Instances func() int           // that share the connection limit
+	Metrics   *measure.Set
 }
 
 // Set holds one pool for each known database. It is safe for concurrent use.
@@ -96,7 +98,7 @@
 	if ok {
 		p.Close()
 	}
-	p = New(Config{Database: d, Dial: s.cfg.Dial, Clock: s.cfg.Clock, Now: s.cfg.Now, Sharing: sharing})
+	p = New(Config{Database: d, Dial: s.cfg.Dial, Clock: s.cfg.Clock, Now: s.cfg.Now, Sharing: sharing, Metrics: s.cfg.Metrics})
 	s.pools[d.ID] = p
 	return p
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -24,6 +23,7 @@
 
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/peer"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/proxy"
@@ -57,7 +57,7 @@
 	primacy  *primacy.Runner
 	pools    *dbpool.Set
 	proxy    *proxy.Server
-	metrics  *proxy.Metrics
+	metrics  *measure.Set
 	follower *topology.Follower
 	stopping atomic.Bool
 }
@@ -66,13 +66,13 @@
 func New(cfg Config) *Instance {
 	incarnation := cfg.Instance + "#" + strconv.FormatUint(rand.Uint64(), 36)
 	i := &Instance{
-		cfg: cfg, topology: topology.New(), metrics: proxy.NewMetrics(),
+		cfg: cfg, topology: topology.New(), metrics: measure.NewSet(),
 		beliefs: primacy.NewBeliefs(incarnation, primacy.InitialValidity, clock.SinceBoot),
 	}
 	i.follower = topology.NewFollower(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
-		Instances: func() int { return i.primacy.Instances() },
+		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics,
 	})
 	i.primacy = primacy.NewRunner(primacy.Config{
 		Instance: cfg.Instance, DataCentre: cfg.DataCentre, Address: cfg.Address, Peers: peer.NewClient(), Incarnation: incarnation, Store: cfg.Store, Databases: i.pools,
@@ -132,9 +132,6 @@
 	return !i.stopping.Load() && !i.primacy.Isolated() && snap.Version != 0 && len(snap.Databases) > 0
 }
 
-// WriteMetrics writes counters and latencies as text.
-func (i *Instance) WriteMetrics(w io.Writer) error { return i.metrics.WriteText(w) }
-
 // PeerHandler answers peers.
 func (i *Instance) PeerHandler() http.Handler { return peer.Handler(i.primacy) }
 
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,84 @@
+package measure
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func text(t *testing.T, s *Set) string {
+	t.Helper()
+	var b strings.Builder
+	if err := s.WriteText(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
+// Guards against values that are lost, counted twice or written under other
+// labels, and against an order that changes between two reads.
+func TestWriteText(t *testing.T) {
+	s := NewSet()
+	s.Count("b_total", Labels{{"code", "ok"}, {"route", `a"b`}})
+	s.Count("b_total", Labels{{"code", "ok"}, {"route", `a"b`}})
+	s.Count("b_total", Labels{{"code", "GB1001"}})
+	s.Count("a_total", Labels{})
+	s.Observe("wait_microseconds", Labels{{"phase", "queue"}}, 1500*time.Microsecond)
+	s.Observe("wait_microseconds", Labels{{"phase", "queue"}}, time.Hour)
+	got := text(t, s)
+	want := []string{
+		"a_total 1\n", "b_total{code=\"GB1001\"} 1\n", "b_total{code=\"ok\",route=\"a\\\"b\"} 2\n",
+		"wait_microseconds{phase=\"queue\",percentile=\"50\"} 1", "wait_microseconds_count{phase=\"queue\"} 2\n",
+	}
+	at := 0
+	for _, line := range want {
+		i := strings.Index(got[at:], line)
+		if i < 0 {
+			t.Fatalf("%q is missing or out of order in:\n%s", line, got)
+		}
+		at += i
+	}
+	if again := text(t, s); again != got {
+		t.Errorf("the second text differs:\n%s", again)
+	}
+}
+
+// Guards against a precision worse than the one that the page states.
+func TestLatencyPrecision(t *testing.T) {
+	for _, d := range []time.Duration{time.Microsecond, 950 * time.Microsecond, 37 * time.Millisecond, 4 * time.Second} {
+		s := NewSet()
+		s.Observe("x", Labels{}, d)
+		var got int64
+		if _, err := fmt.Sscanf(text(t, s), "x{percentile=\"50\"} %d", &got); err != nil {
+			t.Fatal(err)
+		}
+		if off := float64(got)/float64(d.Microseconds()) - 1; off < -0.1 || off > 0.1 {
+			t.Errorf("%v is kept as %d µs", d, got)
+		}
+	}
+}
+
+// Guards against memory that grows with the names that callers ask for.
+func TestSeriesAreBounded(t *testing.T) {
+	s := NewSet()
+	const extra = 7
+	for i := range maxSeries + extra {
+		s.Count("x_total", Labels{{"route", fmt.Sprint(i)}})
+		s.Observe("x_microseconds", Labels{{"route", fmt.Sprint(i)}}, time.Millisecond)
+	}
+	if len(s.counters) != maxSeries+1 || len(s.histograms) != maxSeries+1 {
+		t.Fatalf("%d counters and %d histograms", len(s.counters), len(s.histograms))
+	}
+	if got := text(t, s); !strings.Contains(got, fmt.Sprintf("x_total{route=%q} %d\n", other, extra)) ||
+		!strings.Contains(got, fmt.Sprintf("x_microseconds_count{route=%q} %d\n", other, extra)) {
+		t.Error("the others are not counted")
+	}
+}
+
+// Guards against a crash of parts that are not measured.
+func TestNilSetDropsValues(*testing.T) {
+	var s *Set
+	s.Count("x", Labels{})
+	s.Observe("x", Labels{}, time.Second)
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -13,6 +13,7 @@
 
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
@@ -73,7 +74,7 @@
 	h.eventually("the pools exist", func() bool { _, ok := pools.Pool("db-3"); return ok })
 	h.server = New(Config{
 		DataCentre: "a", MaxSessions: 2, Topology: h.topology, Beliefs: h.beliefs, Pools: pools, Now: clock.SinceBoot,
-		Log: zerolog.Nop(), Metrics: NewMetrics(), LeavingUse: time.Minute,
+		Log: zerolog.Nop(), Metrics: measure.NewSet(), LeavingUse: time.Minute,
 	})
 	return h
 }
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -15,7 +15,7 @@
 	if o.answer.Err != nil {
 		code = o.answer.Err.Code.String()
 	}
-	x.s.cfg.Metrics.Observe(q.route.Database, code, took)
+	observe(x.s.cfg.Metrics, q.route.Database, q.st.Kind.String(), code, took)
 	late := q.route.Target > 0 && took > q.route.Target
 	if o.answer.Err == nil && !late && !decisionlog.Sampled(q.st.ID) {
 		return
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -22,6 +22,7 @@
 
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/freshness"
+	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/retry"
@@ -54,7 +55,7 @@
 	Now        func() time.Duration // counts suspension
 	Log        zerolog.Logger
 	NewCaller  func(net.Conn) Caller
-	Metrics    *Metrics
+	Metrics    *measure.Set
 	// MaxSessions bounds the callers' connections.
 	MaxSessions int
 	// LeavingUse is how long a leaving primary may still get work while no
--- a/test/hosted_cluster_test.go
+++ b/test/hosted_cluster_test.go
@@ -30,6 +30,7 @@
 	groups    []*hosted.Group
 	instances []*process
 	addresses []string // of the callers' listeners
+	inner     []string // addresses for peers and metrics, one for each instance
 }
 
 func startHosted(t *testing.T, instances, services int) *hostedCluster {
@@ -77,10 +78,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	callers := freeAddress(t)
+	callers, inner := freeAddress(t), freeAddress(t)
 	settings := fmt.Sprintf("instance: %s\ndata_centre: z%d\nlisten_callers: %s\nlisten_ready: %s\nlisten_inner: %s\nstore: %s\n"+
 		"promotions: %s\nmemory_mb: 128\nmax_open_files: 1024\ngrace_period: 3s\ndrain_time: 7s\n",
-		name, i%3, callers, freeAddress(t), freeAddress(t), store, promotions)
+		name, i%3, callers, freeAddress(t), inner, store, promotions)
 	path := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
@@ -90,6 +91,7 @@
 	t.Cleanup(p.cleanup)
 	h.instances = append(h.instances, p)
 	h.addresses = append(h.addresses, callers)
+	h.inner = append(h.inner, inner)
 }
 
 // awaitReady waits until an instance serves a write of each service.
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -66,6 +69,47 @@
 			break
 		}
 	}
+	for i := range h.instances {
+		h.checkMetrics(i)
+	}
+}
+
+// checkMetrics reads the metrics of an instance that has served requests. It
+// guards against figures that operators are promised and that nobody counts.
+func (h *hostedCluster) checkMetrics(i int) {
+	h.t.Helper()
+	resp, err := http.Get("http://" + h.inner[i] + "/metrics")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		h.t.Fatalf("status %d, %v", resp.StatusCode, err)
+	}
+	for _, want := range []string{
+		`geraniumbeam_requests_total\{route="[^"]+",kind="write",code="ok"\} [1-9]`,
+		`geraniumbeam_request_microseconds\{route="[^"]+",percentile="50"\} [1-9]`,
+		`geraniumbeam_database_microseconds\{service="svc0",phase="queue",percentile="99"\} [1-9]`,
+		`geraniumbeam_database_microseconds\{service="svc0",phase="connect",percentile="99"\} [1-9]`,
+		`geraniumbeam_database_microseconds\{service="svc0",phase="exchange",percentile="99"\} [1-9]`,
+		`geraniumbeam_connections_total\{service="svc0",database="[^"]+",outcome="opened"\} [1-9]`,
+		`geraniumbeam_exchanges_total\{service="svc0",database="[^"]+",outcome="answered"\} [1-9]`,
+		`geraniumbeam_store_calls_total\{what="read"\} [1-9]`,
+		`geraniumbeam_record_age_microseconds\{service="svc0"\} [0-9]{1,7}\n`,
+		`geraniumbeam_primary_usable\{service="svc0"\} 1`,
+		`geraniumbeam_configuration_version [1-9]`,
+		`geraniumbeam_instances 3`,
+		`geraniumbeam_isolated 0`,
+		`geraniumbeam_ready 1`,
+	} {
+		if !regexp.MustCompile(want).Match(body) {
+			h.t.Errorf("instance %d: no line matches %s", i, want)
+		}
+	}
+	if h.t.Failed() {
+		h.t.Logf("metrics of instance %d:\n%s", i, body)
+	}
 }
 
 // Guards against a crashed primary that nobody replaces, and against
