Send statements through owners where connections are scarce

Cause: where the limit of a database has no room for each instance, connections were lent: opened for a statement and closed after 250 ms. The opening takes 12 ms of a slot.

Change: a few instances of the database's data centre own its connections, and others send typed statements to an owner in frames. The owner orders the work of all by urgency. A request that it could not start is known not to have run. A path that failed is left until it answers again, and a failed owner does not make a database suspected.

--- a/internal/dbpool/health.go
+++ b/internal/dbpool/health.go
@@ -14,6 +14,7 @@
 type health struct {
 	lastAnswer   time.Duration
 	failingSince time.Duration // first failure after lastAnswer; 0: none
+	lastFailure  time.Duration // 0: none
 	outstanding  int
 	oldest       time.Duration // start of the oldest exchange since nothing was outstanding
 }
@@ -32,6 +33,7 @@
 		h.failingSince = 0
 		return
 	}
+	h.lastFailure = now
 	if began < h.lastAnswer {
 		return // the database answered others meanwhile
 	}
--- a/internal/dbpool/lending.go
+++ b/internal/dbpool/lending.go
@@ -36,6 +36,9 @@
 	Share int           // connections that the instance may hold
 	Idle  time.Duration // how long an unused one stays open; with Warm, the first stays in any case
 	Warm  bool          // one is opened ahead of need and stays open
+	// Pooled says that the connections are those of an owner, so that opening
+	// one costs the database nothing.
+	Pooled bool
 }
 
 // Share divides a connection limit among instances. All of them together stay
@@ -51,7 +54,7 @@
 	if instances == 0 {
 		return Sharing{Share: 1, Idle: idleExtra}
 	}
-	if float64(limit) < lendingRoom*float64(instances) {
+	if lending(limit, instances) {
 		if primary {
 			return Sharing{Share: lentShare, Idle: idleLent}
 		}
@@ -63,5 +66,10 @@
 	return Sharing{Share: min(max(1, limit/instances), maxShare), Idle: idleExtra, Warm: true}
 }
 
+// lending reports that a limit has no room for the connections of all instances.
+func lending(limit, instances int) bool {
+	return float64(limit) < lendingRoom*float64(instances)
+}
+
 // scarce reports that connections are lent.
-func (s Sharing) scarce() bool { return !s.Warm }
+func (s Sharing) scarce() bool { return !s.Warm && !s.Pooled }
--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -10,19 +10,20 @@
 
 // Maintain closes connections that are dead or not needed. Where the limit has
 // room it keeps one open, so that the first request does not wait and a crash is
-// noticed without traffic.
+// noticed without traffic. It tries an owner that failed again.
 func (p *Pool) Maintain(ctx context.Context) {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
 	now := p.now()
 	sharing := p.sharing
+	failed := p.via != "" && p.health.failingSince != 0
 	p.mu.Unlock()
 	var keep []*pooled
 	for i, c := range idle {
 		last := i == len(idle)-1 && sharing.Warm
 		unused := now-c.idleSince > sharing.Idle && !last
-		if unused || !c.Alive() {
+		if unused || failed || !c.Alive() {
 			p.drop(c)
 			continue
 		}
@@ -34,13 +35,14 @@
 		p.idle = append(keep, p.idle...)
 	}
 	empty := sharing.Warm && p.open == 0 && !closed && now >= max(p.redialAt, p.warmAt)
+	again := failed && !closed && now >= p.redialAt
 	p.mu.Unlock()
 	if closed {
 		for _, c := range keep {
 			p.drop(c)
 		}
 	}
-	if empty {
+	if empty || again {
 		p.warm(ctx)
 	}
 }
--- a/internal/dbpool/metrics.go
+++ b/internal/dbpool/metrics.go
@@ -33,10 +33,14 @@
 }
 
 // countConnect counts the opening of a connection: refused ones were answered by
-// the database.
+// the database. Connections to owners have outcomes of their own.
 func (p *Pool) countConnect(err error) {
 	var refused *result.Error
 	switch {
+	case p.via != "" && err == nil:
+		p.count(metricConnections, "to_owner")
+	case p.via != "":
+		p.count(metricConnections, "no_owner")
 	case err == nil:
 		p.count(metricConnections, "opened")
 	case errors.As(err, &refused):
@@ -47,9 +51,13 @@
 }
 
 func (p *Pool) countExchange(err error) {
-	if err != nil {
+	var notSent *NotSentError
+	switch {
+	case err == nil:
+		p.count(metricExchanges, "answered")
+	case errors.As(err, &notSent):
+		p.count(metricExchanges, "not_sent")
+	default:
 		p.count(metricExchanges, "unanswered")
-		return
 	}
-	p.count(metricExchanges, "answered")
 }
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -41,6 +41,7 @@
 // Pool holds the connections to one database. It is safe for concurrent use.
 type Pool struct {
 	db      topology.Database
+	via     string // name of the owner whose connections are used; empty: the database's own
 	dial    Dial
 	now     func() time.Duration // counts suspension
 	queue   *admission.Queue
@@ -66,6 +67,7 @@
 // Config configures a Pool.
 type Config struct {
 	Database topology.Database
+	Via      string // name of the owner that Dial connects to; empty: none
 	Dial     Dial
 	Clock    clock.Clock
 	Now      func() time.Duration // a clock that counts suspension
@@ -77,6 +79,7 @@
 func New(cfg Config) *Pool {
 	return &Pool{
 		db:      cfg.Database,
+		via:     cfg.Via,
 		dial:    cfg.Dial,
 		now:     cfg.Now,
 		sharing: cfg.Sharing,
@@ -86,6 +89,9 @@
 	}
 }
 
+// Via returns the name of the owner whose connections are used, or nothing.
+func (p *Pool) Via() string { return p.via }
+
 // Database returns the database that the pool connects to.
 func (p *Pool) Database() topology.Database { return p.db }
 
@@ -166,6 +172,9 @@
 		ticket.Release(0)
 		return nil, err
 	}
+	if c, ok := conn.Conn.(Prioritized); ok {
+		c.Prioritize(r)
+	}
 	return &Lease{pool: p, conn: conn, ticket: ticket}, nil
 }
 
@@ -275,8 +284,9 @@
 }
 
 // Run carries out an exchange and returns the answer to its statement. If the
-// transaction did not begin, the answer to Begin is returned instead. An error
-// means that the outcome is unknown; the lease must be discarded then.
+// transaction did not begin, the answer to Begin is returned instead. A
+// NotSentError means that nothing was run, and any other error that the outcome
+// is unknown; the lease must be discarded then.
 func (l *Lease) Run(x Exchange) (statement.Answer, error) {
 	commands := l.conn.align(x.Variables)
 	last := statement.Command{Op: statement.OpStatement, Statement: x.Statement, WaitFor: x.WaitFor}
@@ -329,7 +339,7 @@
 	p.countExchange(err)
 	p.observePhase(phaseAnswer, ended-began)
 	p.mu.Lock()
-	p.health.end(began, ended, err == nil)
+	p.health.end(began, ended, err == nil || refusedByOwner(err))
 	if err == nil {
 		p.usual.add(ended-began, ended)
 	}
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/measure"
+	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
@@ -29,6 +31,12 @@
 	Now       func() time.Duration // counts suspension
 	Instances func() int           // that share the connection limit
 	Metrics   *measure.Set
+	// Owners returns the instances that hold the connections of a database whose
+	// limit has no room for all instances, the ones to ask first before the
+	// others, and whether this one is among them. Nil: there are none.
+	Owners func(d topology.Database, limit int) (owners []ownership.Instance, self bool)
+	// DialOwner connects to an owner at its address for a database.
+	DialOwner func(ctx context.Context, address, id string) (Conn, error)
 }
 
 // Set holds one pool for each known database. It is safe for concurrent use.
@@ -36,12 +44,12 @@
 	cfg SetConfig
 
 	mu    sync.RWMutex
-	pools map[string]*Pool // by database id
+	pools map[string]*paths // by database id
 }
 
 // NewSet returns a set without pools.
 func NewSet(cfg SetConfig) *Set {
-	return &Set{cfg: cfg, pools: make(map[string]*Pool)}
+	return &Set{cfg: cfg, pools: make(map[string]*paths)}
 }
 
 // Run follows the topology and maintains the pools until ctx ends.
@@ -75,47 +83,102 @@
 	for service, databases := range snap.Databases {
 		for _, d := range databases {
 			known[d.ID] = true
-			all = append(all, s.match(d, Share(snap.Services[service].MaxConnections, instances, d.Primary)))
+			all = append(all, s.match(d, snap.Services[service].MaxConnections, instances)...)
 		}
 	}
 	for id, p := range s.pools {
 		if !known[id] {
-			p.Close()
+			p.close()
 			delete(s.pools, id)
 		}
 	}
 	return all
 }
 
-// match returns the pool of a database and replaces one of an earlier life or
-// address. s.mu is held.
-func (s *Set) match(d topology.Database, sharing Sharing) *Pool {
+// match brings the ways to a database up to date and returns their pools. s.mu
+// is held.
+func (s *Set) match(d topology.Database, limit, instances int) []*Pool {
+	var (
+		owners []ownership.Instance
+		self   bool
+	)
+	if s.cfg.Owners != nil && lending(limit, instances) {
+		owners, self = s.cfg.Owners(d, limit)
+	}
+	sharing := Share(limit, instances, d.Primary)
+	if self {
+		sharing, owners = Share(limit, len(owners), d.Primary), nil
+	}
 	p, ok := s.pools[d.ID]
-	if ok && p.db.Address == d.Address && p.db.Born == d.Born {
-		p.SetSharing(sharing)
-		return p
+	if !ok {
+		p = &paths{}
+		s.pools[d.ID] = p
 	}
-	if ok {
+	p.owned = self
+	if p.direct == nil || !sameDatabase(p.direct.db, d) {
+		p.close()
+		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sharing: sharing})
+	}
+	p.direct.SetSharing(sharing)
+	p.via = s.matchOwners(d, p.via, owners)
+	return append(slices.Clone(p.via), p.direct)
+}
+
+// matchOwners returns a pool for each owner, those there are and new ones, and
+// closes the rest.
+func (s *Set) matchOwners(d topology.Database, old []*Pool, owners []ownership.Instance) []*Pool {
+	var via []*Pool
+	rest := slices.Clone(old)
+	for _, o := range owners {
+		if i := slices.IndexFunc(rest, func(p *Pool) bool { return p.via == o.Name }); i >= 0 {
+			via = append(via, rest[i])
+			rest = slices.Delete(rest, i, i+1)
+			continue
+		}
+		dial := func(ctx context.Context, _, _, id string) (Conn, error) { return s.cfg.DialOwner(ctx, o.Address, id) }
+		via = append(via, s.newPool(Config{Database: d, Via: o.Name, Dial: dial, Sharing: hopSharing}))
+	}
+	for _, p := range rest {
 		p.Close()
 	}
-	p = New(Config{Database: d, Dial: s.cfg.Dial, Clock: s.cfg.Clock, Now: s.cfg.Now, Sharing: sharing, Metrics: s.cfg.Metrics})
-	s.pools[d.ID] = p
-	return p
+	return via
+}
+
+func (s *Set) newPool(cfg Config) *Pool {
+	cfg.Clock, cfg.Now, cfg.Metrics = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics
+	return New(cfg)
 }
 
-// Pool returns the pool of a database.
+func sameDatabase(a, b topology.Database) bool { return a.Address == b.Address && a.Born == b.Born }
+
+// Pool returns the pool to use for a database now.
 func (s *Set) Pool(id string) (*Pool, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	p, ok := s.pools[id]
-	return p, ok
+	if !ok {
+		return nil, false
+	}
+	return p.pick(), true
+}
+
+// Owned returns the pool of a database whose connections this instance holds for
+// others.
+func (s *Set) Owned(id string) (*Pool, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	p, ok := s.pools[id]
+	if !ok || !p.owned {
+		return nil, false
+	}
+	return p.direct, true
 }
 
 func (s *Set) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
-		p.Close()
+		p.close()
 	}
 }
 
@@ -124,22 +187,46 @@
 	return s.Control(ctx, service, id, statement.Command{Op: statement.OpStatus}, timeout)
 }
 
-// Control implements primacy.Databases.
+// Control implements primacy.Databases. A question goes the way that requests
+// go, because opening a connection of its own costs the database as much as a
+// statement; it is repeated directly if that way fails. Commands that change
+// something go directly.
 func (s *Set) Control(ctx context.Context, _, id string, c statement.Command, timeout time.Duration) (statement.Status, error) {
-	p, ok := s.Pool(id)
+	s.mu.RLock()
+	p, ok := s.pools[id]
+	var way, direct *Pool
+	if ok {
+		way, direct = p.pick(), p.direct
+	}
+	s.mu.RUnlock()
 	if !ok {
 		return statement.Status{}, result.Errorf(result.DatabaseDown, "database %s is not known", id)
 	}
-	return p.Control(ctx, c, timeout)
+	began := s.cfg.Now()
+	if c.Op == statement.OpStatus && way != direct {
+		if st, err := way.Control(ctx, c, timeout/2); err == nil {
+			p.clear(began)
+			return st, nil
+		}
+		timeout -= s.cfg.Now() - began
+	}
+	st, err := direct.Control(ctx, c, timeout)
+	if err == nil {
+		p.clear(began)
+	}
+	return st, err
 }
 
-// Troubled implements primacy.Databases.
+// Troubled implements primacy.Databases: a database is in trouble if a way to it
+// is, and it has not answered a question since.
 func (s *Set) Troubled(_, id string) (time.Duration, bool) {
-	p, ok := s.Pool(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	p, ok := s.pools[id]
 	if !ok {
 		return 0, false
 	}
-	return p.Troubled()
+	return p.troubled()
 }
 
 // Members implements primacy.Databases.
--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,284 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/statement"
+	"geraniumbeam/internal/topology"
+)
+
+// fakeDatabase keeps what its connections were asked.
+type fakeDatabase struct {
+	mu    sync.Mutex
+	conns []*fakeConn
+	fail  error         // of the next exchange
+	hold  chan struct{} // statements wait for it
+}
+
+type fakeConn struct {
+	db    *fakeDatabase
+	got   []statement.Command
+	state statement.TxState
+	gone  bool
+}
+
+func (d *fakeDatabase) dial(context.Context, string, string, string) (dbpool.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := &fakeConn{db: d}
+	d.conns = append(d.conns, c)
+	return c, nil
+}
+
+func (c *fakeConn) Do(_ time.Time, commands []statement.Command) ([]statement.Answer, error) {
+	if c.db.hold != nil {
+		<-c.db.hold
+	}
+	c.db.mu.Lock()
+	defer c.db.mu.Unlock()
+	if c.db.fail != nil {
+		return nil, c.db.fail
+	}
+	var answers []statement.Answer
+	for _, cmd := range commands {
+		c.got = append(c.got, cmd)
+		switch {
+		case cmd.Op == statement.OpRollback || cmd.Statement.Kind == statement.Commit:
+			c.state = statement.Idle
+		case cmd.Statement.Kind == statement.Begin:
+			c.state = statement.InTx
+		}
+		a := statement.Answer{State: c.state, Signature: "s", Rows: []string{cmd.Statement.Text}, Position: statement.Position{Term: 1, Number: 5}}
+		if cmd.Statement.Text == "behind" {
+			a = statement.Answer{State: c.state, Err: result.Errorf(result.BehindFloor, "behind: %w", errors.New("cause"))}
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+func (c *fakeConn) Status(time.Time, statement.Command) (statement.Status, error) {
+	return statement.Status{Primary: true, Term: 3, HeldTerm: 4}, nil
+}
+func (c *fakeConn) Alive() bool  { return true }
+func (c *fakeConn) Close() error { return c.Abort() }
+func (c *fakeConn) Abort() error {
+	c.db.mu.Lock()
+	defer c.db.mu.Unlock()
+	c.gone = true
+	return nil
+}
+
+// owner is an instance that owns one database.
+type owner struct {
+	db      *fakeDatabase
+	pool    *dbpool.Pool
+	server  *Server
+	address string
+	owns    bool
+}
+
+func (o *owner) Owned(id string) (*dbpool.Pool, bool) { return o.pool, o.owns && id == "db-1" }
+
+func newOwner(t *testing.T, share int) *owner {
+	t.Helper()
+	o := &owner{db: &fakeDatabase{}, owns: true}
+	o.pool = dbpool.New(dbpool.Config{
+		Database: topology.Database{ID: "db-1", Service: "ledger"}, Dial: o.db.dial, Clock: clock.Real{}, Now: clock.SinceBoot,
+		Sharing: dbpool.Sharing{Share: share, Idle: time.Minute, Warm: true},
+	})
+	o.server = &Server{Pools: o, Log: zerolog.Nop()}
+	mux := http.NewServeMux()
+	mux.Handle(Path, o.server)
+	srv := httptest.NewServer(mux)
+	t.Cleanup(func() { o.server.Close(); srv.Close() })
+	o.address = strings.TrimPrefix(srv.URL, "http://")
+	return o
+}
+
+// peer returns a pool that goes through the owner.
+func (o *owner) peer() *dbpool.Pool {
+	return dbpool.New(dbpool.Config{
+		Database: topology.Database{ID: "db-1", Service: "ledger"}, Via: "owner", Clock: clock.Real{}, Now: clock.SinceBoot,
+		Dial: func(ctx context.Context, _, _, id string) (dbpool.Conn, error) { return Dial(ctx, o.address, id) },
+		Sharing: dbpool.Sharing{Share: 8, Idle: time.Minute, Pooled: true},
+	})
+}
+
+func acquire(t *testing.T, p *dbpool.Pool) *dbpool.Lease {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	l, err := p.Acquire(ctx, admission.Request{Class: "c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func soon() time.Time { return time.Now().Add(5 * time.Second) }
+
+func text(s string) statement.Statement { return statement.Statement{Kind: statement.Read, Text: s} }
+
+// Guards against a statement that runs with another session's variables or
+// prepared statements on a connection that instances share.
+func TestSessionsOfPeersShareAConnection(t *testing.T) {
+	o := newOwner(t, 1)
+	for i, value := range []string{"x", "y"} {
+		l := acquire(t, o.peer())
+		a, err := l.Run(dbpool.Exchange{
+			Variables: map[string]string{"zone": value}, Shape: &dbpool.Shape{Text: "shape " + value, Writes: true},
+			Statement: statement.Statement{Kind: statement.Execute, Text: "EXECUTE p 1", Value: "1"}, Deadline: soon(),
+		})
+		if err != nil || a.Signature != "s" || a.Position.Number != 5 || a.Rows[0] != "EXECUTE p 1" {
+			t.Fatalf("peer %d: %+v, %v", i, a, err)
+		}
+		l.Release()
+	}
+	if len(o.db.conns) != 1 {
+		t.Fatalf("%d connections were opened, want 1", len(o.db.conns))
+	}
+	var vars, shapes []string
+	names := make(map[string]bool)
+	for _, c := range o.db.conns[0].got {
+		switch c.Op {
+		case statement.OpSet:
+			vars = append(vars, c.Value)
+		case statement.OpPrepare:
+			shapes = append(shapes, c.Value)
+		case statement.OpStatement:
+			names[c.Name] = true
+		}
+	}
+	if strings.Join(vars, " ") != "x y" || strings.Join(shapes, ",") != "shape x,shape y" || len(names) != 2 {
+		t.Errorf("variables %v, shapes %v, names %v", vars, shapes, names)
+	}
+}
+
+// Guards against a transaction that changes its connection, and against one that
+// goes on after its instance has gone.
+func TestTransactionKeepsItsConnection(t *testing.T) {
+	o := newOwner(t, 3)
+	l, other := acquire(t, o.peer()), acquire(t, o.peer())
+	begin := statement.Statement{Kind: statement.Begin, Text: "BEGIN"}
+	if _, err := l.Run(dbpool.Exchange{Begin: &begin, Statement: text("one"), Deadline: soon()}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Run(dbpool.Exchange{Statement: text("other"), Deadline: soon()}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Run(dbpool.Exchange{Statement: text("two"), Deadline: soon()}); err != nil {
+		t.Fatal(err)
+	}
+	var texts []string
+	for _, c := range o.db.conns[0].got {
+		texts = append(texts, c.Statement.Text)
+	}
+	if strings.Join(texts, " ") != "BEGIN one two" {
+		t.Errorf("the transaction's connection ran %q", texts)
+	}
+	l.Discard() // as when the instance is killed
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		o.db.mu.Lock()
+		gone := o.db.conns[0].gone
+		o.db.mu.Unlock()
+		if gone {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the transaction of an instance that has gone stays open")
+		}
+	}
+}
+
+// Guards against an answer that loses what decides on the request's fate.
+func TestErrorsPassTheHop(t *testing.T) {
+	o := newOwner(t, 1)
+	l := acquire(t, o.peer())
+	a, err := l.Run(dbpool.Exchange{Statement: text("behind"), Deadline: soon()})
+	if err != nil || a.Err == nil || a.Err.Code != result.BehindFloor {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	o.db.mu.Lock()
+	o.db.fail = errors.New("reset")
+	o.db.mu.Unlock()
+	_, err = l.Run(dbpool.Exchange{Statement: text("x"), Deadline: soon()})
+	var notSent *dbpool.NotSentError
+	if err == nil || errors.As(err, &notSent) {
+		t.Errorf("a database that did not answer gives %v; the outcome is unknown", err)
+	}
+	l.Discard()
+}
+
+// Guards against a refusal that is taken for an unknown outcome, and against a
+// statement that runs although the owner had no connection in time.
+func TestNothingRunsWithoutAConnection(t *testing.T) {
+	o := newOwner(t, 1)
+	held := acquire(t, o.pool)
+	l := acquire(t, o.peer())
+	_, err := l.Run(dbpool.Exchange{Statement: text("late"), Deadline: time.Now().Add(300 * time.Millisecond)})
+	var notSent *dbpool.NotSentError
+	if !errors.As(err, &notSent) {
+		t.Fatalf("error %v, want one that says that nothing was run", err)
+	}
+	l.Discard()
+	held.Release()
+	o.server.Stop()
+	l2 := acquire(t, o.pool)
+	if got := len(o.db.conns[0].got); got != 0 {
+		t.Errorf("%d statements ran", got)
+	}
+	l2.Release()
+}
+
+// Guards against an owner that begins new work while it shuts down, and against
+// an instance that answers for a database it does not own.
+func TestOnlyOwnersThatRunAreUsed(t *testing.T) {
+	o := newOwner(t, 2)
+	idle := acquire(t, o.peer())
+	if _, err := idle.Run(dbpool.Exchange{Statement: text("x"), Deadline: soon()}); err != nil {
+		t.Fatal(err)
+	}
+	begin := statement.Statement{Kind: statement.Begin, Text: "BEGIN"}
+	open := acquire(t, o.peer())
+	if _, err := open.Run(dbpool.Exchange{Begin: &begin, Statement: text("x"), Deadline: soon()}); err != nil {
+		t.Fatal(err)
+	}
+	o.server.Stop()
+	var notSent *dbpool.NotSentError
+	if _, err := idle.Run(dbpool.Exchange{Statement: text("y"), Deadline: soon()}); !errors.As(err, &notSent) || !result.Is(err, result.DatabaseDown) {
+		t.Errorf("new work at an owner that stops: %v", err)
+	}
+	if a, err := open.Run(dbpool.Exchange{Statement: statement.Statement{Kind: statement.Commit, Text: "COMMIT"}, Deadline: soon()}); err != nil || a.State != statement.Idle {
+		t.Errorf("the commit of an open transaction: %+v, %v", a, err)
+	}
+	if _, err := Dial(t.Context(), o.address, "db-1"); err == nil {
+		t.Error("an owner that stops takes connections")
+	}
+	o2 := newOwner(t, 2)
+	if _, err := Dial(t.Context(), o2.address, "db-2"); err == nil {
+		t.Error("an instance answers for a database that it does not own")
+	}
+}
+
+// Guards against a status that changes on the way.
+func TestStatusPassesTheHop(t *testing.T) {
+	o := newOwner(t, 2)
+	s, err := o.peer().Control(t.Context(), statement.Command{Op: statement.OpStatus}, 5*time.Second)
+	if err != nil || !s.Primary || s.Term != 3 || s.HeldTerm != 4 {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -23,7 +23,9 @@
 
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/hop"
 	"geraniumbeam/internal/measure"
+	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/peer"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/proxy"
@@ -59,6 +61,7 @@
 	proxy    *proxy.Server
 	metrics  *measure.Set
 	follower *topology.Follower
+	hop      *hop.Server
 	stopping atomic.Bool
 }
 
@@ -72,8 +75,12 @@
 	i.follower = topology.NewFollower(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
-		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics,
+		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial,
+		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
+			return i.primacy.Owners(d.ID, d.DataCentre, limit)
+		},
 	})
+	i.hop = &hop.Server{Pools: i.pools, Log: cfg.Log.With().Str("part", "hop").Logger()}
 	i.primacy = primacy.NewRunner(primacy.Config{
 		Instance: cfg.Instance, DataCentre: cfg.DataCentre, Address: cfg.Address, Peers: peer.NewClient(), Incarnation: incarnation, Store: cfg.Store, Databases: i.pools,
 		Promotions: cfg.Promotions, Beliefs: i.beliefs, Services: i.services, Now: clock.SinceBoot,
@@ -133,7 +140,12 @@
 }
 
 // PeerHandler answers peers.
-func (i *Instance) PeerHandler() http.Handler { return peer.Handler(i.primacy) }
+func (i *Instance) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.PathPrefix, peer.Handler(i.primacy))
+	mux.Handle(hop.Path, i.hop)
+	return mux
+}
 
 // Listeners are the sockets of an instance.
 type Listeners struct {
@@ -180,6 +192,7 @@
 	<-stop.Done()
 	i.shutdown(log, l.Callers)
 	cancel()
+	i.hop.Close()
 	wg.Wait()
 	log.Info().Msg("The instance has stopped.")
 	return nil
@@ -203,6 +216,7 @@
 
 func (i *Instance) shutdown(log zerolog.Logger, callers net.Listener) {
 	i.stopping.Store(true)
+	i.hop.Stop()
 	log.Info().Msg("A shutdown has begun; the instance is not ready.")
 	ctx, cancel := context.WithTimeout(context.Background(), i.cfg.GracePeriod-lastReserve)
 	defer cancel()
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -95,7 +95,7 @@
 		r.mu.Lock()
 		r.instances = max(1, len(registered))
 		r.relays = Relays(registered, r.cfg.Instance, r.cfg.DataCentre)
-		r.peers = nil
+		r.known, r.peers = registered, nil
 		for _, reg := range registered {
 			if reg.Instance != r.cfg.Instance && reg.Address != "" {
 				r.peers = append(r.peers, reg.Address)
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -113,3 +113,35 @@
 		t.Error("a relay without the store is believed")
 	}
 }
+
+// Guards against a scarce database without owners, or whose owners together
+// exceed half of its limit, and against instances that see different owners.
+func TestOwnersOfADatabase(t *testing.T) {
+	for _, c := range []struct{ local, remote, limit, owners int }{
+		{16, 48, 46, 4}, {75, 225, 46, 4}, {16, 48, 16, 2}, {433, 3467, 400, 8}, {1, 40, 46, 4}, {0, 1, 46, 1}, {0, 0, 46, 0},
+	} {
+		all := append(fleet(c.local, "a"), fleet(c.remote, "b")...)
+		selves, firsts := 0, make(map[string]int)
+		for _, reg := range all {
+			owners, self := Owners(all, reg.Instance, "db-1", "a", c.limit)
+			if len(owners) != c.owners {
+				t.Fatalf("%+v: %d owners, want %d", c, len(owners), c.owners)
+			}
+			if self {
+				selves++
+			}
+			firsts[owners[0].Name]++
+			for _, o := range owners {
+				if o.DataCentre != "a" && c.local >= minOwners {
+					t.Errorf("%+v: owner %s is in another data centre", c, o.Name)
+				}
+			}
+		}
+		if selves != c.owners {
+			t.Errorf("%+v: %d instances take themselves for owners", c, selves)
+		}
+		if c.owners > 1 && len(firsts) != c.owners {
+			t.Errorf("%+v: only %d owners are asked first", c, len(firsts))
+		}
+	}
+}
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -47,6 +47,7 @@
 	// failedRounds counts the rounds of questions since one was answered.
 	failedRounds int
 	relays       []ownership.Instance // nil: this instance asks the store
+	known        []Registration       // as last counted
 	peers        []string             // addresses of the other instances
 	lastSeen     seen
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -175,6 +175,10 @@
 	a, err := lease.Run(dbpool.Exchange{
 		Variables: x.variables, Shape: q.shape, Begin: q.begin, Statement: q.st, WaitFor: t.waitFor, Deadline: deadline,
 	})
+	if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
+		lease.Discard()
+		return x.notSent(q, t, notSent)
+	}
 	if err != nil {
 		lease.Discard()
 		return x.unanswered(q, t, err)
@@ -215,6 +219,17 @@
 	return o, true
 }
 
+// notSent decides on a request that an owner of connections did not start. The
+// next attempt goes another way if the owner, or its way to the database, failed.
+func (x *session) notSent(q *request, t target, err *dbpool.NotSentError) (outcome, bool) {
+	e := result.From(err.Cause)
+	if e.Code == result.DatabaseDown && q.refusals == 0 {
+		q.refusals++
+		return failed(e, "no connection", t), true
+	}
+	return x.notAcquired(q, t, e)
+}
+
 // unanswered decides on a request that was sent and not answered.
 func (x *session) unanswered(q *request, t target, err error) (outcome, bool) {
 	q.timeouts++
--- a/test/hosted_cluster_test.go
+++ b/test/hosted_cluster_test.go
@@ -34,6 +34,13 @@
 }
 
 func startHosted(t *testing.T, instances, services int) *hostedCluster {
+	t.Helper()
+	return startHostedWithLimit(t, instances, services, 4*instances)
+}
+
+// startHostedWithLimit starts a deployment whose databases take so many
+// connections each.
+func startHostedWithLimit(t *testing.T, instances, services, limit int) *hostedCluster {
 	t.Helper()
 	h := &hostedCluster{t: t, store: hosted.NewStore()}
 	t.Cleanup(h.store.Close)
@@ -42,14 +49,14 @@
 	for i := range services {
 		service := fmt.Sprintf("svc%d", i)
 		g, err := hosted.NewGroup(hosted.GroupConfig{
-			Service: service, Databases: 3, Slots: 2, MaxConnections: 4 * instances, Lag: 8 * time.Millisecond,
+			Service: service, Databases: 3, Slots: 2, MaxConnections: limit, Lag: 8 * time.Millisecond,
 			Work: 2 * time.Millisecond, Promote: 200 * time.Millisecond,
 		}, h.store)
 		if err != nil {
 			t.Fatal(err)
 		}
 		h.groups = append(h.groups, g)
-		limits[service] = 4 * instances
+		limits[service] = limit
 		for route, kind := range map[string]string{routePrimary: "primary", routeBounded: "bounded", routeSession: "read_your_writes"} {
 			routes = append(routes, hosted.Route{
 				Database: route + service, Type: kind, Service: service, Timeout: 800 * time.Millisecond, MaxAge: boundedAge,
--- a/test/hosted_soak_test.go
+++ b/test/hosted_soak_test.go
@@ -16,13 +16,16 @@
 
 // shortSeeds run with the ordinary tests. A seed that ever failed is kept in
 // regressionSeeds with its cause.
-var shortSeeds = []uint64{1, 2, 3}
+var shortSeeds = []uint64{1, 2, 3, scarceSeeds + 1}
 
 // regressionSeeds are seeds that failed once, with the cause.
 var regressionSeeds = map[uint64]string{}
 
 const (
-	soakTime = 4 * time.Second // of faults, for each seed
+	// scarceSeeds is the first seed of deployments whose databases have fewer
+	// connections than there are instances.
+	scarceSeeds = 1000
+	soakTime    = 4 * time.Second // of faults, for each seed
 	// soakGap is the longest pause between two faults, in milliseconds.
 	soakGap = 400
 	// soakHold is the longest duration of a fault, in milliseconds.
@@ -116,7 +119,12 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	h := startHosted(t, 4, 2)
+	var h *hostedCluster
+	if seed < scarceSeeds {
+		h = startHosted(t, 4, 2)
+	} else {
+		h = startHostedWithLimit(t, 7, 1, 6)
+	}
 	hist := &history{}
 	s := &soak{h: h, rng: rand.New(rand.NewPCG(seed, 77)), busy: make(map[string]bool)}
 	stop := runCallers(h, hist, 16, seed)
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -74,9 +74,8 @@
 	}
 }
 
-// checkMetrics reads the metrics of an instance that has served requests. It
-// guards against figures that operators are promised and that nobody counts.
-func (h *hostedCluster) checkMetrics(i int) {
+// metrics returns the metrics of an instance.
+func (h *hostedCluster) metrics(i int) string {
 	h.t.Helper()
 	resp, err := http.Get("http://" + h.inner[i] + "/metrics")
 	if err != nil {
@@ -87,6 +86,14 @@
 	if err != nil || resp.StatusCode != http.StatusOK {
 		h.t.Fatalf("status %d, %v", resp.StatusCode, err)
 	}
+	return string(body)
+}
+
+// checkMetrics reads the metrics of an instance that has served requests. It
+// guards against figures that operators are promised and that nobody counts.
+func (h *hostedCluster) checkMetrics(i int) {
+	h.t.Helper()
+	body := h.metrics(i)
 	for _, want := range []string{
 		`geraniumbeam_requests_total\{route="[^"]+",kind="write",code="ok"\} [1-9]`,
 		`geraniumbeam_request_microseconds\{route="[^"]+",percentile="50"\} [1-9]`,
@@ -103,7 +110,7 @@
 		`geraniumbeam_isolated 0`,
 		`geraniumbeam_ready 1`,
 	} {
-		if !regexp.MustCompile(want).Match(body) {
+		if !regexp.MustCompile(want).MatchString(body) {
 			h.t.Errorf("instance %d: no line matches %s", i, want)
 		}
 	}
@@ -112,6 +119,43 @@
 	}
 }
 
+// Guards against a path through owners that breaks a promise or serves nobody
+// where the limit has no room for all instances: calm, and while owners are
+// killed and start again.
+func TestHostedPathWithScarceConnections(t *testing.T) {
+	h := startHostedWithLimit(t, 7, 1, 6)
+	time.Sleep(2 * time.Second) // the instances have counted each other
+	hist := &history{}
+	stop := runCallers(h, hist, 12, 3)
+	time.Sleep(2 * time.Second)
+	calm := len(h.groups[0].Runs())
+	h.checkOwnersUsed()
+	for _, p := range h.instances[:4] { // two owners of each database are among them
+		p.signal(t, syscall.SIGKILL)
+		<-p.exited
+		time.Sleep(400 * time.Millisecond)
+		p.start(t)
+	}
+	h.awaitServed()
+	stop()
+	h.report(hist)
+	if calm < 200 {
+		t.Errorf("%d statements ran in 2 s without faults", calm)
+	}
+	h.explainFailures(hist)
+}
+
+// checkOwnersUsed fails unless instances go through others.
+func (h *hostedCluster) checkOwnersUsed() {
+	h.t.Helper()
+	for i := range h.instances {
+		if strings.Contains(h.metrics(i), `outcome="to_owner"`) {
+			return
+		}
+	}
+	h.t.Error("no instance uses the connections of an owner")
+}
+
 // Guards against a crashed primary that nobody replaces, and against
 // acknowledgements that the replacement loses track of.
 func TestHostedPrimaryIsReplaced(t *testing.T) {
