Spread the instances that count votes and list registrations less

Cause: when a primary dies every instance lists all registrations every 150 ms, and the promoter every 40 ms.

Change: eight instances, the first of the rendezvous order of the service, count votes at once, eight more 100 ms later and so on, and not if somebody has begun meanwhile. The promoter lists every 2 ms for each registration, at least 40 ms, at most 1 s apart, and looks at the direct answers in between. With 7 instances nothing changes.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -113,7 +113,7 @@
 func (o *owner) peer() *dbpool.Pool {
 	return dbpool.New(dbpool.Config{
 		Database: topology.Database{ID: "db-1", Service: "ledger"}, Via: "owner", Clock: clock.Real{}, Now: clock.SinceBoot,
-		Dial: func(ctx context.Context, _, _, id string) (dbpool.Conn, error) { return Dial(ctx, o.address, id) },
+		Dial:    func(ctx context.Context, _, _, id string) (dbpool.Conn, error) { return Dial(ctx, o.address, id) },
 		Sharing: dbpool.Sharing{Share: 8, Idle: time.Minute, Pooled: true},
 	})
 }
--- a/internal/primacy/periods.go
+++ b/internal/primacy/periods.go
@@ -37,6 +37,11 @@
 	probeTimeout = 250 * time.Millisecond
 	// quorumPause is the pause after a vote that found no quorum.
 	quorumPause = 150 * time.Millisecond
+	// countersAtOnce is how many instances count votes at the same time, and
+	// turnPause the pause between two such groups: if none of the first can begin
+	// the replacement within it, others try as well.
+	countersAtOnce = 8
+	turnPause      = 100 * time.Millisecond
 	// bootstrapSpread separates instances that could record the same primary.
 	bootstrapSpread = 600 * time.Millisecond
 	// takeoverAfter is how long a replacement may stand still before another
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -14,8 +14,14 @@
 	// controlTimeout bounds a control command to one database. It covers the
 	// queue of a database whose slots are all busy with slow work.
 	controlTimeout = 400 * time.Millisecond
-	// confirmPause is the pause between two looks at the registrations.
+	// confirmPause is the pause between two looks at who has confirmed.
 	confirmPause = 40 * time.Millisecond
+	// listPerInstance is how much longer the promoter waits between two lists of
+	// the registrations for each of them, up to maxListPause. At 64 instances a
+	// list has 25 KB, and every 40 ms it would take half of a link of 10 Mbit/s.
+	// Instances are asked directly in between.
+	listPerInstance = 2 * time.Millisecond
+	maxListPause    = 1 * time.Second
 	// plannedConfirm is how long a planned replacement waits for all instances
 	// to confirm before it treats some as cut off from the store.
 	plannedConfirm = 400 * time.Millisecond
@@ -174,8 +180,16 @@
 // neither in the store nor directly.
 func (r *Runner) awaitStopped(ctx context.Context, rec Record, direct *stops, limit func(validity time.Duration) time.Duration) ([]string, error) {
 	since := r.cfg.Now()
+	var (
+		registered []Registration
+		listed     time.Duration
+		err        error
+	)
 	for {
-		registered, err := r.cfg.Store.Registrations(ctx)
+		if now := r.cfg.Now(); registered == nil || now-listed >= listPause(len(registered)) {
+			listed = now
+			registered, err = r.cfg.Store.Registrations(ctx)
+		}
 		if err == nil {
 			missing := direct.remaining(registered, rec)
 			if len(missing) == 0 || r.cfg.Now()-since > limit(longestValidity(missing)) {
@@ -189,6 +203,11 @@
 	}
 }
 
+// listPause is the pause between two lists of n registrations.
+func listPause(n int) time.Duration {
+	return min(max(confirmPause, time.Duration(n)*listPerInstance), maxListPause)
+}
+
 // awaitCatchUp waits until a replica that stays holds the former primary's log.
 func (r *Runner) awaitCatchUp(ctx context.Context, rec Record) {
 	until := r.cfg.Now() + catchUpLimit
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -145,3 +145,26 @@
 		}
 	}
 }
+
+// Guards against a store that is asked for the registrations by all instances at
+// once when a primary dies, and against a vote that nobody counts at once.
+func TestFewInstancesCountVotesAtOnce(t *testing.T) {
+	for _, n := range []int{1, 7, 64, 300} {
+		all := fleet(n, "a")
+		at := make(map[time.Duration]int)
+		for _, reg := range all {
+			at[turn(all, reg.Instance, "ledger")]++
+		}
+		if at[0] != min(n, countersAtOnce) {
+			t.Errorf("%d instances: %d count at once", n, at[0])
+		}
+		for wait, k := range at {
+			if k > countersAtOnce {
+				t.Errorf("%d instances: %d count after %v", n, k, wait)
+			}
+		}
+	}
+	if listPause(7) != confirmPause || listPause(64) != 64*listPerInstance || listPause(3900) != maxListPause {
+		t.Errorf("pauses between lists: %v, %v, %v", listPause(7), listPause(64), listPause(3900))
+	}
+}
--- a/internal/primacy/vote.go
+++ b/internal/primacy/vote.go
@@ -121,6 +121,9 @@
 		r.log.Warn().Str("service", rec.Service).Str("database", rec.Primary).Uint64("token", rec.Token).Msg("The primary does not answer this instance.")
 	}
 	r.mu.Unlock()
+	if !r.awaitTurn(ctx, rec) {
+		return
+	}
 	registered, err := r.cfg.Store.Registrations(ctx)
 	if err == nil && !Quorum(registered, rec.Excluded, rec.Service, rec.Token) {
 		registered = r.withSuspicions(ctx, rec, registered)
@@ -132,6 +135,32 @@
 	r.compete(ctx, rec, registered, rankPause, false)
 }
 
+// awaitTurn spreads the instances that count votes: each list is as long as there
+// are instances, so that all of them listing at once costs the square. It reports
+// whether the record is still the same afterwards.
+func (r *Runner) awaitTurn(ctx context.Context, rec Record) bool {
+	r.mu.Lock()
+	wait := turn(r.known, r.cfg.Instance, rec.Service)
+	r.mu.Unlock()
+	if pause(ctx, wait) != nil {
+		return false
+	}
+	now, _, _ := r.cfg.Beliefs.Record(rec.Service)
+	return now.Revision == rec.Revision
+}
+
+// turn returns how long an instance waits before it counts the votes on a
+// service. The first ones wait for nothing.
+func turn(known []Registration, self, service string) time.Duration {
+	instances := make([]ownership.Instance, 0, len(known))
+	for _, reg := range known {
+		instances = append(instances, ownership.Instance{Name: reg.Instance})
+	}
+	order := ownership.Order(service, instances)
+	place := max(0, slices.IndexFunc(order, func(i ownership.Instance) bool { return i.Name == self }))
+	return time.Duration(place/countersAtOnce) * turnPause
+}
+
 func (r *Runner) clearSuspicion(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
