--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -32,6 +32,7 @@
 	Route    string  `json:"route"`
 	Service  string  `json:"service"`
 	Database string  `json:"database"`
+	Owner    string  `json:"owner"`
 	Code     string  `json:"code"`
 	Reason   string  `json:"reason"`
 	Error    string  `json:"error"`
@@ -136,6 +137,9 @@
 	if l.Database != "" {
 		add("Last database: %s, %d connections in use, %d requests queued, an exchange usually takes %.0f ms.", l.Database, l.InUse, l.Queued, l.Usual)
 	}
+	if l.Owner != "" {
+		add("It went through instance %s, which holds the connections to the database.", l.Owner)
+	}
 	if l.WaitFor != "" {
 		add("The database had to hold position %s.", l.WaitFor)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -9,7 +9,7 @@
 noise
 {"level":"info","instance":"b","part":"proxy","id":"r1","session":4,"kind":"write","route":"confirm","service":"ledger","attempts":1,"timeouts":1,"took_ms":801,"version":7,"reason":"sent and not answered","error":"database db-1 did not answer","ran":"unknown","database":"db-1","primary":true,"believed_primary":"db-1","term":1,"token":1,"phase":"serving","belief_age_ms":120,"code":"GB4001","time":"2026-12-04T07:00:00.500Z","message":"A request ended."}
 {"level":"info","instance":"b","part":"proxy","id":"r2","kind":"read","route":"browse","service":"ledger","attempts":0,"took_ms":800,"reason":"no usable database","error":"no database of service ledger can be used now","ran":"no","believed_primary":"db-1","phase":"replacing","belief_age_ms":80,"code":"GB2005","time":"2026-12-04T07:00:01.500Z","message":"A request ended."}
-{"level":"info","instance":"b","part":"proxy","id":"r3","kind":"read","route":"browse","service":"other","attempts":1,"took_ms":700,"wait_for":"3.9","database":"db-7","in_use":2,"queued":9,"usual_ms":40,"code":"ok","time":"2026-12-04T07:00:30.500Z","message":"A request ended."}
+{"level":"info","instance":"b","part":"proxy","id":"r3","kind":"read","route":"browse","service":"other","attempts":1,"took_ms":700,"wait_for":"3.9","database":"db-7","owner":"d","in_use":2,"queued":9,"usual_ms":40,"code":"ok","time":"2026-12-04T07:00:30.500Z","message":"A request ended."}
 `
 
 // Guards against a failed request whose cause can't be found by its id alone.
@@ -24,7 +24,7 @@
 	}{
 		{"r1", []string{"GB4001 (run: unknown)", "sent and not answered", "confirmed 120 ms before", "is replacing"}},
 		{"r2", []string{"GB2005 (run: no)", "no usable database", "phase replacing", "-0.5 s a"}},
-		{"r3", []string{"was served after 700 ms", "9 requests queued", "position 3.9", "nothing changed"}},
+		{"r3", []string{"was served after 700 ms", "9 requests queued", "through instance d", "position 3.9", "nothing changed"}},
 	} {
 		var out strings.Builder
 		if !Request(&out, lines, c.id) {
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -39,6 +39,9 @@
 		load := o.at.pool.Load()
 		e = e.Str("database", o.at.pool.Database().ID).Bool("primary", o.at.usesPrimary()).Int("in_use", load.InUse).
 			Int("queued", load.Queued).Dur("usual_ms", load.Usual)
+		if via := o.at.pool.Via(); via != "" {
+			e = e.Str("owner", via)
+		}
 	}
 	if !o.at.waitFor.IsZero() {
 		e = e.Stringer("wait_for", o.at.waitFor)
