Put loopback proxies into the soak

The soak harmed processes and stand-ins only; links could fail just as the stand-ins chose. Seeds from 2000 on run with a proxy before each database and between each instance and the store, and four kinds of faults more: silent both ways, deaf one way, slow by 20 to 320 ms, reset. A link that lost bytes is reset when its fault ends, as TCP never goes on after a gap. Every other of these seeds has 7 instances before 6 connections.

--- a/internal/standin/hosted/database.go
+++ b/internal/standin/hosted/database.go
@@ -12,12 +12,13 @@
 
 // Database is one database of a group. The group's lock protects it.
 type Database struct {
-	g     *Group
-	id    string
-	zone  string
-	addr  string
-	born  int64
-	slots chan struct{}
+	g      *Group
+	id     string
+	zone   string
+	addr   string
+	public string // as registered
+	born   int64
+	slots  chan struct{}
 
 	listener net.Listener
 	conns    map[net.Conn]string // by connection: who opened it
@@ -51,6 +52,12 @@
 		return err
 	}
 	d.listener, d.addr = l, l.Addr().String()
+	if d.public == "" {
+		d.public = d.addr
+		if d.g.cfg.Front != nil {
+			d.public = d.g.cfg.Front(d.id, d.addr)
+		}
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -77,7 +84,7 @@
 		role = "primary"
 	}
 	return map[string]any{
-		"service": d.g.cfg.Service, "address": d.addr, "zone": d.zone, "version": "v1", "capacity": d.g.cfg.Slots,
+		"service": d.g.cfg.Service, "address": d.public, "zone": d.zone, "version": "v1", "capacity": d.g.cfg.Slots,
 		"state": state, "cold_remaining_ms": 0, "db_role": role, "sequence": 1, "born": d.born,
 	}
 }
--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -37,9 +37,12 @@
 	Databases      int
 	Slots          int
 	MaxConnections int
-	Lag            time.Duration // of replicas
-	Work           time.Duration // of a statement
-	Promote        time.Duration // from the call to the lead
+	// Front returns the address under which a database is registered, given its
+	// id and the one at which it listens. Nil: they are the same.
+	Front   func(id, address string) string
+	Lag     time.Duration // of replicas
+	Work    time.Duration // of a statement
+	Promote time.Duration // from the call to the lead
 }
 
 // Group is a service's databases. It is safe for concurrent use.
--- a/test/hosted_cluster_test.go
+++ b/test/hosted_cluster_test.go
@@ -27,6 +27,7 @@
 type hostedCluster struct {
 	t         *testing.T
 	store     *hosted.Store
+	links     *links // nil: processes reach each other directly
 	groups    []*hosted.Group
 	instances []*process
 	addresses []string // of the callers' listeners
@@ -42,14 +43,21 @@
 // connections each.
 func startHostedWithLimit(t *testing.T, instances, services, limit int) *hostedCluster {
 	t.Helper()
-	h := &hostedCluster{t: t, store: hosted.NewStore()}
+	return startHostedBehind(t, nil, instances, services, limit)
+}
+
+// startHostedBehind starts a deployment with links to the databases and from
+// each instance to the store, unless links is nil.
+func startHostedBehind(t *testing.T, links *links, instances, services, limit int) *hostedCluster {
+	t.Helper()
+	h := &hostedCluster{t: t, store: hosted.NewStore(), links: links}
 	t.Cleanup(h.store.Close)
 	var routes []hosted.Route
 	limits := make(map[string]int)
 	for i := range services {
 		service := fmt.Sprintf("svc%d", i)
 		g, err := hosted.NewGroup(hosted.GroupConfig{
-			Service: service, Databases: 3, Slots: 2, MaxConnections: limit, Lag: 8 * time.Millisecond,
+			Service: service, Databases: 3, Slots: 2, MaxConnections: limit, Front: h.front, Lag: 8 * time.Millisecond,
 			Work: 2 * time.Millisecond, Promote: 200 * time.Millisecond,
 		}, h.store)
 		if err != nil {
@@ -78,6 +86,18 @@
 	return h
 }
 
+// front returns the address at which a process is reached, by a link of its own
+// if there are links.
+func (h *hostedCluster) front(id, address string) string {
+	if h.links == nil {
+		return address
+	}
+	return h.links.add(h.t, link{anyInstance, id}, address, 0)
+}
+
+// anyInstance stands for all instances on links that they share.
+const anyInstance = "instances"
+
 func (h *hostedCluster) addInstance(i int, promotions string) {
 	t := h.t
 	name := fmt.Sprintf("inst-%d", i)
@@ -85,6 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	store = h.front("store of "+name, store)
 	callers, inner := freeAddress(t), freeAddress(t)
 	settings := fmt.Sprintf("instance: %s\ndata_centre: z%d\nlisten_callers: %s\nlisten_ready: %s\nlisten_inner: %s\nstore: %s\n"+
 		"promotions: %s\nmemory_mb: 128\nmax_open_files: 1024\ngrace_period: 3s\ndrain_time: 7s\n",
--- a/test/hosted_soak_test.go
+++ b/test/hosted_soak_test.go
@@ -16,7 +16,7 @@
 
 // shortSeeds run with the ordinary tests. A seed that ever failed is kept in
 // regressionSeeds with its cause.
-var shortSeeds = []uint64{1, 2, 3, scarceSeeds + 1}
+var shortSeeds = []uint64{1, 2, scarceSeeds + 1, linkSeeds + 1}
 
 // regressionSeeds are seeds that failed once, with the cause.
 var regressionSeeds = map[uint64]string{}
@@ -25,7 +25,11 @@
 	// scarceSeeds is the first seed of deployments whose databases have fewer
 	// connections than there are instances.
 	scarceSeeds = 1000
-	soakTime    = 4 * time.Second // of faults, for each seed
+	// linkSeeds is the first seed of deployments with a loopback proxy before each
+	// database and between each instance and the store. Every other one has
+	// scarce connections.
+	linkSeeds = 2000
+	soakTime  = 4 * time.Second // of faults, for each seed
 	// soakGap is the longest pause between two faults, in milliseconds.
 	soakGap = 400
 	// soakHold is the longest duration of a fault, in milliseconds.
@@ -85,7 +89,11 @@
 		p.start(t)
 	}
 	storeFault := []hosted.Fault{hosted.Busy, hosted.Reset, hosted.Silent, hosted.Lost, hosted.Slow}[s.rng.IntN(5)]
-	switch s.rng.IntN(13) {
+	kinds := directFaults
+	if s.h.links != nil {
+		kinds += linkFaults
+	}
+	switch s.rng.IntN(kinds) {
 	case 0:
 		s.hold("kill", p.name, func() { p.signal(t, syscall.SIGKILL) }, restart)
 	case 1:
@@ -115,16 +123,62 @@
 		s.hold("silence to "+p.name, d.ID(), func() { d.SetDeafTo(p.name, true) }, func() { d.SetDeafTo(p.name, false) })
 	case 12:
 		s.hold("lose answers", d.ID(), func() { d.LoseAnswers(3 + s.rng.IntN(20)) }, func() { d.LoseAnswers(0); d.ResetConnections() })
+	case directFaults, directFaults + 1, directFaults + 2, directFaults + 3:
+		s.injectLink(t, s.rng.IntN(linkFaults), p, d)
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
-	var h *hostedCluster
-	if seed < scarceSeeds {
-		h = startHosted(t, 4, 2)
-	} else {
-		h = startHostedWithLimit(t, 7, 1, 6)
+const (
+	directFaults = 13 // kinds of faults of processes and stand-ins
+	linkFaults   = 4  // kinds of faults of links
+)
+
+// injectLink injects a fault of the link to a database or of one instance's link
+// to the store. A connection that lost bytes is reset when the fault ends, as
+// TCP never goes on after a gap.
+func (s *soak) injectLink(t *testing.T, kind int, p *process, d *hosted.Database) {
+	to := d.ID()
+	if s.rng.IntN(3) == 0 {
+		to = "store of " + p.name
 	}
+	l := link{anyInstance, to}
+	this := func(x link) bool { return x == l }
+	stream := []string{"upstream", "downstream"}[s.rng.IntN(2)]
+	delay := 20 + s.rng.IntN(300)
+	links := s.h.links
+	switch kind {
+	case 0:
+		s.hold("silent link", to, func() { links.cutLinks(t, this) }, func() { links.healLinks(t, this); links.reset(t, this) })
+	case 1:
+		s.hold("link deaf "+stream, to, func() { links.addToxic(t, l, "deaf", "timeout", stream, `{"timeout":0}`) },
+			func() { links.removeToxic(t, l, "deaf"); links.reset(t, this) })
+	case 2:
+		s.hold(fmt.Sprintf("link slow by %d ms %s", delay, stream), to,
+			func() {
+				links.addToxic(t, l, "slow", "latency", stream, fmt.Sprintf(`{"latency":%d,"jitter":%d}`, delay, delay/2))
+			},
+			func() { links.removeToxic(t, l, "slow") })
+	case 3:
+		s.hold("link reset", to, func() { links.reset(t, this) }, func() {})
+	}
+}
+
+// startSoak starts the deployment that a seed stands for.
+func startSoak(t *testing.T, seed uint64) *hostedCluster {
+	t.Helper()
+	var ls *links
+	if seed >= linkSeeds {
+		ls = newLinks()
+		t.Cleanup(ls.close)
+	}
+	if seed < scarceSeeds || (seed >= linkSeeds && seed%2 == 0) {
+		return startHostedBehind(t, ls, 4, 2, 4*4)
+	}
+	return startHostedBehind(t, ls, 7, 1, 6)
+}
+
+func runSoak(t *testing.T, seed uint64) {
+	h := startSoak(t, seed)
 	hist := &history{}
 	s := &soak{h: h, rng: rand.New(rand.NewPCG(seed, 77)), busy: make(map[string]bool)}
 	stop := runCallers(h, hist, 16, seed)
--- a/test/links_test.go
+++ b/test/links_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// addToxic puts a toxic on one link.
+func (ls *links) addToxic(t testing.TB, l link, name, kind, stream, attributes string) {
+	t.Helper()
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.toxic(t, ls.proxies[l], name, kind, stream, attributes)
+}
+
+// removeToxic takes a toxic off one link.
+func (ls *links) removeToxic(t testing.TB, l link, name string) {
+	t.Helper()
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if err := ls.proxies[l].Toxics.RemoveToxic(t.Context(), name); err != nil {
+		t.Logf("remove %s of %v: %v", name, l, err)
+	}
+}
+
 // cutLinks stalls all matching links in both directions: what is sent is lost
 // and nobody is told, as when packets are dropped.
 func (ls *links) cutLinks(t testing.TB, match func(link) bool) {
