Do not suspect a primary that is not listed yet

Cause: records are watched and come at once; databases come with a list, up to 1 s later. An instance that heard of a record first took the missing registration for a lost database. Each suspicion also made up to 64 direct questions per instance and service.

Change: a record may name an unknown database for 3 s, which is a list and its time limit. About a suspicion 8 others are asked first, and the rest only if a quarter of them share it. A request that an owner refused keeps its connection: each refusal closed and opened one.

Ruled out for the storm: the size of the configuration (78 routes).

The test failed with the former check: db-1 was replaced within 0.5 s of the change of the record.

--- a/internal/dbpool/fake_test.go
+++ b/internal/dbpool/fake_test.go
@@ -22,6 +22,7 @@
 	limit   int
 	open    int
 	most    int
+	total   int // connections opened
 	refused error
 	got     [][]statement.Command
 	answer  func(statement.Command) (statement.Answer, error)
@@ -43,6 +44,7 @@
 		return nil, result.Errorf(result.ConnectionsBusy, "full")
 	}
 	d.open++
+	d.total++
 	d.most = max(d.most, d.open)
 	return &fakeConn{db: d}, nil
 }
--- a/internal/dbpool/hop.go
+++ b/internal/dbpool/hop.go
@@ -33,6 +33,16 @@
 	Prioritize(r admission.Request)
 }
 
+// Return ends the lease of a request that an owner did not start. The connection
+// is kept if the owner works: a new one costs both sides more than a statement.
+func (l *Lease) Return(notSent *NotSentError) {
+	if refusedByOwner(notSent) {
+		l.Release()
+		return
+	}
+	l.Discard()
+}
+
 // Pass runs commands of another instance's session, which names prepared
 // statements as shapes does. An error means that the outcome is unknown; the
 // lease must be discarded then.
--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -176,4 +176,16 @@
 	if via, _ := x.use(t); via != "o1" {
 		t.Errorf("after a refusal for load requests go by %q", via)
 	}
+	p, _ := x.set.Pool("db-1")
+	before := x.owners["o1:1"].total
+	for range 5 {
+		l := acquire(t, p)
+		if _, err := l.Run(Exchange{Deadline: time.Now().Add(time.Second)}); !errors.As(err, &notSent) {
+			t.Fatalf("error %v", err)
+		}
+		l.Return(notSent)
+	}
+	if opened := x.owners["o1:1"].total - before; opened > 1 {
+		t.Errorf("%d connections to the owner were opened for 5 refusals", opened)
+	}
 }
--- a/internal/primacy/direct.go
+++ b/internal/primacy/direct.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +18,9 @@
 	// not said in the store where they stand, the store's fault is one of all and
 	// nothing can be agreed anyway.
 	maxDirect = 64
+	// sample is how many of them are asked about a suspicion at first. If less
+	// than a quarter of them share it, most of all do not.
+	sample = 8
 )
 
 // Vote is where an instance stands in the replacement of a primary. Instances
@@ -64,20 +69,36 @@
 	if len(silent) > maxDirect {
 		return out
 	}
-	var wg sync.WaitGroup
-	for _, i := range silent {
+	rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
+	first := silent[:min(sample, len(silent))]
+	if n := r.askSuspicions(ctx, rec, out, first); 4*n >= len(first) {
+		r.askSuspicions(ctx, rec, out, silent[len(first):])
+	}
+	return out
+}
+
+// askSuspicions asks some of the registered instances at once, adds what they
+// say, and returns how many share the suspicion.
+func (r *Runner) askSuspicions(ctx context.Context, rec Record, registered []Registration, which []int) int {
+	var (
+		wg    sync.WaitGroup
+		count atomic.Int64
+	)
+	for _, i := range which {
 		wg.Go(func() {
-			if v, ok := r.askVote(ctx, out[i], rec); ok && v.Suspects {
-				out[i].Suspects = maps.Clone(out[i].Suspects)
-				if out[i].Suspects == nil {
-					out[i].Suspects = make(map[string]uint64)
+			if v, ok := r.askVote(ctx, registered[i], rec); ok && v.Suspects {
+				count.Add(1)
+				suspects := maps.Clone(registered[i].Suspects)
+				if suspects == nil {
+					suspects = make(map[string]uint64)
 				}
-				out[i].Suspects[rec.Service] = rec.Token
+				suspects[rec.Service] = rec.Token
+				registered[i].Suspects = suspects
 			}
 		})
 	}
 	wg.Wait()
-	return out
+	return int(count.Load())
 }
 
 func (r *Runner) canAsk(reg Registration, rec Record) bool {
--- a/internal/primacy/direct_test.go
+++ b/internal/primacy/direct_test.go
@@ -109,13 +109,36 @@
 	}
 }
 
+// Guards against a primary that is replaced because instances heard of its record
+// before they listed it: 100 instances that started together replaced two.
+func TestUnknownPrimaryIsNotSuspectedAtOnce(t *testing.T) {
+	store, g := newFakeStore(), newFakeGroup()
+	all := startInstances(t, store, g, "a", "b")
+	g.mu.Lock()
+	g.members = g.members[1:]
+	g.mu.Unlock()
+	store.mu.Lock()
+	r := store.records["ledger"]
+	r.Token++
+	store.put(r)
+	store.mu.Unlock()
+	heard := time.Now()
+	for time.Since(heard) < unknownAfter/2 {
+		if promoted, _ := g.promotions(); len(promoted) != 0 || store.record().Phase != Serving {
+			t.Fatalf("promoted %v, record %+v after %v", promoted, store.record(), time.Since(heard))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	eventually(t, "a primary that stays unknown is replaced", leads(all, "db-2"))
+}
+
 // Guards against a question to each of thousands of instances when the store
 // refuses all of them, and against questions to excluded lives.
 func TestOnlyAFewInstancesAreAsked(t *testing.T) {
 	peers := &fakePeers{}
 	r := NewRunner(Config{Instance: "self", Peers: peers, Now: clock.SinceBoot, Log: zerolog.Nop()})
 	rec := Record{Service: "ledger", Revision: 5, Token: 1, Excluded: []string{"x-0"}}
-	for _, c := range []struct{ instances, asked int }{{1, 0}, {maxDirect + 1, maxDirect}, {maxDirect + 2, 0}} {
+	for _, c := range []struct{ instances, asked int }{{1, 0}, {5, 4}, {maxDirect + 1, sample}, {maxDirect + 2, 0}} {
 		peers.votes = 0
 		r.withSuspicions(t.Context(), rec, fleet(c.instances, "x"))
 		if peers.votes != c.asked {
--- a/internal/primacy/suspicion.go
+++ b/internal/primacy/suspicion.go
@@ -12,6 +12,11 @@
 // than 100 ms to be replaced when the database works.
 const suspectAfter = 150 * time.Millisecond
 
+// unknownAfter is how long a record may name a database that this instance does
+// not know before that counts as a failure. The news of a record comes at once
+// and that of a new database with a list, 1 s apart and 1.5 s long at most.
+const unknownAfter = 3 * time.Second
+
 // Quorum reports whether so many of the registered instances suspect the
 // primary under the token that it may be replaced: more than half. One instance
 // that lost its own path never suffices while others are registered.
--- a/internal/primacy/vote.go
+++ b/internal/primacy/vote.go
@@ -175,7 +175,7 @@
 // without an answer.
 func (r *Runner) suspects(ctx context.Context, rec Record) bool {
 	if _, ok := r.member(rec); !ok {
-		return true
+		return r.recordAge(rec.Service) > unknownAfter
 	}
 	since, troubled := r.cfg.Databases.Troubled(rec.Service, rec.Primary)
 	if !troubled || r.cfg.Now()-since < suspectAfter {
@@ -189,6 +189,13 @@
 	return troubled
 }
 
+// recordAge returns how long this instance has known the current record.
+func (r *Runner) recordAge(service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.Now() - r.seenAt[service]
+}
+
 // compete waits for this instance's turn among the registered ones and begins
 // the replacement unless somebody else did.
 func (r *Runner) compete(ctx context.Context, rec Record, registered []Registration, rank time.Duration, planned bool) {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -176,7 +176,7 @@
 		Variables: x.variables, Shape: q.shape, Begin: q.begin, Statement: q.st, WaitFor: t.waitFor, Deadline: deadline,
 	})
 	if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
-		lease.Discard()
+		lease.Return(notSent)
 		return x.notSent(q, t, notSent)
 	}
 	if err != nil {
