--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -23,7 +23,8 @@
 	settledAfter = 20 * time.Second
 )
 
-// SetConfig configures a Set. All fields but Metrics are required.
+// SetConfig configures a Set. Metrics and Owners may be nil, and DialOwner is used
+// with Owners only.
 type SetConfig struct {
 	Dial      Dial
 	Topology  *topology.Topology
