Look after pools and services that need it only

Cause: ten times a second each instance looked after each pool (five for a scarce database), worked out the owners of each database and started a check of each service.

Change: pools that are empty and have nothing to open are left alone, the owners of a database are kept until the known instances change, and a service whose primary answers and stays needs no check. Whether a pool is in trouble needs no clock while nothing is asked.

--- a/internal/dbpool/health.go
+++ b/internal/dbpool/health.go
@@ -42,6 +42,10 @@
 	}
 }
 
+// quiet reports that nothing failed and nothing is asked. It needs no clock, which
+// is a system call.
+func (h *health) quiet() bool { return h.failingSince == 0 && h.outstanding == 0 }
+
 // silent reports that requests have waited long without any answer.
 func (h *health) silent(now time.Duration) bool {
 	return h.outstanding > 0 && now-h.oldest > silentAfter
--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// needsMaintenance reports whether Maintain has anything to do. Most pools of a
+// large deployment are empty: with hundreds of databases, looking after each ten
+// times a second took most of a small machine's processor.
+func (p *Pool) needsMaintenance() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 || (p.sharing.Warm && p.open == 0) || (p.via != "" && p.health.failingSince != 0)
+}
+
 // maintainSoon maintains the pool unless that is under way.
 func (p *Pool) maintainSoon(ctx context.Context) {
 	if p.maintaining.CompareAndSwap(false, true) {
@@ -70,6 +79,9 @@
 func (p *Pool) Troubled() (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.health.quiet() {
+		return 0, false
+	}
 	return p.health.troubled(p.now())
 }
 
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -62,18 +62,20 @@
 // works reports that the last attempt did not fail. Maintain finds out when an
 // owner works again, so that no request has to.
 func (p *Pool) works() bool {
-	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.closed && p.health.failingSince == 0 && !p.health.silent(now)
+	return !p.closed && (p.health.quiet() || (p.health.failingSince == 0 && !p.health.silent(p.now())))
 }
 
 // failing returns since when the pool gets no answer, and when that was last
 // seen.
 func (p *Pool) failing() (since, last time.Duration, ok bool) {
-	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.health.quiet() {
+		return 0, 0, false
+	}
+	now := p.now()
 	since, ok = p.health.troubled(now)
 	last = p.health.lastFailure
 	if p.health.silent(now) {
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -59,7 +59,9 @@
 	for {
 		changed := s.cfg.Topology.Changed()
 		for _, p := range s.sync() {
-			p.maintainSoon(ctx)
+			if p.needsMaintenance() {
+				p.maintainSoon(ctx)
+			}
 		}
 		t := time.NewTimer(maintainPeriod)
 		select {
--- a/internal/primacy/owners.go
+++ b/internal/primacy/owners.go
@@ -49,9 +49,24 @@
 	return ownership.Order(self, owners), false
 }
 
+// ownersOf is a question to Owners and its answer.
+type ownersOf struct {
+	dataCentre string
+	limit      int
+	owners     []ownership.Instance
+	self       bool
+}
+
 // Owners is the function Owners for this instance and the instances it knows.
+// The answer is kept until these change; callers must not change it.
 func (r *Runner) Owners(id, dataCentre string, limit int) ([]ownership.Instance, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Owners(r.known, r.cfg.Instance, id, dataCentre, limit)
+	o, ok := r.owners[id]
+	if !ok || o.dataCentre != dataCentre || o.limit != limit {
+		owners, self := Owners(r.known, r.cfg.Instance, id, dataCentre, limit)
+		o = ownersOf{dataCentre, limit, owners, self}
+		r.owners[id] = o
+	}
+	return o.owners, o.self
 }
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -96,6 +96,7 @@
 		r.instances = max(1, len(registered))
 		r.relays = Relays(registered, r.cfg.Instance, r.cfg.DataCentre)
 		r.known, r.peers = registered, nil
+		clear(r.owners)
 		for _, reg := range registered {
 			if reg.Instance != r.cfg.Instance && reg.Address != "" {
 				r.peers = append(r.peers, reg.Address)
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -48,6 +48,7 @@
 	failedRounds int
 	relays       []ownership.Instance // nil: this instance asks the store
 	known        []Registration       // as last counted
+	owners       map[string]ownersOf  // by database; of the known instances
 	peers        []string             // addresses of the other instances
 	lastSeen     seen
 }
@@ -71,6 +72,7 @@
 		dirty:   make(chan struct{}, 1),
 		running: make(map[string]bool),
 		seenAt:  make(map[string]time.Duration),
+		owners:  make(map[string]ownersOf),
 	}
 }
 
--- a/internal/primacy/vote.go
+++ b/internal/primacy/vote.go
@@ -18,6 +18,9 @@
 			continue
 		}
 		for _, service := range r.cfg.Services() {
+			if r.calm(service) {
+				continue
+			}
 			r.mu.Lock()
 			busy := r.running[service]
 			r.running[service] = true
@@ -35,6 +38,27 @@
 	}
 }
 
+// calm reports that a service has a primary that stays and answers, and that this
+// instance has said nothing else, so that there is nothing to check. It is asked
+// for each service ten times a second and allocates little.
+func (r *Runner) calm(service string) bool {
+	rec, _, ok := r.cfg.Beliefs.Record(service)
+	if !ok || rec.Phase != Serving {
+		return false
+	}
+	m, ok := r.member(rec)
+	if !ok || m.Leaving {
+		return false
+	}
+	if _, troubled := r.cfg.Databases.Troubled(service, rec.Primary); troubled {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, suspected := r.reg.Suspects[service]
+	return !suspected
+}
+
 func (r *Runner) check(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, replaceLimit)
 	defer cancel()
