Share what the hop and the votes wrote again

Read once more as a whole. The turn of an instance that counts votes and the order in which instances compete worked out the same place, and both compared the record again: placeOf and unchanged serve both. A request of this instance and one of another checked the session's state with the same loop: checkSetup. Two branches of a session ran and reported a statement of the open transaction alike: runInTransaction. The addresses of the other instances were kept beside the registrations that they come from, and are now taken from these. errNotOwner stands where it is used.

Behaviour is unchanged; two tests set or read the kept registrations instead of the addresses, with the same assertions.

--- a/internal/dbpool/hop.go
+++ b/internal/dbpool/hop.go
@@ -65,10 +65,8 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, a := range answers[:len(setup)] {
-		if a.Err != nil {
-			return nil, fmt.Errorf("database %s refused the session's state: %w", l.pool.db.ID, a.Err)
-		}
+	if err := l.checkSetup(answers[:len(setup)]); err != nil {
+		return nil, err
 	}
 	return answers[len(setup):], nil
 }
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -311,10 +311,8 @@
 	if err != nil {
 		return statement.Answer{}, err
 	}
-	for _, a := range answers[:setup] {
-		if a.Err != nil {
-			return statement.Answer{}, fmt.Errorf("database %s refused the session's state: %w", l.pool.db.ID, a.Err)
-		}
+	if err := l.checkSetup(answers[:setup]); err != nil {
+		return statement.Answer{}, err
 	}
 	if x.Begin != nil && answers[setup].Err != nil {
 		return answers[setup], nil
@@ -328,6 +326,17 @@
 	return answers[len(answers)-1], nil
 }
 
+// checkSetup returns an error if the database refused a command that gives the
+// connection the session's state.
+func (l *Lease) checkSetup(answers []statement.Answer) error {
+	for _, a := range answers {
+		if a.Err != nil {
+			return fmt.Errorf("database %s refused the session's state: %w", l.pool.db.ID, a.Err)
+		}
+	}
+	return nil
+}
+
 func (l *Lease) do(deadline time.Time, commands []statement.Command) ([]statement.Answer, error) {
 	p := l.pool
 	began := p.now()
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -14,7 +14,6 @@
 
 	"geraniumbeam/internal/admission"
 	"geraniumbeam/internal/dbpool"
-	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 )
@@ -141,5 +140,3 @@
 func (h *conn) Abort() error { return sockets.Reset(h.net) }
 
 var _ dbpool.Prioritized = (*conn)(nil)
-
-var errNotOwner = result.Errorf(result.DatabaseDown, "the instance does not own the database")
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -29,6 +29,10 @@
 	answerMargin = 20 * time.Millisecond
 )
 
+// errNotOwner refuses work on a database that this instance does not own, or does
+// not own any more.
+var errNotOwner = result.Errorf(result.DatabaseDown, "the instance does not own the database")
+
 // Pools gives the pool of a database that this instance owns.
 type Pools interface {
 	Owned(id string) (*dbpool.Pool, bool)
@@ -156,7 +160,7 @@
 	deadline := time.Now().Add(r.Remaining)
 	pool, owned := p.s.Pools.Owned(p.id)
 	if p.lease == nil && (!owned || p.s.stopping.Load()) {
-		return reply{NotSent: plain(errNotOwner)}
+		return reply{NotSent: errNotOwner}
 	}
 	if len(r.Commands) == 1 && r.Commands[0].Op == statement.OpStatus {
 		return status(ctx, pool, r)
--- a/internal/primacy/direct_test.go
+++ b/internal/primacy/direct_test.go
@@ -15,7 +15,7 @@
 		eventually(t, name+" knows the others", func() bool {
 			x.runner.mu.Lock()
 			defer x.runner.mu.Unlock()
-			return len(x.runner.peers) == len(all)-1
+			return len(x.runner.known) == len(all)
 		})
 	}
 	for _, name := range names {
@@ -55,7 +55,7 @@
 		peers := &fakePeers{reports: map[string]Report{"x:1": {Records: []Record{{Service: "ledger", Revision: 5, Phase: Serving}}, Age: c.age}}}
 		b := NewBeliefs("self", validity, clock.SinceBoot)
 		r := NewRunner(Config{Instance: "self", Peers: peers, Beliefs: b, Now: clock.SinceBoot, Log: zerolog.Nop()})
-		r.peers = []string{"x:1"}
+		r.known = []Registration{{Instance: "x", Address: "x:1"}}
 		if got := r.renewFromPeers(t.Context()); got != c.touch {
 			t.Errorf("a peer that asked the store %v ago: in touch %v, want %v", c.age, got, c.touch)
 		}
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -75,8 +75,8 @@
 	firstCount  = 1500 * time.Millisecond
 )
 
-// countLoop keeps the number of instances, which shares out connections, the
-// relays and the addresses of the others.
+// countLoop keeps the registered instances, whose number shares out connections,
+// and the relays.
 func (r *Runner) countLoop(ctx context.Context) {
 	waits := []time.Duration{0, firstCount}
 	for wait := time.Duration(0); pause(ctx, wait) == nil; {
@@ -95,13 +95,8 @@
 		r.mu.Lock()
 		r.instances = max(1, len(registered))
 		r.relays = Relays(registered, r.cfg.Instance, r.cfg.DataCentre)
-		r.known, r.peers = registered, nil
+		r.known = registered
 		clear(r.owners)
-		for _, reg := range registered {
-			if reg.Instance != r.cfg.Instance && reg.Address != "" {
-				r.peers = append(r.peers, reg.Address)
-			}
-		}
 		if v := validityOf(r.relays != nil); v != r.reg.Validity {
 			r.reg.Validity = v
 			r.markDirty()
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -143,11 +143,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var some []string
-	for _, i := range rand.Perm(len(r.peers)) {
+	for _, i := range rand.Perm(len(r.known)) {
 		if len(some) == fallbackPeers {
 			break
 		}
-		some = append(some, r.peers[i])
+		if reg := r.known[i]; reg.Instance != r.cfg.Instance && reg.Address != "" {
+			some = append(some, reg.Address)
+		}
 	}
 	return some
 }
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -49,7 +49,6 @@
 	relays       []ownership.Instance // nil: this instance asks the store
 	known        []Registration       // as last counted
 	owners       map[string]ownersOf  // by database; of the known instances
-	peers        []string             // addresses of the other instances
 	lastSeen     seen
 }
 
--- a/internal/primacy/vote.go
+++ b/internal/primacy/vote.go
@@ -166,13 +166,22 @@
 	r.mu.Lock()
 	wait := turn(r.known, r.cfg.Instance, rec.Service)
 	r.mu.Unlock()
-	if pause(ctx, wait) != nil {
-		return false
-	}
+	return pause(ctx, wait) == nil && r.unchanged(rec)
+}
+
+// unchanged reports that the newest known record of the service is still rec.
+func (r *Runner) unchanged(rec Record) bool {
 	now, _, _ := r.cfg.Beliefs.Record(rec.Service)
 	return now.Revision == rec.Revision
 }
 
+// placeOf returns the place of an instance in the rendezvous order of a service,
+// from 0; one that is not among them is first.
+func placeOf(self, service string, instances []ownership.Instance) int {
+	order := ownership.Order(service, instances)
+	return max(0, slices.IndexFunc(order, func(i ownership.Instance) bool { return i.Name == self }))
+}
+
 // turn returns how long an instance waits before it counts the votes on a
 // service. The first ones wait for nothing.
 func turn(known []Registration, self, service string) time.Duration {
@@ -180,9 +189,7 @@
 	for _, reg := range known {
 		instances = append(instances, ownership.Instance{Name: reg.Instance})
 	}
-	order := ownership.Order(service, instances)
-	place := max(0, slices.IndexFunc(order, func(i ownership.Instance) bool { return i.Name == self }))
-	return time.Duration(place/countersAtOnce) * turnPause
+	return time.Duration(placeOf(self, service, instances)/countersAtOnce) * turnPause
 }
 
 func (r *Runner) clearSuspicion(service string) {
@@ -230,12 +237,8 @@
 		}
 		instances = append(instances, ownership.Instance{Name: reg.Instance})
 	}
-	order := ownership.Order(rec.Service, instances)
-	place := max(0, slices.IndexFunc(order, func(i ownership.Instance) bool { return i.Name == r.cfg.Instance }))
-	if pause(ctx, time.Duration(place)*rank) != nil {
-		return
-	}
-	if now, _, _ := r.cfg.Beliefs.Record(rec.Service); now.Revision != rec.Revision {
+	place := placeOf(r.cfg.Instance, rec.Service, instances)
+	if pause(ctx, time.Duration(place)*rank) != nil || !r.unchanged(rec) {
 		return
 	}
 	r.carryOut(ctx, rec, planned)
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -309,13 +309,7 @@
 		return x.refuse(st, result.Errorf(result.RolledBack, "the transaction had failed"))
 	}
 	q := x.request(st, x.tx.route)
-	var o outcome
-	if x.tx.lease == nil {
-		o = x.runFirst(q)
-	} else {
-		o = x.runPinned(q)
-	}
-	x.report(q, o)
+	o := x.runInTransaction(q)
 	if x.tx != nil && x.tx.lease != nil {
 		if o.answer.Err == nil && o.answer.State == statement.Idle {
 			x.tx.lease.Release()
@@ -349,13 +343,7 @@
 	if e := x.resolve(q); e != nil {
 		return x.refuse(st, e)
 	}
-	var o outcome
-	if x.tx.lease == nil {
-		o = x.runFirst(q)
-	} else {
-		o = x.runPinned(q)
-	}
-	x.report(q, o)
+	o := x.runInTransaction(q)
 	if o.answer.Err != nil {
 		x.failTransaction()
 		o.answer.State = statement.Failed
@@ -381,3 +369,15 @@
 
 // callerName names the session for fair queueing.
 func (x *session) callerName() string { return strconv.FormatUint(x.number, 36) }
+
+// runInTransaction runs a statement of the open transaction, which has no
+// connection before its first one, and reports it.
+func (x *session) runInTransaction(q *request) outcome {
+	run := x.runPinned
+	if x.tx.lease == nil {
+		run = x.runFirst
+	}
+	o := run(q)
+	x.report(q, o)
+	return o
+}
