--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,12 +1,11 @@
 // Package peer implements the HTTP protocol by which instances exchange what they
-// know of the store. Relays, the instances that query the store for their data
-// centre, return the latest snapshot of the records and its age. Instances that
-// the store does not answer can be sent a record and asked for their vote
-// directly.
+// know of the store. An instance gets the records of the primaries and the listing
+// of the topology, with their age, from its upstream, which holds the request until
+// there is something new. Instances that the store does not answer can be sent a
+// record and asked for their vote directly.
 //
-// Invariant: the age counts from when the relay sent its request to the store, on
-// a clock that includes suspended time, so a snapshot never appears newer than it
-// is.
+// Invariant: ages count from the request to the store, on clocks that include
+// suspended time, so a snapshot never appears newer than it is.
 package peer
 
 import (
@@ -16,41 +15,34 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"geraniumbeam/internal/primacy"
 )
 
 // Paths of the protocol.
 const (
-	PathPrefix  = "/peer/"
-	PathRecords = "/peer/records"
-	PathVote    = "/peer/vote"
+	PathPrefix   = "/peer/"
+	PathSnapshot = "/peer/snapshot"
+	PathVote     = "/peer/vote"
 )
 
-// maxBodyBytes limits a request or response body. A record has about 200 bytes.
+// maxBodyBytes limits a request or response body. A record and a route have about
+// 200 bytes each.
 const maxBodyBytes = 4 << 20
 
 // maxIdleConnsPerHost is how many idle connections to each peer are kept.
 const maxIdleConnsPerHost = 2
 
-// recordsResponse is the encoded form of a primacy.StoreSnapshot.
-type recordsResponse struct {
-	Records   []primacy.Record `json:"records"`
-	Revision  uint64           `json:"revision"`
-	AgeMicros int64            `json:"age_us"`
-}
-
 // Responder provides the data for responses to peers.
 type Responder interface {
-	StoreSnapshot() (primacy.StoreSnapshot, bool)
+	Snapshot(context.Context, primacy.SnapshotQuery) (primacy.StoreSnapshot, bool)
 	Vote(primacy.Record) primacy.Vote
 }
 
 // Handler serves requests of peers.
 func Handler(r Responder) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+PathRecords, recordsHandler(r.StoreSnapshot))
+	mux.Handle("POST "+PathSnapshot, snapshotHandler(r.Snapshot))
 	mux.Handle("POST "+PathVote, voteHandler(r.Vote))
 	return mux
 }
@@ -69,17 +61,23 @@
 	})
 }
 
-// recordsHandler responds with the snapshot, or with status 503 if there is none.
-func recordsHandler(snapshot func() (primacy.StoreSnapshot, bool)) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		s, ok := snapshot()
+// snapshotHandler responds with a snapshot, with status 503 if there is none, or with
+// status 400 if the body is not a valid query.
+func snapshotHandler(snapshot func(context.Context, primacy.SnapshotQuery) (primacy.StoreSnapshot, bool)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var q primacy.SnapshotQuery
+		if err := json.NewDecoder(io.LimitReader(req.Body, maxBodyBytes)).Decode(&q); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s, ok := snapshot(req.Context(), q)
 		if !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// A write error means that the peer disconnected; it will ask again.
-		_ = json.NewEncoder(w).Encode(recordsResponse{s.Records, s.Revision, s.Age.Microseconds()})
+		_ = json.NewEncoder(w).Encode(s)
 	})
 }
 
@@ -92,15 +90,19 @@
 }
 
 // FetchSnapshot implements primacy.Peers.
-func (c *Client) FetchSnapshot(ctx context.Context, address string) (primacy.StoreSnapshot, error) {
-	var resp recordsResponse
-	if err := c.call(ctx, http.MethodGet, address, PathRecords, nil, &resp); err != nil {
+func (c *Client) FetchSnapshot(ctx context.Context, address string, q primacy.SnapshotQuery) (primacy.StoreSnapshot, error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return primacy.StoreSnapshot{}, fmt.Errorf("encode snapshot query: %w", err)
+	}
+	var s primacy.StoreSnapshot
+	if err := c.call(ctx, http.MethodPost, address, PathSnapshot, body, &s); err != nil {
 		return primacy.StoreSnapshot{}, err
 	}
-	if resp.AgeMicros < 0 {
-		return primacy.StoreSnapshot{}, fmt.Errorf("fetch snapshot from peer %s: age %d µs is negative", address, resp.AgeMicros)
+	if s.Age < 0 || s.Held < 0 || s.ListingAge < 0 {
+		return primacy.StoreSnapshot{}, fmt.Errorf("fetch snapshot from peer %s: age %v, hold time %v or listing age %v is negative", address, s.Age, s.Held, s.ListingAge)
 	}
-	return primacy.StoreSnapshot{Records: resp.Records, Revision: resp.Revision, Age: time.Duration(resp.AgeMicros) * time.Microsecond}, nil
+	return s, nil
 }
 
 // Vote implements primacy.Peers.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,15 +9,18 @@
 	"time"
 
 	"geraniumbeam/internal/primacy"
+	"geraniumbeam/internal/topology"
 )
 
 type fakeResponder struct {
-	snapshot func() (primacy.StoreSnapshot, bool)
+	snapshot func(primacy.SnapshotQuery) (primacy.StoreSnapshot, bool)
 	vote     func(primacy.Record) primacy.Vote
 }
 
-func (f fakeResponder) StoreSnapshot() (primacy.StoreSnapshot, bool) { return f.snapshot() }
-func (f fakeResponder) Vote(r primacy.Record) primacy.Vote           { return f.vote(r) }
+func (f fakeResponder) Snapshot(_ context.Context, q primacy.SnapshotQuery) (primacy.StoreSnapshot, bool) {
+	return f.snapshot(q)
+}
+func (f fakeResponder) Vote(r primacy.Record) primacy.Vote { return f.vote(r) }
 
 // Guards against encoding a record or a vote incompletely, and against accepting an
 // empty record.
@@ -37,28 +40,45 @@
 	}
 }
 
-// Guards against encoding records or their age incompletely, and against accepting
-// a response without a snapshot or with a negative age.
+// Guards against encoding a query, records, a listing or an age incompletely, and
+// against accepting a response without a snapshot or with a negative age.
 func TestSnapshotRoundTrip(t *testing.T) {
 	want := primacy.StoreSnapshot{
 		Records:  []primacy.Record{{Service: "ledger", Revision: 7, Token: 2, Phase: primacy.Serving, Primary: "db-1", Term: 3, Excluded: []string{"x"}}},
-		Revision: 12, Age: 345 * time.Microsecond,
+		Revision: 12, Age: 345 * time.Microsecond, Held: 2 * time.Millisecond, Process: "a#1", Sequence: 4, RecordsVersion: 5,
+		Listing: &topology.Listing{
+			Configuration: topology.Configuration{
+				Version: 3, Routes: map[string]topology.Route{"browse": {Database: "browse", Service: "ledger", Consistency: topology.BoundedAge, Timeout: time.Second}},
+				Services: map[string]topology.Service{"ledger": {Name: "ledger", MaxConnections: 16}},
+			},
+			Databases:             []topology.Database{{ID: "db-1", Service: "ledger", Address: "h:1", Leaving: true, Primary: true, StartMillis: 77}},
+			ConfigurationRevision: 11, DatabasesRevision: 12, Content: 1<<63 + 1,
+		},
+		ListingAge: time.Second,
 	}
+	query := primacy.SnapshotQuery{Process: "a#1", After: 3, Records: 4, Content: 1 << 62, Wait: time.Second}
 	known := true
-	srv := httptest.NewServer(Handler(fakeResponder{snapshot: func() (primacy.StoreSnapshot, bool) { return want, known }}))
+	var received primacy.SnapshotQuery
+	srv := httptest.NewServer(Handler(fakeResponder{snapshot: func(q primacy.SnapshotQuery) (primacy.StoreSnapshot, bool) {
+		received = q
+		return want, known
+	}}))
 	defer srv.Close()
 	address := strings.TrimPrefix(srv.URL, "http://")
-	got, err := NewClient().FetchSnapshot(context.Background(), address)
-	if err != nil || got.Revision != 12 || got.Age != want.Age || len(got.Records) != 1 ||
-		got.Records[0].Primary != "db-1" || got.Records[0].Token != 2 || got.Records[0].Excluded[0] != "x" {
-		t.Errorf("got %+v, %v", got, err)
+	got, err := NewClient().FetchSnapshot(context.Background(), address, query)
+	if err != nil || !reflect.DeepEqual(got, want) || received != query {
+		t.Errorf("got %+v, %v; received %+v", got, err, received)
 	}
 	known = false
-	if _, err := NewClient().FetchSnapshot(context.Background(), address); err == nil {
+	if _, err := NewClient().FetchSnapshot(context.Background(), address, query); err == nil {
 		t.Error("an instance without a snapshot returns one")
 	}
-	want.Age, known = -time.Second, true
-	if _, err := NewClient().FetchSnapshot(context.Background(), address); err == nil {
-		t.Error("a negative age is accepted")
+	known = true
+	for _, field := range []*time.Duration{&want.Age, &want.Held, &want.ListingAge} {
+		*field = -time.Second
+		if _, err := NewClient().FetchSnapshot(context.Background(), address, query); err == nil {
+			t.Error("a negative time is accepted")
+		}
+		*field = 0
 	}
 }
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -87,8 +87,9 @@
 		Promotions: cfg.Promotions, Cache: i.records, Services: i.services, Now: clock.SinceBoot,
 		Log:                cfg.Log.With().Str("part", "primacy").Logger(),
 		OnStoreUnavailable: func() { i.topology.StoreUnavailable(clock.SinceBoot()) },
-		OnRevision:         i.syncer.ObserveRevision,
+		Listings:           i.syncer,
 	})
+	i.syncer.OnListing = i.primacy.NotifyListing
 	i.proxy = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, MaxSessions: cfg.MaxSessions, Topology: i.topology, Records: i.records,
 		Pools: i.pools, Now: clock.SinceBoot, Log: cfg.Log.With().Str("part", "proxy").Logger(),
--- a/internal/primacy/failover.go
+++ b/internal/primacy/failover.go
@@ -66,7 +66,7 @@
 	switch {
 	case !ok:
 		r.bootstrap(ctx, service)
-	case r.cfg.Now()-confirmed > relayedValidity:
+	case r.cfg.Now()-confirmed > recordValidity:
 		// The store is unavailable, so no replacement can be agreed.
 	case rec.Phase == Replacing:
 		r.takeOver(ctx, rec)
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -13,6 +13,7 @@
 
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/statement"
+	"geraniumbeam/internal/topology"
 )
 
 // fakeStore keeps records and registrations in memory. The hooks before and after
@@ -194,6 +195,35 @@
 	return v.fakeStore.Register(ctx, r)
 }
 
+// fakeListings records the calls of a runner. The zero value has no listing.
+type fakeListings struct {
+	mu        sync.Mutex
+	listing   *topology.Listing
+	currentAt time.Duration
+	adopted   []*topology.Listing
+	relayed   bool
+}
+
+func (f *fakeListings) Listing() (*topology.Listing, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listing, f.currentAt
+}
+
+func (f *fakeListings) Adopt(l *topology.Listing, currentAt time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.adopted, f.currentAt = append(f.adopted, l), currentAt
+}
+
+func (f *fakeListings) SetRelayed(relayed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayed = relayed
+}
+
+func (f *fakeListings) ObserveRevision(uint64, time.Duration) {}
+
 // network passes requests between the instances of a test. Their names serve as
 // addresses.
 type network struct {
@@ -212,12 +242,12 @@
 	return r, nil
 }
 
-func (n *network) FetchSnapshot(_ context.Context, address string) (StoreSnapshot, error) {
+func (n *network) FetchSnapshot(ctx context.Context, address string, q SnapshotQuery) (StoreSnapshot, error) {
 	r, err := n.runner(address)
 	if err != nil {
 		return StoreSnapshot{}, err
 	}
-	snapshot, ok := r.StoreSnapshot()
+	snapshot, ok := r.Snapshot(ctx, q)
 	if !ok {
 		return StoreSnapshot{}, errStoreDown
 	}
@@ -365,7 +395,7 @@
 			Instance: name, Address: name, Peers: peers, Incarnation: name, Store: storeView{store, refused},
 			Databases: databaseView{g, name}, Promotions: g, Cache: cache,
 			Services: func() []string { return []string{"ledger"} }, Now: clock.SinceBoot, Log: zerolog.Nop(),
-			OnStoreUnavailable: func() {}, OnRevision: func(uint64) {},
+			OnStoreUnavailable: func() {}, Listings: &fakeListings{},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/internal/primacy/record_cache.go
+++ b/internal/primacy/record_cache.go
@@ -36,6 +36,7 @@
 	entries      map[string]*cachedRecord // by service
 	incarnation  string
 	registeredAt time.Duration // when the current incarnation was registered
+	version      uint64        // grows with each change of a record
 	changed      chan struct{}
 }
 
@@ -67,6 +68,7 @@
 		c.entries[r.Service] = old
 	}
 	old.record = r
+	c.version++
 	c.notify()
 	return true
 }
@@ -159,6 +161,18 @@
 	return s.record, s.confirmedAt, true
 }
 
+// Records returns the newest known records, and a version that grows with each
+// change of them.
+func (c *RecordCache) Records() (records []Record, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]Record, 0, len(c.entries))
+	for _, s := range c.entries {
+		all = append(all, s.record)
+	}
+	return all, c.version
+}
+
 // SetValidity changes how long a confirmed record may be used. A longer validity
 // must be published in the registration before it is set here.
 func (c *RecordCache) SetValidity(d time.Duration) {
--- a/internal/primacy/record_cache_test.go
+++ b/internal/primacy/record_cache_test.go
@@ -232,13 +232,16 @@
 // replacement that is taken over before its promoter has finished waiting: it
 // would be taken over again and again and never complete.
 func TestTimeoutsAreConsistent(t *testing.T) {
-	if directValidity < 2*renewInterval+renewTimeout {
+	if recordValidity < 2*renewInterval+renewTimeout {
 		t.Error("a lost renewal ends the use of a primary")
 	}
-	if relayedValidity < relayMaxAge+2*renewInterval+2*relayTimeout {
-		t.Error("a lost relay ends the use of a primary")
+	if recordValidity < memberWait+upstreamTimeout+renewTimeout+peerTimeout+2*upstreamInterval {
+		t.Error("an upstream and the store that are lost together end the use of a primary before the databases are asked")
 	}
-	if takeoverTimeout < relayedValidity+validityMargin+replacementTime {
+	if headWait+upstreamTimeout >= memberWait+upstreamTimeout {
+		t.Error("all instances query the store when the one at the top of the tree fails")
+	}
+	if takeoverTimeout < recordValidity+validityMargin+replacementTime {
 		t.Error("a replacement is taken over before its promoter has finished waiting")
 	}
 }
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -50,6 +51,7 @@
 	r.published = publishedState{stored.Incarnation, stored.Validity}
 	if known != stored.Incarnation {
 		r.cfg.Cache.SetIncarnation(stored.Incarnation)
+		r.askStore = true
 	}
 	return nil
 }
@@ -75,10 +77,13 @@
 	// first list still shows the registrations of the previous processes.
 	instancesInterval = 10 * time.Second
 	secondListDelay   = 1500 * time.Millisecond
+	// emptyListDelay is the delay after a list that shows no instances. Those of a
+	// new deployment start within 300 ms of each other.
+	emptyListDelay = 400 * time.Millisecond
 )
 
 // instancesLoop lists the registered instances and derives from them the number
-// of instances, by which connections are divided, and the relays.
+// of instances, by which connections are divided, and the upstreams.
 func (r *Runner) instancesLoop(ctx context.Context) {
 	waits := []time.Duration{0, secondListDelay}
 	for wait := time.Duration(0); sleep(ctx, wait) == nil; {
@@ -94,15 +99,40 @@
 			wait = maxBackoff
 			continue
 		}
-		r.mu.Lock()
-		r.instanceCount = max(1, len(registered))
-		r.relays = Relays(registered, r.cfg.Instance, r.cfg.DataCentre)
-		r.knownInstances = registered
-		clear(r.ownersCache)
-		if v := validityOf(r.relays != nil); v != r.reg.Validity {
-			r.reg.Validity = v
-			r.markDirty()
+		if len(registered) == 0 {
+			wait = emptyListDelay // the upstreams are not known yet
+			continue
 		}
-		r.mu.Unlock()
+		r.setInstances(ctx, registered)
+	}
+}
+
+// setInstances takes over a list of the registered instances.
+func (r *Runner) setInstances(ctx context.Context, registered []Registration) {
+	r.mu.Lock()
+	first := !r.roleKnown
+	r.instanceCount = max(1, len(registered))
+	r.knownInstances = registered
+	clear(r.ownersCache)
+	ordered := Upstreams(registered, r.cfg.Instance, r.cfg.DataCentre)
+	changed := first || !slices.Equal(ordered, r.upstreams.ordered)
+	relayed := r.upstreams.set(ordered)
+	r.roleKnown = true
+	if changed {
+		close(r.roleChanged)
+		r.roleChanged = make(chan struct{})
+	}
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	names := make([]string, 0, len(ordered))
+	for _, u := range ordered {
+		names = append(names, u.Name)
+	}
+	r.log.Info().Strs("upstreams", names).Int("instances", len(registered)).Msg("The upstreams of this instance changed.")
+	if first && relayed {
+		r.fetchUpstream(ctx, ordered[0], SnapshotQuery{})
 	}
+	r.cfg.Listings.SetRelayed(relayed)
 }
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -8,21 +8,28 @@
 	"time"
 
 	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/topology"
 )
 
 const (
-	// minInstancesForRelays is the number of instances in a data centre from which
-	// most of them ask relays instead of the store.
-	minInstancesForRelays = 6
-	// instancesPerRelay limits the load of a relay to 40 requests per second.
-	instancesPerRelay = 16
-	// minRelays is the minimum number of relays per data centre, so that the loss
-	// of one relay does not cut its clients off.
-	minRelays = 2
-	// relayTimeout bounds a request to a relay in the same data centre.
-	relayTimeout = 120 * time.Millisecond
-	// relayMaxAge is the age above which a relay's snapshot is not used.
+	// headWait and memberWait are how long an upstream may hold a request while it
+	// has nothing new. An upstream in turn hears from the store each renewInterval.
+	// The first instances of the data centres give up first, so that the others,
+	// which wait for them, do not all query the store when the top of the tree
+	// fails.
+	headWait   = renewInterval + 50*time.Millisecond
+	memberWait = renewInterval + 150*time.Millisecond
+	// maxUpstreamWait bounds the wait that a request may ask for.
+	maxUpstreamWait = 2 * time.Second
+	// upstreamTimeout bounds the transfer of a response.
+	upstreamTimeout = 150 * time.Millisecond
+	// upstreamInterval is the minimum interval between two requests to an upstream.
+	upstreamInterval = 20 * time.Millisecond
+	// relayMaxAge is the age above which the state of an upstream or a peer is not
+	// used.
 	relayMaxAge = 900 * time.Millisecond
+	// peerTimeout bounds a request to a peer that does not wait.
+	peerTimeout = 120 * time.Millisecond
 	// fallbackPeerCount is how many peers an instance that can't reach the store
 	// asks at once for their latest snapshot. If the store refuses a third of the
 	// instances, at least one of three peers reaches it in 96 % of the rounds.
@@ -34,81 +41,218 @@
 	storeContactMaxAge = renewInterval + 100*time.Millisecond
 )
 
-// StoreSnapshot is the latest list of records that an instance read from the
-// store.
+// SnapshotQuery asks an instance for a StoreSnapshot. The zero value asks for the
+// whole current one.
+type SnapshotQuery struct {
+	// After and Records are the Sequence and the RecordsVersion of the latest
+	// snapshot that the requester has from the same process, Process.
+	Process        string
+	After, Records uint64
+	Content        uint64        // of the requester's listing
+	Wait           time.Duration // how long to wait for a snapshot after After
+}
+
+// StoreSnapshot is the state of the store as an instance knows it, directly or from
+// others.
 type StoreSnapshot struct {
-	Records  []Record
+	Records  []Record      // nil if the requester has them already
 	Revision uint64        // of the store
-	Age      time.Duration // since the instance sent its request to the store
+	Age      time.Duration // since the request to the store, when the response was sent
+	Held     time.Duration // between the arrival of the query and the response
+
+	Process        string // the responding process
+	Sequence       uint64 // grows with each change of the snapshot
+	RecordsVersion uint64 // grows with each change of Records
+
+	// Listing is nil if the instance has none. Its configuration and databases are
+	// left out if the requester has them already.
+	Listing    *topology.Listing
+	ListingAge time.Duration // since the listing was last known to be current
 }
 
 // Peers sends requests to other instances.
 type Peers interface {
 	// FetchSnapshot returns the latest snapshot of an instance.
-	FetchSnapshot(ctx context.Context, address string) (StoreSnapshot, error)
+	FetchSnapshot(ctx context.Context, address string, q SnapshotQuery) (StoreSnapshot, error)
 	// Vote sends a record to an instance and returns its vote on it.
 	Vote(ctx context.Context, address string, r Record) (Vote, error)
 }
 
-// storeAnswer is the latest answer of the store to this instance.
-type storeAnswer struct {
-	records  []Record
+// Listings holds the listing of the topology that instances exchange.
+type Listings interface {
+	// Listing returns the listing in use and when it was last known to be current.
+	Listing() (*topology.Listing, time.Duration)
+	// Adopt takes over the listing of another instance.
+	Adopt(l *topology.Listing, currentAt time.Duration)
+	// SetRelayed tells whether listings come from another instance.
+	SetRelayed(relayed bool)
+	// ObserveRevision records a revision that the store returned to a request that
+	// was sent at asked.
+	ObserveRevision(revision uint64, asked time.Duration)
+}
+
+// storeState is what this instance knows of the store, besides the records, which
+// are in the cache.
+type storeState struct {
 	revision uint64
-	asked    time.Duration // when the request was sent
+	asked    time.Duration // when the request to the store was sent; 0: none
+	sequence uint64
+	changed  chan struct{} // closed at the next change of sequence
 }
 
-// StoreSnapshot returns the latest records that this instance itself read from
-// the store, if they are not older than relayMaxAge.
-func (r *Runner) StoreSnapshot() (StoreSnapshot, bool) {
+// advance notes a change of the state. Runner.mu is held.
+func (s *storeState) advance() {
+	s.sequence++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// NotifyListing wakes the instances that wait for a snapshot, because the listing
+// has changed.
+func (r *Runner) NotifyListing() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	age := r.cfg.Now() - r.lastAnswer.asked
-	if r.lastAnswer.asked == 0 || age > relayMaxAge {
+	r.state.advance()
+}
+
+// Snapshot returns the state of the store as this instance knows it. It reports
+// false if that is older than relayMaxAge. With q.Wait it waits until there is a
+// newer one than the requester has.
+func (r *Runner) Snapshot(ctx context.Context, q SnapshotQuery) (StoreSnapshot, bool) {
+	arrived := r.cfg.Now()
+	r.awaitChange(ctx, q)
+	listing, current := r.cfg.Listings.Listing()
+	// The records are read after the state, so they are never older than it. Newer
+	// ones only make the snapshot newer than it claims.
+	r.mu.Lock()
+	state := r.state
+	r.mu.Unlock()
+	records, version := r.cfg.Cache.Records()
+	now := r.cfg.Now()
+	if state.asked == 0 || now-state.asked > relayMaxAge {
 		return StoreSnapshot{}, false
 	}
-	return StoreSnapshot{Records: r.lastAnswer.records, Revision: r.lastAnswer.revision, Age: age}, true
+	s := StoreSnapshot{
+		Revision: state.revision, Age: now - state.asked, Held: now - arrived,
+		Process: r.cfg.Incarnation, Sequence: state.sequence, RecordsVersion: version,
+	}
+	if q.Process != s.Process || q.Records != s.RecordsVersion {
+		s.Records = records
+	}
+	if listing != nil {
+		s.ListingAge = now - current
+		s.Listing = listing
+		if q.Content == listing.Content {
+			s.Listing = &topology.Listing{
+				ConfigurationRevision: listing.ConfigurationRevision, DatabasesRevision: listing.DatabasesRevision, Content: listing.Content,
+			}
+		}
+	}
+	return s, true
 }
 
-// Relays returns the relays of an instance, the instances of its data centre that
-// query the store for the others, in the order in which the instance should try
-// them. It returns nil if the instance must query the store itself.
-func Relays(registered []Registration, self, dataCentre string) []ownership.Instance {
-	var local []ownership.Instance
-	for _, reg := range registered {
-		if reg.DataCentre == dataCentre && reg.Address != "" {
-			local = append(local, ownership.Instance{Name: reg.Instance, Address: reg.Address})
-		}
+// awaitChange waits until the state differs from the one that the requester has.
+func (r *Runner) awaitChange(ctx context.Context, q SnapshotQuery) {
+	if q.Wait <= 0 || q.Process != r.cfg.Incarnation {
+		return
 	}
-	if len(local) < minInstancesForRelays {
-		return nil
+	// An instance that lost the store has nothing to wait for.
+	r.mu.Lock()
+	stale := r.cfg.Now()-r.state.asked > relayMaxAge
+	r.mu.Unlock()
+	if stale {
+		return
 	}
-	n := max(minRelays, (len(local)+instancesPerRelay-1)/instancesPerRelay)
-	relays := ownership.Order("relay "+dataCentre, local)[:n]
-	for _, x := range relays {
-		if x.Name == self {
-			return nil
+	t := time.NewTimer(min(q.Wait, maxUpstreamWait))
+	defer t.Stop()
+	for {
+		r.mu.Lock()
+		sequence, changed := r.state.sequence, r.state.changed
+		r.mu.Unlock()
+		if sequence != q.After {
+			return
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
-	return ownership.Order(self, relays)[:minRelays]
 }
 
-// renewFromRelays confirms the cached records from the snapshot of a relay.
-func (r *Runner) renewFromRelays(ctx context.Context) bool {
+// askedAt returns a lower bound of the time at which the store was asked for a
+// snapshot, on the clock of the requester: the responder sent its response not
+// before it had held the query, which it received after it was sent.
+func askedAt(s StoreSnapshot, sent, received time.Duration) time.Duration {
+	return min(sent+max(s.Held, 0), received) - s.Age
+}
+
+// renewFromUpstream confirms the cached records from the snapshot of an upstream and
+// takes over its listing.
+func (r *Runner) renewFromUpstream(ctx context.Context) bool {
 	r.mu.Lock()
-	relays := r.relays
+	upstream, ok := r.upstreams.pick(r.cfg.Now())
+	_, failedBefore := r.upstreams.failures[upstream.Address]
+	q := r.lastSnapshot
 	r.mu.Unlock()
-	for _, relay := range relays {
-		rctx, cancel := context.WithTimeout(ctx, relayTimeout)
-		asked := r.cfg.Now()
-		snapshot, err := r.cfg.Peers.FetchSnapshot(rctx, relay.Address)
-		cancel()
-		if err != nil || snapshot.Age > relayMaxAge {
-			continue // try the next relay; the caller falls back to the store
-		}
-		r.confirmRecords(snapshot.Records, snapshot.Revision, asked-snapshot.Age)
-		return true
+	if !ok {
+		return false
 	}
-	return false
+	switch {
+	case failedBefore:
+		q = SnapshotQuery{} // does not wait
+	case upstream.DataCentre != r.cfg.DataCentre:
+		q.Wait = headWait
+	default:
+		q.Wait = memberWait
+	}
+	ok = r.fetchUpstream(ctx, upstream, q)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if failedBefore == ok {
+		r.log.Info().Str("upstream", upstream.Name).Bool("provides", ok).Msg("The source of the store's state changed.")
+	}
+	r.upstreams.record(upstream.Address, ok, r.cfg.Now())
+	return ok
+}
+
+// fetchUpstream sends a query to an upstream and processes the snapshot. It reports
+// whether the snapshot is recent.
+func (r *Runner) fetchUpstream(ctx context.Context, upstream ownership.Instance, q SnapshotQuery) bool {
+	if l, _ := r.cfg.Listings.Listing(); l != nil {
+		q.Content = l.Content
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+upstreamTimeout)
+	defer cancel()
+	sent := r.cfg.Now()
+	s, err := r.cfg.Peers.FetchSnapshot(ctx, upstream.Address, q)
+	received := r.cfg.Now()
+	if err != nil {
+		r.log.Debug().Str("upstream", upstream.Name).Err(err).Msg("An upstream did not respond.")
+		return false
+	}
+	asked := askedAt(s, sent, received)
+	if received-asked > relayMaxAge {
+		return false
+	}
+	if s.Listing != nil {
+		r.cfg.Listings.Adopt(s.Listing, asked+s.Age-s.ListingAge)
+	}
+	if !r.isRegistered() {
+		return true // no record may be used yet
+	}
+	r.mu.Lock()
+	records := s.Records
+	if records == nil {
+		records = r.snapshotRecords
+	}
+	r.snapshotRecords = records
+	r.lastSnapshot = SnapshotQuery{Process: s.Process, After: s.Sequence, Records: s.RecordsVersion}
+	r.mu.Unlock()
+	r.confirmRecords(records, s.Revision, asked)
+	return true
 }
 
 // renewFromPeers confirms the cached records from the snapshots of a few peers.
@@ -118,19 +262,19 @@
 		wg        sync.WaitGroup
 		inContact atomic.Bool
 	)
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	for _, address := range r.randomPeers() {
 		wg.Go(func() {
-			asked := r.cfg.Now()
-			snapshot, err := r.cfg.Peers.FetchSnapshot(ctx, address)
-			if err != nil || snapshot.Age > relayMaxAge {
+			sent := r.cfg.Now()
+			s, err := r.cfg.Peers.FetchSnapshot(ctx, address, SnapshotQuery{})
+			if err != nil || s.Age > relayMaxAge {
 				return // the caller falls back to the databases
 			}
-			if snapshot.Age <= storeContactMaxAge {
+			if s.Age <= storeContactMaxAge {
 				inContact.Store(true)
 			}
-			for _, rec := range r.cfg.Cache.Confirm(snapshot.Records, asked-snapshot.Age) {
+			for _, rec := range r.cfg.Cache.Confirm(s.Records, askedAt(s, sent, r.cfg.Now())) {
 				r.recordChanged(rec, "told by a peer")
 			}
 		})
@@ -158,8 +302,13 @@
 // confirmRecords processes a complete list of records that was requested from the
 // store at asked.
 func (r *Runner) confirmRecords(records []Record, revision uint64, asked time.Duration) {
-	r.cfg.OnRevision(revision)
 	for _, rec := range r.cfg.Cache.Confirm(records, asked) {
 		r.recordChanged(rec, "listed")
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if asked > r.state.asked {
+		r.state.asked, r.state.revision = asked, revision
+		r.state.advance()
+	}
 }
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -8,7 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/topology"
 )
 
 // newRegistrations returns the registrations of n instances in a data centre.
@@ -21,41 +26,109 @@
 	return all
 }
 
-// Guards against a data centre in which all instances, or none, query the store.
-func TestRelaysOfADataCentre(t *testing.T) {
-	for _, c := range []struct{ instances, asking int }{{1, 1}, {5, 5}, {6, 2}, {16, 2}, {33, 3}, {433, 28}} {
-		all := append(newRegistrations(c.instances, "a"), newRegistrations(40, "b")...)
-		asking, served := 0, map[string]int{}
-		for _, reg := range all[:c.instances] {
-			relays := Relays(all, reg.Instance, "a")
-			if relays == nil {
-				asking++
-				continue
-			}
-			if len(relays) != minRelays {
-				t.Errorf("%s has %d relays", reg.Instance, len(relays))
-			}
-			served[relays[0].Name]++
-			for _, x := range relays {
-				if x.Name[0] != 'a' {
-					t.Errorf("%s asks %s in another data centre", reg.Instance, x.Name)
+// newFleet returns the registrations of n instances in data centres of similar size.
+func newFleet(n, dataCentres int) []Registration {
+	var all []Registration
+	for d := range dataCentres {
+		all = append(all, newRegistrations((n+d)/dataCentres, string(rune('a'+d)))...)
+	}
+	return all
+}
+
+// Guards against a number of instances that query the store that grows with the
+// fleet, as when hundreds of instances start together, and against instances that
+// no state reaches, whichever one of them is lost.
+func TestOneInstanceOfAFleetQueriesTheStore(t *testing.T) {
+	for _, c := range []struct{ instances, dataCentres int }{{1, 1}, {2, 2}, {7, 4}, {9, 4}, {64, 4}, {295, 6}, {517, 6}, {3900, 9}} {
+		all := newFleet(c.instances, c.dataCentres)
+		parents := make(map[string][]string)
+		children := make(map[string]int)
+		remote, direct := 0, 0
+		for _, reg := range all {
+			ups := Upstreams(all, reg.Instance, reg.DataCentre)
+			if len(ups) == 0 {
+				direct++
+			} else {
+				children[ups[0].Name]++
+				if ups[0].DataCentre != reg.DataCentre {
+					remote++
 				}
-				if Relays(all, x.Name, "a") != nil {
-					t.Errorf("%s is a relay and does not query the store", x.Name)
+			}
+			for _, u := range ups {
+				if u.Name == reg.Instance {
+					t.Errorf("%+v: %s is its own upstream", c, u.Name)
 				}
+				parents[reg.Instance] = append(parents[reg.Instance], u.Name)
 			}
 		}
-		if asking != c.asking {
-			t.Errorf("%d instances: %d query the store, want %d", c.instances, asking, c.asking)
+		if direct != 1 || remote != c.dataCentres-1 {
+			t.Errorf("%+v: %d instances query the store and %d another data centre", c, direct, remote)
+		}
+		for name, n := range children {
+			if n > fanOut+c.dataCentres-1 {
+				t.Errorf("%+v: %d instances ask %s first", c, n, name)
+			}
 		}
-		for name, n := range served {
-			if n > 3*instancesPerRelay {
-				t.Errorf("%d instances: %d ask %s first", c.instances, n, name)
+		checkReach(t, all, parents)
+	}
+}
+
+// checkReach checks that each instance is at most 5 steps from one that queries the
+// store, by its first upstream.
+func checkReach(t *testing.T, all []Registration, parents map[string][]string) {
+	t.Helper()
+	for _, reg := range all {
+		steps := 0
+		for at := reg.Instance; len(parents[at]) > 0; at = parents[at][0] {
+			if steps++; steps > 5 {
+				t.Fatalf("%s does not lead to the store: %v", reg.Instance, parents[reg.Instance])
 			}
 		}
 	}
 }
 
+// Guards against an instance that starts and queries the store only because the
+// others' list does not name it yet.
+func TestNewInstanceHasUpstreams(t *testing.T) {
+	all := newFleet(40, 4)
+	if ups := Upstreams(all, "new", "a"); len(ups) == 0 || ups[0].DataCentre != "a" {
+		t.Errorf("upstreams in a known data centre: %+v", ups)
+	}
+	if ups := Upstreams(all, "new", "z"); len(ups) == 0 {
+		t.Error("no upstreams in a new data centre")
+	}
+	if ups := Upstreams(nil, "new", "a"); len(ups) != 0 {
+		t.Errorf("upstreams of the first instance: %+v", ups)
+	}
+}
+
+// Guards against an upstream that failed and is asked again at once, and against one
+// that is never asked again.
+func TestFailedUpstreamIsAvoided(t *testing.T) {
+	var u upstreams
+	u.set([]ownership.Instance{{Name: "x", Address: "x:1"}, {Name: "y", Address: "y:1"}})
+	pick := func(now time.Duration) string { i, _ := u.pick(now); return i.Name }
+	u.record("x:1", false, 0)
+	if got := pick(upstreamRetryMin - 1); got != "y" {
+		t.Errorf("%q is asked after x failed", got)
+	}
+	u.record("y:1", false, 0)
+	if got := pick(upstreamRetryMin - 1); got != "" {
+		t.Errorf("%q is asked after both failed", got)
+	}
+	if got := pick(upstreamRetryMin); got != "x" {
+		t.Errorf("%q is asked after the back-off", got)
+	}
+	u.record("x:1", false, upstreamRetryMin)
+	if got := pick(2 * upstreamRetryMin); got != "y" {
+		t.Errorf("%q is asked; the back-off did not grow", got)
+	}
+	u.record("x:1", true, 2*upstreamRetryMin)
+	if got := pick(2 * upstreamRetryMin); got != "x" {
+		t.Errorf("%q is asked after x recovered", got)
+	}
+}
+
 // fakePeers returns fixed snapshots by address, and no votes. It counts the
 // requests.
 type fakePeers struct {
@@ -65,7 +138,7 @@
 	votes     int
 }
 
-func (f *fakePeers) FetchSnapshot(_ context.Context, address string) (StoreSnapshot, error) {
+func (f *fakePeers) FetchSnapshot(_ context.Context, address string, _ SnapshotQuery) (StoreSnapshot, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fetches++
@@ -83,37 +156,117 @@
 	return Vote{}, errors.New("unreachable")
 }
 
-// Guards against a validity that counts from the relay's response instead of the
-// relay's own request to the store, and against using a relay that lost the store
-// itself.
+// Guards against a validity that counts from the upstream's response instead of the
+// request to the store, and against using an upstream that lost the store itself.
 func TestRelayedRecordsKeepTheirAge(t *testing.T) {
-	store, g := newFakeStore(), newFakeGroup()
-	all := startInstances(t, store, g, "a")
-	r := all["a"].runner
-	all["a"].stop()
 	peers := &fakePeers{snapshots: map[string]StoreSnapshot{}}
-	r.cfg.Peers = peers
-	relays := newRegistrations(2, "x")
-	for _, x := range relays {
-		r.relays = append(r.relays, ownership.Instance{Name: x.Instance, Address: x.Address})
+	r := NewRunner(Config{
+		Instance: "self", Peers: peers, Cache: NewRecordCache("self", validity, clock.SinceBoot), Listings: &fakeListings{},
+		Now: clock.SinceBoot, Log: zerolog.Nop(),
+	})
+	r.published.incarnation = "self"
+	r.upstreams.set([]ownership.Instance{{Name: "x-0", Address: "x-0:1"}, {Name: "x-1", Address: "x-1:1"}})
+	rec := Record{Service: "ledger", Revision: 5, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
+	const age = 500 * time.Millisecond
+	peers.snapshots["x-1:1"] = StoreSnapshot{Records: []Record{rec}, Revision: 99, Age: age}
+	if r.renewFromUpstream(t.Context()) {
+		t.Fatal("an unreachable upstream provides the state")
 	}
-	rec := store.record()
-	rec.Revision += 10
-	peers.snapshots["x-1:1"] = StoreSnapshot{Records: []Record{rec}, Revision: 99, Age: 500 * time.Millisecond}
 	before := r.cfg.Now()
-	if !r.renewFromRelays(context.Background()) || peers.fetches != 2 {
-		t.Fatalf("the second relay was not used; %d were asked", peers.fetches)
+	if !r.renewFromUpstream(t.Context()) || peers.fetches != 2 {
+		t.Fatalf("the second upstream was not used; %d were asked", peers.fetches)
 	}
 	got, confirmed, _ := r.cfg.Cache.Record("ledger")
 	if got.Revision != rec.Revision {
 		t.Errorf("record %+v", got)
 	}
-	if age := r.cfg.Now() - confirmed; confirmed > before || age < 0 {
-		t.Errorf("confirmed at %v, asked at %v", confirmed, before)
+	if confirmed > r.cfg.Now()-age || confirmed < before-age {
+		t.Errorf("confirmed at %v; asked at %v for records of age %v", confirmed, before, age)
 	}
 	peers.snapshots["x-1:1"] = StoreSnapshot{Records: []Record{rec}, Age: relayMaxAge + 1}
-	if r.renewFromRelays(context.Background()) {
-		t.Error("the snapshot of a relay without the store is used")
+	if r.renewFromUpstream(t.Context()) {
+		t.Error("the snapshot of an upstream without the store is used")
+	}
+}
+
+// Guards against a snapshot that appears newer to the last instance of a chain than
+// it is, whatever the delays of the requests and responses, the time for which they
+// are held and the clocks of the instances, and against one that appears much older:
+// held requests must not count as age.
+func TestAgeAlongAChainOfInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		delay := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 400).Draw(t, name)) * ms
+		}
+		now := time.Hour           // true time
+		storeAsked := now          // true time of the request to the store
+		known := storeAsked        // the same, as the instance believes, on its own clock
+		var offset time.Duration   // of the instance's clock
+		var onTheWay time.Duration // sum of the delays of the queries
+		for range rapid.IntRange(1, 6).Draw(t, "instances") {
+			next := time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "clock")) * ms
+			query, held, response := delay("query"), delay("held"), delay("response")
+			sent := now + next
+			now += query + held
+			s := StoreSnapshot{Age: now + offset - known, Held: held}
+			now += response
+			known, offset, onTheWay = askedAt(s, sent, now+next), next, onTheWay+query
+			if believed := known - offset; believed > storeAsked || believed < storeAsked-onTheWay {
+				t.Fatalf("the store was asked at %v; the instance believes %v with %v of delays", storeAsked, believed, onTheWay)
+			}
+			now += delay("pause")
+		}
+	})
+}
+
+// Guards against a snapshot without records that confirms a record which the
+// requester has and the responder knows to be replaced.
+func TestSnapshotWithoutRecordsNamesTheirVersion(t *testing.T) {
+	store, g := newFakeStore(), newFakeGroup()
+	r := startInstances(t, store, g, "a")["a"].runner
+	full, ok := r.Snapshot(t.Context(), SnapshotQuery{})
+	if !ok || len(full.Records) != 1 {
+		t.Fatalf("%+v, %v", full, ok)
+	}
+	q := SnapshotQuery{Process: full.Process, Records: full.RecordsVersion, After: full.Sequence, Wait: time.Second}
+	if s, ok := r.Snapshot(t.Context(), q); !ok || s.Records != nil || s.Sequence == full.Sequence {
+		t.Errorf("%+v, %v: want a newer snapshot without records", s, ok)
+	}
+	rec := store.record()
+	rec.Revision, rec.Phase = rec.Revision+1, Replacing
+	r.applyRecord(rec, "test")
+	s, ok := r.Snapshot(t.Context(), q)
+	if !ok || len(s.Records) != 1 || s.Records[0].Phase != Replacing || s.RecordsVersion == full.RecordsVersion {
+		t.Errorf("%+v, %v: want the changed record", s, ok)
+	}
+	q.Process = "another"
+	if s, ok := r.Snapshot(t.Context(), q); !ok || s.Records == nil {
+		t.Errorf("%+v, %v: want records for a requester that comes from another process", s, ok)
+	}
+}
+
+// Guards against an instance that waits for an upstream which lost the store, and
+// against the use of records before the registration, of which no promoter knows.
+func TestSnapshotsBeforeRegistration(t *testing.T) {
+	rec := Record{Service: "ledger", Revision: 5, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
+	listing := &topology.Listing{Content: 3}
+	peers := &fakePeers{snapshots: map[string]StoreSnapshot{"x:1": {Records: []Record{rec}, Listing: listing}}}
+	cache, listings := NewRecordCache("self", validity, clock.SinceBoot), &fakeListings{}
+	r := NewRunner(Config{Instance: "self", DataCentre: "a", Peers: peers, Cache: cache, Listings: listings, Now: clock.SinceBoot, Log: zerolog.Nop()})
+	r.setInstances(t.Context(), []Registration{{Instance: "x", DataCentre: "a", Address: "x:1"}})
+	if _, ok := cache.Primary("ledger"); ok {
+		t.Error("a primary is used before the registration")
+	}
+	if len(listings.adopted) != 1 || !listings.relayed {
+		t.Errorf("adopted %v, relayed %v: want the upstream's listing", listings.adopted, listings.relayed)
+	}
+	r.state.asked = r.cfg.Now() - relayMaxAge - ms
+	began := time.Now()
+	if _, ok := r.Snapshot(t.Context(), SnapshotQuery{Process: r.cfg.Incarnation, Wait: 30 * time.Second}); ok {
+		t.Error("an instance without the store returns a snapshot")
+	}
+	if time.Since(began) > 20*time.Second {
+		t.Error("an instance without the store holds a query")
 	}
 }
 
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -17,8 +17,11 @@
 		wait := renewInterval
 		if !r.isRegistered() {
 			wait = checkInterval / 5
-		} else if err := r.renew(ctx); err == nil {
+		} else if relayed, err := r.renew(ctx); err == nil {
 			r.recordRound(true)
+			if relayed {
+				wait = upstreamInterval // the upstream holds the request
+			}
 		} else {
 			r.cfg.OnStoreUnavailable()
 			r.recordRound(r.renewFromPeers(ctx) || r.renewFromDatabases(ctx))
@@ -30,10 +33,23 @@
 	}
 }
 
-func (r *Runner) renew(ctx context.Context) error {
-	if r.renewFromRelays(ctx) {
-		return nil
+// renew confirms the cached records from an upstream, or else from the store. It
+// reports whether an upstream provided the state.
+func (r *Runner) renew(ctx context.Context) (relayed bool, err error) {
+	r.mu.Lock()
+	askStore := r.askStore
+	r.mu.Unlock()
+	if !askStore && r.renewFromUpstream(ctx) {
+		return true, nil
+	}
+	err = r.renewFromStore(ctx)
+	if err != nil && askStore && r.renewFromUpstream(ctx) {
+		return true, nil
 	}
+	return false, err
+}
+
+func (r *Runner) renewFromStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	asked := r.cfg.Now()
@@ -41,10 +57,11 @@
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	r.lastAnswer = storeAnswer{records, at, asked}
-	r.mu.Unlock()
 	r.confirmRecords(records, at, asked)
+	r.cfg.Listings.ObserveRevision(at, asked)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.askStore = false
 	return nil
 }
 
@@ -136,7 +153,7 @@
 func (r *Runner) isolated() bool { return r.failedRounds >= isolatedAfterRounds }
 
 // watchLoop watches the store for changed records, so that they arrive before the
-// next renewal.
+// next renewal. While this instance has upstreams, these do so.
 func (r *Runner) watchLoop(ctx context.Context) {
 	backoff := storeRetryDelay
 	for ctx.Err() == nil {
@@ -150,30 +167,49 @@
 	}
 }
 
+// watch passes on changed records from the latest renewal on, until this instance
+// has upstreams.
 func (r *Runner) watch(ctx context.Context) error {
-	lctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	records, at, err := r.cfg.Store.Records(lctx)
-	cancel()
-	if err != nil {
-		return err
-	}
-	for _, rec := range records {
-		r.applyRecord(rec, "listed")
-	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	after, changed, direct := r.watchStart()
+	if !direct {
+		return sleep(ctx, renewInterval)
+	}
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	for ctx.Err() == nil {
-		wctx, cancel := context.WithTimeout(ctx, watchTimeout+watchTimeoutMargin)
-		records, at, err = r.cfg.Store.WatchRecords(wctx, at, watchTimeout)
-		cancel()
+		wctx, wcancel := context.WithTimeout(ctx, watchTimeout+watchTimeoutMargin)
+		records, at, err := r.cfg.Store.WatchRecords(wctx, after, watchTimeout)
+		wcancel()
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
 		for _, rec := range records {
 			r.applyRecord(rec, "watched")
 		}
+		after = at
 	}
 	return nil
 }
 
+// watchStart returns the store's revision from which to watch and a channel that is
+// closed when the upstreams change. It reports false if this instance has upstreams,
+// does not know them yet, or has not heard from the store.
+func (r *Runner) watchStart() (after uint64, changed <-chan struct{}, direct bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.revision, r.roleChanged, r.roleKnown && len(r.upstreams.ordered) == 0 && r.state.asked != 0
+}
+
 // applyRecord stores a record in the cache if it is newer than the cached one.
 func (r *Runner) applyRecord(rec Record, how string) {
 	if r.cfg.Cache.Update(rec) {
@@ -190,6 +226,7 @@
 		Str("promoter", rec.Promoter).Str("candidate", rec.Candidate).Msg("The record of a service changed.")
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.state.advance()
 	r.recordSeenAt[rec.Service] = r.cfg.Now()
 	if rec.Phase == Replacing && r.reg.Stopped[rec.Service] < rec.Token {
 		r.reg.Stopped[rec.Service] = rec.Token
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"geraniumbeam/internal/ownership"
 )
 
 // Config holds the dependencies of a Runner. All fields are required.
@@ -24,10 +22,9 @@
 	Services    func() []string
 	Now         func() time.Duration // includes time spent suspended
 	Log         zerolog.Logger
-	// OnStoreUnavailable is called when a renewal request to the store fails, and
-	// OnRevision with the store's revision when one succeeds.
+	Listings    Listings
+	// OnStoreUnavailable is called when a renewal request to the store fails.
 	OnStoreUnavailable func()
-	OnRevision         func(revision uint64)
 }
 
 // Runner keeps an instance's record cache up to date, takes part in votes on
@@ -47,10 +44,19 @@
 	// failedRounds is the number of consecutive renewal rounds that confirmed
 	// nothing.
 	failedRounds   int
-	relays         []ownership.Instance    // nil: this instance queries the store itself
+	upstreams      upstreams
+	roleKnown      bool                    // the upstreams are known
+	roleChanged    chan struct{}           // closed when the upstreams change
 	knownInstances []Registration          // from the latest list
 	ownersCache    map[string]cachedOwners // by database; computed from knownInstances
-	lastAnswer     storeAnswer
+	state          storeState
+	// lastSnapshot identifies the latest snapshot of an upstream, and
+	// snapshotRecords are its records. Only renewLoop uses the latter.
+	lastSnapshot    SnapshotQuery
+	snapshotRecords []Record
+	// askStore is set while the records must be confirmed by the store itself,
+	// because the snapshots of others may date from before the registration.
+	askStore bool
 }
 
 // publishedState is the part of this instance's registration that the store has
@@ -74,6 +80,8 @@
 		checking:     make(map[string]bool),
 		recordSeenAt: make(map[string]time.Duration),
 		ownersCache:  make(map[string]cachedOwners),
+		roleChanged:  make(chan struct{}),
+		state:        storeState{changed: make(chan struct{})},
 	}
 }
 
--- a/internal/primacy/timing.go
+++ b/internal/primacy/timing.go
@@ -7,12 +7,11 @@
 const (
 	// renewInterval is the interval between two requests that confirm the records.
 	renewInterval = 400 * time.Millisecond
-	// directValidity is how long a confirmed record may be used, counted from when
-	// the request was sent. It covers one failed renewal and the status requests
-	// to databases that replace it.
-	directValidity = 1500 * time.Millisecond
-	// relayedValidity also covers the age of the records that a relay returns.
-	relayedValidity = 2200 * time.Millisecond
+	// recordValidity is how long a confirmed record may be used, counted from when
+	// the request to the store was sent. It covers an upstream that fails, a
+	// renewal that fails after it, and the status requests to databases that
+	// replace it.
+	recordValidity = 1500 * time.Millisecond
 	// storeDownRenewInterval is the interval between renewals while the store is
 	// unavailable. Together with renewTimeout it leaves room for one failed round
 	// within the validity.
@@ -51,7 +50,7 @@
 	// takeoverTimeout is how long a replacement may make no progress before
 	// another instance takes it over. It must exceed the time for which a promoter
 	// may wait.
-	takeoverTimeout = relayedValidity + validityMargin + replacementTime
+	takeoverTimeout = recordValidity + validityMargin + replacementTime
 	// replacementTime is how long a replacement may take besides the wait for the
 	// validity of cached records: control commands, the promotion and the wait for
 	// the promoted database to report that it is primary.
@@ -65,13 +64,5 @@
 	replaceTimeout = 15 * time.Second
 )
 
-// validityOf returns how long an instance may use a confirmed record.
-func validityOf(relayed bool) time.Duration {
-	if relayed {
-		return relayedValidity
-	}
-	return directValidity
-}
-
-// InitialValidity is the validity before other instances are known.
-const InitialValidity = directValidity
+// InitialValidity is the validity of an instance that has just started.
+const InitialValidity = recordValidity
--- /dev/null
+++ b/internal/topology/listing.go
@@ -0,0 +1,131 @@
+package topology
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Listing is the configuration and the registrations, as the store returned them.
+// Its JSON form, with the Go field names, is sent to other instances.
+type Listing struct {
+	Configuration Configuration
+	Databases     []Database
+	// ConfigurationRevision and DatabasesRevision are the store's revisions at
+	// which the two parts were read.
+	ConfigurationRevision, DatabasesRevision uint64
+	// Content identifies the configuration and the databases: listings with equal
+	// values differ in their revisions at most.
+	Content uint64
+}
+
+// Revision returns the store's revision up to which the listing is complete.
+func (l *Listing) Revision() uint64 { return min(l.ConfigurationRevision, l.DatabasesRevision) }
+
+// contentOf returns a hash of a configuration and registrations. Equal versions of a
+// configuration are equal.
+func contentOf(c Configuration, databases []Database) (uint64, error) {
+	encoded, err := json.Marshal(databases)
+	if err != nil {
+		return 0, fmt.Errorf("encode the registrations: %w", err)
+	}
+	h := xxhash.New()
+	_, _ = fmt.Fprintf(h, "%d ", c.Version) // a hash never fails to write
+	_, _ = h.Write(encoded)
+	return h.Sum64(), nil
+}
+
+// Listing returns the listing in use, and the time of the latest request that
+// showed that it was current. It returns nil before the first listing. The caller
+// must not modify it.
+func (s *Syncer) Listing() (*Listing, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listing, s.currentAt
+}
+
+// Adopt takes over a listing of another instance that was current at the given
+// time. The configuration and the databases of l are ignored if its content is the
+// one in use. If the other instance lags behind, the store is listed instead.
+func (s *Syncer) Adopt(l *Listing, currentAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listing != nil && l.Content == s.listing.Content {
+		s.confirm(l, currentAt)
+		return
+	}
+	switch {
+	case s.listing == nil && s.Now()-currentAt > maxRelayedAge:
+		// A process that has just started must not use databases that the others
+		// know to have left.
+		s.requestList()
+	case s.listing == nil || l.DatabasesRevision >= s.listing.DatabasesRevision:
+		s.apply(l, currentAt)
+	}
+}
+
+// confirm notes that the content in use is that of l, which was current at the
+// given time. s.mu is held.
+func (s *Syncer) confirm(l *Listing, at time.Duration) {
+	confirmed := *s.listing
+	confirmed.ConfigurationRevision = max(confirmed.ConfigurationRevision, l.ConfigurationRevision)
+	confirmed.DatabasesRevision = max(confirmed.DatabasesRevision, l.DatabasesRevision)
+	s.listing = &confirmed
+	s.currentAt = max(s.currentAt, at)
+	if s.Now()-s.currentAt > maxRelayedAge {
+		s.requestList()
+	}
+}
+
+// apply puts a listing in use that was current at the given time. s.mu is held.
+func (s *Syncer) apply(l *Listing, currentAt time.Duration) {
+	s.applyConfiguration(l.Configuration)
+	s.reportChanges(l.Databases, l.DatabasesRevision)
+	s.Topology.Replace(l.Databases, s.Now())
+	s.listing, s.currentAt = l, max(s.currentAt, currentAt)
+	s.needed = false
+	s.signal()
+	if s.OnListing != nil {
+		s.OnListing()
+	}
+}
+
+// SetRelayed tells the syncer whether listings come from another instance. It then
+// lists the store only if that instance lags behind.
+func (s *Syncer) SetRelayed(relayed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayed = relayed
+	if s.listing == nil && !relayed {
+		s.requestList()
+	}
+}
+
+// ObserveRevision records a revision that the store returned to a request that was
+// sent at asked. A newer one than that of the listing triggers a list.
+func (s *Syncer) ObserveRevision(revision uint64, asked time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.listing == nil: // Run makes the first one
+	case revision <= s.listing.Revision():
+		s.currentAt = max(s.currentAt, asked)
+	case !s.relayed || s.Now()-s.currentAt > maxRelayedAge:
+		s.requestList()
+	}
+}
+
+// requestList makes Run list the store. s.mu is held.
+func (s *Syncer) requestList() {
+	s.needed = true
+	s.signal()
+}
+
+func (s *Syncer) signal() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/topology/syncer.go
+++ b/internal/topology/syncer.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +19,14 @@
 	// store's revision moves with each write of any instance, but leaving databases
 	// and new configurations need only be known within 3 s.
 	minListInterval = 1 * time.Second
+	// firstListDelay is how long a process that starts waits for a listing from
+	// another instance. Instances that start together answer each other after some
+	// 30 ms.
+	firstListDelay = 200 * time.Millisecond
+	// maxRelayedAge is how long ago a listing of another instance may have been
+	// current. An instance that lists the store itself is up to minListInterval and
+	// a renewal of the records behind.
+	maxRelayedAge = 1500 * time.Millisecond
 	// expireInterval is the interval between two checks for registrations to remove.
 	expireInterval = 250 * time.Millisecond
 )
@@ -32,18 +40,27 @@
 }
 
 // Syncer keeps a Topology up to date. It lists the registrations and the
-// configuration whenever the store's revision has moved. The revision comes with
-// the responses that confirm the primaries, so no other requests are sent while
-// nothing changes, and changes are not lost if a watch connection hangs.
+// configuration whenever the store's revision has moved, or takes over the listings
+// of another instance. The revision comes with the responses that confirm the
+// primaries, so no other requests are sent while nothing changes, and changes are
+// not lost if a watch connection hangs.
 type Syncer struct {
 	Topology *Topology
 	Source   Source
 	Now      func() time.Duration // includes time spent suspended
 	Log      zerolog.Logger
+	// OnListing, if set, is called when a new listing is in use. It must not call
+	// the syncer.
+	OnListing func()
+
+	mu        sync.Mutex
+	listing   *Listing      // nil before the first one
+	currentAt time.Duration // time of the latest request that showed that the listing was current
+	needed    bool          // the store must be listed
+	relayed   bool          // another instance provides the listings
 
-	latestRevision atomic.Uint64 // newest known revision of the store
 	changed        chan struct{}
-	reportedDamage map[string]bool // errors that were logged already
+	reportedDamage map[string]bool // errors that were logged already; only Run uses it
 }
 
 // NewSyncer returns a syncer. Call Run to start it.
@@ -53,58 +70,67 @@
 	}
 }
 
-// ObserveRevision records a revision that the store returned. A newer one than
-// before triggers a list.
-func (s *Syncer) ObserveRevision(at uint64) {
-	if at <= s.latestRevision.Load() {
-		return
-	}
-	s.latestRevision.Store(at)
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
-}
-
 // Run updates the topology until ctx ends.
 func (s *Syncer) Run(ctx context.Context) error {
 	go s.expireLoop(ctx)
-	var known uint64
+	s.awaitRelay(ctx)
 	wait := retryMin
-	for ctx.Err() == nil {
+	for s.awaitNeed(ctx) {
 		began := s.Now()
-		at, err := s.list(ctx)
+		err := s.list(ctx)
 		if err == nil {
-			known = at
 			wait = retryMin
-			s.awaitRevision(ctx, known, began+minListInterval)
+			sleep(ctx, began+minListInterval-s.Now())
 			continue
 		}
 		s.Topology.StoreUnavailable(s.Now())
-		s.Log.Warn().Err(err).Uint64("version", s.Topology.Snapshot().Version).Uint64("revision", known).
-			Msg("The store does not answer; the last known state stays in use.")
-		t := time.NewTimer(wait/2 + rand.N(wait)) // jitter, so that instances do not retry together after an outage
+		s.Log.Warn().Err(err).Uint64("version", s.Topology.Snapshot().Version).Msg("The store does not answer; the last known state stays in use.")
+		sleep(ctx, wait/2+rand.N(wait)) // jitter, so that instances do not retry together after an outage
 		wait = min(2*wait, retryMax)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		t.Stop()
 	}
 	return ctx.Err()
 }
 
-// awaitRevision waits until the store's revision is newer than the known one and
-// the clock has reached earliest.
-func (s *Syncer) awaitRevision(ctx context.Context, known uint64, earliest time.Duration) {
-	for s.latestRevision.Load() <= known {
+// awaitRelay waits until another instance has provided the first listing, or it is
+// known that the store must be listed, for firstListDelay at most.
+func (s *Syncer) awaitRelay(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstListDelay)
+	defer cancel()
+	select {
+	case <-s.changed:
+		s.signal()
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.listing == nil {
+			s.requestList()
+		}
+	}
+}
+
+// awaitNeed waits until the store must be listed. It reports false if ctx ends
+// first.
+func (s *Syncer) awaitNeed(ctx context.Context) bool {
+	for {
+		s.mu.Lock()
+		needed := s.needed
+		s.mu.Unlock()
+		if ctx.Err() != nil {
+			return false
+		}
+		if needed {
+			return true
+		}
 		select {
 		case <-s.changed:
 		case <-ctx.Done():
-			return
 		}
 	}
-	t := time.NewTimer(earliest - s.Now())
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -127,25 +153,33 @@
 	}
 }
 
-// list reads the configuration and the registrations into the topology and
-// returns the revision up to which they are complete. If the configuration can't
-// be read, nothing changes.
-func (s *Syncer) list(ctx context.Context) (uint64, error) {
+// list reads the configuration and the registrations into the topology.
+func (s *Syncer) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	asked := s.Now()
 	c, configured, err := s.Source.Configuration(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	s.applyConfiguration(c)
 	all, at, damaged, err := s.Source.Databases(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	s.reportDamaged(damaged)
-	s.reportChanges(all, at)
-	s.Topology.Replace(all, s.Now())
-	return min(at, configured), nil
+	content, err := contentOf(c, all)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listing != nil && at < s.listing.DatabasesRevision {
+		s.needed = false // another instance has provided a newer listing meanwhile
+		return nil
+	}
+	s.apply(&Listing{Configuration: c, Databases: all, ConfigurationRevision: configured, DatabasesRevision: at, Content: content}, asked)
+	return nil
 }
 
 // reportChanges logs each registration that differs from the known one.
