Keep an overloaded database from being answered with more load

An owner without an answer for 250 ms counted as failed, after the last owner each of 295 instances connected itself, each suspicion listed all registrations as fast as the store answered, and each status query opened a connection. Ruled out: missing capacity; before the first trouble 2,909 connections sufficed and no status query was sent. Change: an owner reports while a request waits or runs. A quarter of the limit bounds the instances that connect without an owner. Status queries to an owner are shared. A suspicion is counted in the store only if a quarter of a sample of instances shares it, with a back-off. On limits with room for one and a half connections each the remainder goes to the first instances of each database, but not while former connections may still be counted.

--- a/internal/dbpool/health.go
+++ b/internal/dbpool/health.go
@@ -29,8 +29,7 @@
 func (h *health) end(began, now time.Duration, answered bool) {
 	h.outstanding--
 	if answered {
-		h.lastAnswer, h.waitingSince = now, now
-		h.failingSince = 0
+		h.answered(now)
 		return
 	}
 	h.lastFailure = now
@@ -42,6 +41,12 @@
 	}
 }
 
+// answered records an answer of the database, or of the owner on its way.
+func (h *health) answered(now time.Duration) {
+	h.lastAnswer, h.waitingSince = now, now
+	h.failingSince = 0
+}
+
 // idleAndHealthy reports whether no exchange is outstanding and none has failed
 // since the last answer. It avoids reading the clock, which is a system call.
 func (h *health) idleAndHealthy() bool { return h.failingSince == 0 && h.outstanding == 0 }
--- a/internal/dbpool/owner.go
+++ b/internal/dbpool/owner.go
@@ -34,6 +34,22 @@
 	Prioritize(r admission.Request)
 }
 
+// ProgressReporter is a connection to an owner that reports while a request waits
+// in the owner's queue or runs, so that an owner that is only slow does not count as
+// failed.
+type ProgressReporter interface {
+	// OnProgress sets a function to call for each report.
+	OnProgress(f func())
+}
+
+// observeProgress records that an owner reported progress.
+func (p *Pool) observeProgress() {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.health.answered(now)
+}
+
 // ReleaseNotSent ends the lease of a request that an owner did not send. It keeps
 // the connection if the owner is healthy: opening a new one costs both sides more
 // than a statement.
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -16,17 +16,42 @@
 	owners              []*Pool
 	direct              *Pool
 	isOwner             bool         // this instance is an owner of the database's connections
+	mayConnect          bool         // direct connections are allowed while no owner is usable
 	lastAnsweredControl atomic.Int64 // sending time of the last control command that the database answered
 }
 
-// pick returns the pool of the first usable owner, or the direct pool.
+// pick returns the pool of the first usable owner, or the direct pool. If no owner
+// is usable and this instance may not connect itself, it returns the first owner's.
 func (p *paths) pick() *Pool {
+	if pool := p.usableOwner(nil); pool != nil {
+		return pool
+	}
+	if len(p.owners) == 0 || p.mayConnect {
+		return p.direct
+	}
+	return p.owners[0]
+}
+
+// alternative returns another pool than the given one for a status query, or nil.
+func (p *paths) alternative(to *Pool) *Pool {
+	if pool := p.usableOwner(to); pool != nil {
+		return pool
+	}
+	if p.mayConnect && to != p.direct {
+		return p.direct
+	}
+	return nil
+}
+
+// usableOwner returns the pool of the first usable owner, without the given one, or
+// nil.
+func (p *paths) usableOwner(except *Pool) *Pool {
 	for _, pool := range p.owners {
-		if pool.usable() {
+		if pool != except && pool.usable() {
 			return pool
 		}
 	}
-	return p.direct
+	return nil
 }
 
 // recordControl records that the database answered a control command that was sent
--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -189,3 +189,38 @@
 		t.Errorf("%d connections to the owner were opened for 5 refusals", opened)
 	}
 }
+
+// Guards against an overload that answers itself with more load: hundreds of
+// instances that reach no owner in time must not open connections of their own, of
+// which each takes a slot of the database.
+func TestUnreachableOwnersDoNotCauseDirectConnections(t *testing.T) {
+	x := newOversubscribedSet(t)
+	x.set.cfg.MayConnect = func(topology.Database, int) bool { return false }
+	x.reconcile()
+	for _, owner := range []string{"o1:1", "o2:1"} {
+		setError(x.owners[owner], errBroken)
+	}
+	for range 5 {
+		if _, err := x.use(t); err == nil {
+			t.Fatal("a request succeeds without an owner")
+		}
+		if _, err := x.set.Status(t.Context(), "ledger", "db-1", 100*time.Millisecond); err == nil {
+			t.Fatal("a status query succeeds without an owner")
+		}
+	}
+	if n := x.direct.dialed; n != 0 {
+		t.Errorf("%d direct connections were opened", n)
+	}
+	setError(x.owners["o2:1"], nil)
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		for _, p := range x.reconcile() {
+			p.Maintain(context.Background())
+		}
+		if owner, err := x.use(t); owner == "o2" && err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the recovered owner is not used")
+		}
+	}
+}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -66,6 +66,7 @@
 	lastPosition statement.Position // end of the database's log in its latest answer
 	laggedAt     time.Duration      // when the database last lacked a required position
 	latency      decayingMean
+	statuses     statusQueries
 }
 
 // Config configures a Pool.
@@ -245,6 +246,9 @@
 	}
 	p.health.end(now, ended, true)
 	p.dialBackoff, p.dialAfter = 0, 0
+	if r, ok := conn.(ProgressReporter); ok {
+		r.OnProgress(p.observeProgress)
+	}
 	return newPooledConn(conn), nil
 }
 
--- a/internal/dbpool/pool_test.go
+++ b/internal/dbpool/pool_test.go
@@ -210,7 +210,7 @@
 // oversubscribed database.
 func TestIdleConnectionsToOversubscribedPrimaryAreClosed(t *testing.T) {
 	db := &fakeDatabase{}
-	p, clk := newPool(db, SizingFor(46, 64, true))
+	p, clk := newPool(db, SizingFor(46, 64, 0, true))
 	acquire(t, p).Release()
 	clk.advance(idleTimeoutOversubscribedPrimary - time.Millisecond)
 	p.Maintain(context.Background())
@@ -228,22 +228,48 @@
 // oversubscribed.
 func TestSharesFitTheLimit(t *testing.T) {
 	for _, c := range []struct{ limit, instances, maxOpen int }{{16, 7, 2}, {16, 8, 2}, {30, 7, 2}, {60, 7, 4}, {136, 61, 2}, {300, 7, maxOpenPerInstance}} {
-		s := SizingFor(c.limit, c.instances, true)
+		s := SizingFor(c.limit, c.instances, c.instances, true)
 		if s.MaxOpen != c.maxOpen || s.MaxOpen*c.instances > c.limit && s.MaxOpen != maxOpenPerInstance {
 			t.Errorf("limit %d, %d instances: MaxOpen is %d, want %d", c.limit, c.instances, s.MaxOpen, c.maxOpen)
 		}
 	}
 	// After a power failure, the first instance to start must not take the
 	// connections of the others: it held 8 of 16.
-	if s := SizingFor(16, 0, true); s.MaxOpen != 1 {
+	if s := SizingFor(16, 0, 0, true); s.MaxOpen != 1 {
 		t.Errorf("an unknown number of instances gives %+v", s)
 	}
-	if s := SizingFor(46, 64, true); s.KeepWarm || s.IdleTimeout != idleTimeoutOversubscribedPrimary {
+	if s := SizingFor(46, 64, 0, true); s.KeepWarm || s.IdleTimeout != idleTimeoutOversubscribedPrimary {
 		t.Errorf("an oversubscribed limit gives %+v for a primary", s)
 	}
 	// Two connections from each of 64 instances to both replicas exhaust the
 	// limits: 10,824 dials failed in 8 s.
-	if s := SizingFor(46, 64, false); s.MaxOpen != 1 || s.IdleTimeout != idleTimeoutOversubscribedReplica {
+	if s := SizingFor(46, 64, 0, false); s.MaxOpen != 1 || s.IdleTimeout != idleTimeoutOversubscribedReplica {
 		t.Errorf("an oversubscribed limit gives %+v for a replica", s)
 	}
 }
+
+// Guards against a limit that is partly unused while transactions of an instance's
+// callers wait for each other's only connection (nine instances before a limit of
+// 16), and against shares that together exceed the limit.
+func TestRemainderOfTheLimitIsUsed(t *testing.T) {
+	for _, c := range []struct{ limit, instances, want int }{{16, 9, 16}, {16, 10, 16}, {16, 7, 14}, {16, 8, 16}, {46, 30, 46}} {
+		sum := 0
+		for rank := range c.instances {
+			sum += SizingFor(c.limit, c.instances, rank, true).MaxOpen
+		}
+		if sum != c.want || sum > c.limit {
+			t.Errorf("limit %d, %d instances: %d connections in all, want %d", c.limit, c.instances, sum, c.want)
+		}
+	}
+	// After a power failure the databases still count the former connections.
+	s := SizingFor(16, 9, 0, true)
+	if got := s.afterStart(formerConnectionsTime - time.Millisecond); s.MaxOpen != 2 || got.MaxOpen != 1 {
+		t.Errorf("MaxOpen is %d, and %d just after the start; want 2 and 1", s.MaxOpen, got.MaxOpen)
+	}
+	if got := s.afterStart(formerConnectionsTime); got != s {
+		t.Errorf("%+v after the start-up, want %+v", got, s)
+	}
+	if wide := SizingFor(60, 7, 0, true); wide.afterStart(0) != wide {
+		t.Error("a limit with room for a second set of connections is not used at the start")
+	}
+}
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -31,11 +31,18 @@
 	Clock     clock.Clock
 	Now       func() time.Duration // advances while the machine is suspended
 	Instances func() int           // number of instances that share the connection limit
-	Metrics   *measure.Registry
+	// Rank returns the position of this instance in an order of the instances that
+	// is different for each database. If it is nil, the instance counts as the last.
+	Rank    func(d topology.Database, limit int) int
+	Metrics *measure.Registry
 	// Owners returns the instances that hold the connections of an
 	// oversubscribed database, in order of preference, and whether this
 	// instance is one of them. If it is nil, no database has owners.
 	Owners func(d topology.Database, limit int) (owners []ownership.Instance, self bool)
+	// MayConnect reports whether this instance may connect to an oversubscribed
+	// database that it does not own while it reaches none of the owners. If it is
+	// nil, it may.
+	MayConnect func(d topology.Database, limit int) bool
 	// DialOwner connects to the owner at address to use the database with the
 	// given id.
 	DialOwner func(ctx context.Context, address, id string) (Conn, error)
@@ -43,7 +50,8 @@
 
 // Set holds the pools of all known databases. It is safe for concurrent use.
 type Set struct {
-	cfg SetConfig
+	cfg     SetConfig
+	started time.Duration
 
 	mu    sync.RWMutex
 	pools map[string]*paths // by database id
@@ -51,7 +59,7 @@
 
 // NewSet returns a set without pools.
 func NewSet(cfg SetConfig) *Set {
-	return &Set{cfg: cfg, pools: make(map[string]*paths)}
+	return &Set{cfg: cfg, started: cfg.Now(), pools: make(map[string]*paths)}
 }
 
 // Run follows the topology and maintains the pools until ctx ends.
@@ -109,9 +117,13 @@
 	if s.cfg.Owners != nil && oversubscribed(limit, instances) {
 		owners, self = s.cfg.Owners(d, limit)
 	}
-	sizing := SizingFor(limit, instances, d.Primary)
+	rank := limit
+	if s.cfg.Rank != nil {
+		rank = s.cfg.Rank(d, limit)
+	}
+	sizing := SizingFor(limit, instances, rank, d.Primary).afterStart(s.cfg.Now() - s.started)
 	if self {
-		sizing, owners = SizingFor(limit, len(owners), d.Primary), nil
+		sizing, owners = SizingFor(limit, len(owners), limit, d.Primary), nil
 	}
 	p, ok := s.pools[d.ID]
 	if !ok {
@@ -119,6 +131,7 @@
 		s.pools[d.ID] = p
 	}
 	p.isOwner = self
+	p.mayConnect = len(owners) == 0 || s.cfg.MayConnect == nil || s.cfg.MayConnect(d, limit)
 	if p.direct == nil || !sameDatabase(p.direct.db, d) {
 		p.close()
 		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
@@ -194,28 +207,36 @@
 
 // Control implements primacy.Databases. A status query uses the pool that requests
 // use, because opening a separate connection costs the database as much as a
-// statement. If that fails, it is repeated on a direct connection. Commands that
-// change the database's state always use a direct connection.
+// statement. If that fails, it is repeated through another owner, or on a direct
+// connection if this instance may open one. Commands that change the database's state
+// always use a direct connection.
 func (s *Set) Control(ctx context.Context, _, id string, c statement.Command, timeout time.Duration) (statement.Status, error) {
 	s.mu.RLock()
 	p, ok := s.pools[id]
-	var preferred, direct *Pool
+	var preferred, alternative, direct *Pool
 	if ok {
 		preferred, direct = p.pick(), p.direct
+		alternative = p.alternative(preferred)
 	}
 	s.mu.RUnlock()
 	if !ok {
 		return statement.Status{}, result.Errorf(result.DatabaseDown, "database %s is not in the topology", id)
 	}
 	began := s.cfg.Now()
+	pool := direct
 	if c.Op == statement.OpStatus && preferred != direct {
-		if st, err := preferred.Control(ctx, c, timeout/2); err == nil {
+		st, err := preferred.Control(ctx, c, timeout/2)
+		if err == nil {
 			p.recordControl(began)
 			return st, nil
 		}
+		if alternative == nil {
+			return st, err
+		}
+		pool = alternative
 		timeout -= s.cfg.Now() - began
 	}
-	st, err := direct.Control(ctx, c, timeout)
+	st, err := pool.Control(ctx, c, timeout)
 	if err == nil {
 		p.recordControl(began)
 	}
--- a/internal/dbpool/sizing.go
+++ b/internal/dbpool/sizing.go
@@ -49,14 +49,17 @@
 // all instances stays within the limit unless the database is oversubscribed.
 // Where possible it stays within half of the limit: the other half is for
 // instances that restart while the database still keeps their former
-// connections. Idle connections to a replica may stay open longer than those to the
+// connections. A limit with room for one connection each, and more, is used up by a
+// second one for the instances of lowest rank: a transaction holds its connection
+// between statements, and with a single one all others of the instance wait for its
+// caller. Idle connections to a replica may stay open longer than those to the
 // primary: reads stay with a replica to which a connection is open, so each instance
 // holds connections to only one replica of a service.
 //
 // With instances 0 their number is not known yet: an instance that sees no others
 // when it starts must not take the connections of all others, which may be
 // starting too.
-func SizingFor(limit, instances int, primary bool) Sizing {
+func SizingFor(limit, instances, rank int, primary bool) Sizing {
 	if instances == 0 {
 		return Sizing{MaxOpen: 1, IdleTimeout: idleTimeoutTight}
 	}
@@ -69,7 +72,25 @@
 	if half := limit / 2 / instances; half >= maxOpenOversubscribed {
 		return Sizing{MaxOpen: min(half, maxOpenPerInstance), IdleTimeout: idleTimeoutDefault, KeepWarm: true}
 	}
-	return Sizing{MaxOpen: min(max(1, limit/instances), maxOpenPerInstance), IdleTimeout: idleTimeoutTight, KeepWarm: true}
+	share := max(1, limit/instances)
+	if share == 1 && rank < limit-instances {
+		share++
+	}
+	return Sizing{MaxOpen: min(share, maxOpenPerInstance), IdleTimeout: idleTimeoutTight, KeepWarm: true}
+}
+
+// formerConnectionsTime is how long a database keeps the connections of an instance
+// that lost power.
+const formerConnectionsTime = 3 * time.Second
+
+// afterStart returns the sizing for an instance that started the given time ago. If
+// all instances started again, the limit is still used up by their former
+// connections, so each opens only one until these are gone.
+func (s Sizing) afterStart(ago time.Duration) Sizing {
+	if s.IdleTimeout == idleTimeoutTight && ago < formerConnectionsTime {
+		s.MaxOpen = 1
+	}
+	return s
 }
 
 // oversubscribed reports whether a limit is too small for the connections of all
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -28,6 +28,7 @@
 	enc      *gob.Encoder
 	dec      *gob.Decoder
 	priority admission.Request // of the next requests
+	progress func()            // called for each report of progress; may be nil
 }
 
 // Dial connects to the owner at address for requests to the database with the id.
@@ -57,7 +58,7 @@
 		_ = c.conn.SetDeadline(deadline) // if this fails, so does the write below
 	}
 	req := &http.Request{
-		Method: http.MethodGet, Host: address, URL: &url.URL{Path: Path, RawQuery: url.Values{"id": {id}}.Encode()},
+		Method: http.MethodGet, Host: address, URL: &url.URL{Path: Path, RawQuery: url.Values{"id": {id}, progressParam: {"1"}}.Encode()},
 		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {upgrade}},
 	}
 	if err := req.Write(c.w); err != nil {
@@ -122,7 +123,7 @@
 		err = c.w.Flush()
 	}
 	if err == nil {
-		err = c.dec.Decode(&rep)
+		rep, err = c.receive()
 	}
 	if err != nil {
 		return rep, fmt.Errorf("exchange with owner: %w", err)
@@ -133,6 +134,22 @@
 	return rep, nil
 }
 
+// receive returns the final reply to a request.
+func (c *ownerConn) receive() (reply, error) {
+	for {
+		var rep reply // gob leaves fields unchanged that were not sent
+		if err := c.dec.Decode(&rep); err != nil || !rep.Waiting {
+			return rep, err
+		}
+		if c.progress != nil {
+			c.progress()
+		}
+	}
+}
+
+// OnProgress implements dbpool.ProgressReporter.
+func (c *ownerConn) OnProgress(f func()) { c.progress = f }
+
 // Alive implements dbpool.Conn.
 func (c *ownerConn) Alive() bool { return c.r.Buffered() == 0 && sockets.Reusable(c.raw) }
 
@@ -142,4 +159,7 @@
 // Abort implements dbpool.Conn.
 func (c *ownerConn) Abort() error { return sockets.Reset(c.conn) }
 
-var _ dbpool.Prioritizer = (*ownerConn)(nil)
+var (
+	_ dbpool.Prioritizer      = (*ownerConn)(nil)
+	_ dbpool.ProgressReporter = (*ownerConn)(nil)
+)
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,9 @@
 	conns []*fakeConn
 	fail  error         // returned by all exchanges while set
 	block chan struct{} // if set, each exchange waits to receive from it
+
+	status        chan struct{} // if set, a status query receives from it before and after it is sent
+	statusQueries atomic.Int64
 }
 
 type fakeConn struct {
@@ -45,8 +49,11 @@
 }
 
 func (c *fakeConn) Do(_ time.Time, commands []statement.Command) ([]statement.Answer, error) {
-	if c.db.block != nil {
-		<-c.db.block
+	c.db.mu.Lock()
+	block := c.db.block
+	c.db.mu.Unlock()
+	if block != nil {
+		<-block
 	}
 	c.db.mu.Lock()
 	defer c.db.mu.Unlock()
@@ -72,6 +79,11 @@
 }
 
 func (c *fakeConn) Status(time.Time, statement.Command) (statement.Status, error) {
+	c.db.statusQueries.Add(1)
+	if c.db.status != nil {
+		<-c.db.status
+		<-c.db.status
+	}
 	return statement.Status{Primary: true, Term: 3, HeldTerm: 4}, nil
 }
 func (c *fakeConn) Alive() bool  { return true }
@@ -287,3 +299,90 @@
 		t.Errorf("%+v, %v", s, err)
 	}
 }
+
+// Guards against an owner that counts as failed because its database is slow: its
+// peers would turn to the next owner and then to connections of their own, which
+// cost a slow database more than the statements.
+func TestSlowOwnerIsNotAFailedOwner(t *testing.T) {
+	o := newOwner(t, 1)
+	p := o.clientPool()
+	l := acquire(t, p)
+	if _, err := l.Run(dbpool.Exchange{Statement: readStatement("first"), Deadline: testDeadline()}); err != nil {
+		t.Fatal(err)
+	}
+	held := acquire(t, o.pool) // the owner's only connection is busy
+	done := make(chan error, 1)
+	go func() {
+		_, err := l.Run(dbpool.Exchange{Statement: readStatement("waits"), Deadline: testDeadline()})
+		done <- err
+	}()
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if since, failed := p.UnresponsiveSince(); failed {
+			t.Fatalf("the owner counts as unresponsive since %v", since)
+		}
+	}
+	held.Release()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a database that does not answer its owner and seems to answer the
+// owner's peers.
+func TestOwnerOfAStalledDatabaseReportsNoProgress(t *testing.T) {
+	o := newOwner(t, 1)
+	p := o.clientPool()
+	l := acquire(t, p)
+	if _, err := l.Run(dbpool.Exchange{Statement: readStatement("first"), Deadline: testDeadline()}); err != nil {
+		t.Fatal(err)
+	}
+	block := make(chan struct{})
+	o.db.mu.Lock()
+	o.db.block = block
+	o.db.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = l.Run(dbpool.Exchange{Statement: readStatement("stalls"), Deadline: testDeadline()})
+	}()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, failed := p.UnresponsiveSince(); failed {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the stall of the database is not noticed")
+		}
+	}
+	close(block)
+	<-done
+}
+
+// Guards against a status query for each of the instances that ask an owner at the
+// same time, and against a status from before the question.
+func TestStatusQueriesAreShared(t *testing.T) {
+	o := newOwner(t, 2)
+	o.db.status = make(chan struct{})
+	const askers = 20
+	var wg sync.WaitGroup
+	ask := func() {
+		defer wg.Done()
+		if _, err := o.pool.SharedStatus(t.Context()); err != nil {
+			t.Error(err)
+		}
+	}
+	wg.Add(1)
+	go ask()
+	o.db.status <- struct{}{} // the first query has been sent
+	wg.Add(askers)
+	for range askers {
+		go ask()
+	}
+	time.Sleep(100 * time.Millisecond) // all of them wait
+	o.db.status <- struct{}{}          // the first query is answered
+	o.db.status <- struct{}{}
+	o.db.status <- struct{}{}
+	wg.Wait()
+	if n := o.db.statusQueries.Load(); n != 2 {
+		t.Errorf("%d queries for one asker and then %d", n, askers)
+	}
+}
--- a/internal/hop/protocol.go
+++ b/internal/hop/protocol.go
@@ -21,6 +21,9 @@
 // Path is the HTTP path at which an owner accepts connections.
 const Path = "/peer/database"
 
+// progressParam is the query parameter of clients that understand reply.Waiting.
+const progressParam = "progress"
+
 // upgrade names the protocol in the Upgrade header of the handshake.
 const upgrade = "geraniumbeam-hop"
 
@@ -36,6 +39,9 @@
 
 // reply is the owner's message in response to a request.
 type reply struct {
+	// Waiting is set in replies that precede the final one. They say that the
+	// request waits or runs and that the database answers the owner.
+	Waiting bool
 	Answers []statement.Answer
 	Status  *statement.Status // set if the request is a single OpStatus
 	// NotSent is set if no command was sent to the database, and says why.
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -29,6 +29,10 @@
 	answerMargin = 20 * time.Millisecond
 )
 
+// progressInterval is the interval between replies that report that a request is in
+// progress. A client takes an owner for stalled after 250 ms without one.
+const progressInterval = 80 * time.Millisecond
+
 // errNotOwner refuses requests for a database that this instance does not own, or
 // no longer owns, and new requests while it drains.
 var errNotOwner = result.Errorf(result.DatabaseDown, "the instance does not own the database or is draining")
@@ -93,6 +97,7 @@
 	p := &peerConn{
 		server: s, id: id, w: buffered.Writer, enc: gob.NewEncoder(buffered.Writer), dec: gob.NewDecoder(buffered.Reader),
 		variables: make(map[string]string), prepared: make(map[string]dbpool.PreparedStatement),
+		reportsProgress: req.URL.Query().Has(progressParam),
 	}
 	p.serve()
 	_ = sockets.Reset(c) // data in transit is no longer needed
@@ -113,13 +118,19 @@
 }
 
 // peerConn is a connection from a peer, with the state of the session that uses it.
-// Only one goroutine uses it.
+// Except for sending, only one goroutine uses it.
 type peerConn struct {
-	server    *Server
-	id        string
-	w         *bufio.Writer
-	enc       *gob.Encoder
-	dec       *gob.Decoder
+	server          *Server
+	id              string
+	reportsProgress bool
+	dec             *gob.Decoder
+
+	sendMu sync.Mutex
+	w      *bufio.Writer
+	enc    *gob.Encoder
+	busy   bool // a request is in progress
+	timer  *time.Timer
+
 	variables map[string]string
 	prepared  map[string]dbpool.PreparedStatement
 	lease     *dbpool.Lease // set during a transaction
@@ -152,13 +163,72 @@
 		}
 	}()
 	for r := range requests {
+		p.startProgress()
 		rep := p.handle(ctx, r)
-		if p.enc.Encode(rep) != nil || p.w.Flush() != nil || rep.Lost != "" {
+		p.stopProgress()
+		if p.send(rep) != nil || rep.Lost != "" {
 			return // the peer reconnects
 		}
 	}
 }
 
+func (p *peerConn) send(rep reply) error {
+	p.sendMu.Lock()
+	defer p.sendMu.Unlock()
+	return p.sendLocked(rep)
+}
+
+// sendLocked sends a reply. p.sendMu is held.
+func (p *peerConn) sendLocked(rep reply) error {
+	if err := p.enc.Encode(rep); err != nil {
+		return err
+	}
+	return p.w.Flush()
+}
+
+// startProgress reports the progress of a request until stopProgress is called.
+func (p *peerConn) startProgress() {
+	if !p.reportsProgress {
+		return
+	}
+	p.sendMu.Lock()
+	defer p.sendMu.Unlock()
+	p.busy = true
+	if p.timer == nil {
+		p.timer = time.AfterFunc(progressInterval, p.reportProgress)
+		return
+	}
+	p.timer.Reset(progressInterval)
+}
+
+func (p *peerConn) stopProgress() {
+	p.sendMu.Lock()
+	defer p.sendMu.Unlock()
+	p.busy = false
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+}
+
+// reportProgress tells the peer that its request is in progress, unless the database
+// does not answer this instance.
+func (p *peerConn) reportProgress() {
+	pool, owned := p.server.Pools.Owned(p.id)
+	if !owned {
+		return
+	}
+	_, unresponsive := pool.UnresponsiveSince()
+	p.sendMu.Lock()
+	defer p.sendMu.Unlock()
+	if !p.busy {
+		return
+	}
+	if !unresponsive && p.sendLocked(reply{Waiting: true}) != nil {
+		return // the peer has disconnected
+	}
+	p.timer.Reset(progressInterval)
+}
+
 func (p *peerConn) handle(ctx context.Context, r request) reply {
 	deadline := time.Now().Add(r.Remaining)
 	pool, owned := p.server.Pools.Owned(p.id)
@@ -241,7 +311,9 @@
 }
 
 func databaseStatus(ctx context.Context, pool *dbpool.Pool, r request) reply {
-	s, err := pool.Control(ctx, r.Commands[0], r.Remaining)
+	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
+	defer cancel()
+	s, err := pool.SharedStatus(ctx)
 	if err != nil {
 		return reply{Lost: err.Error()}
 	}
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -80,6 +80,10 @@
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
 		},
+		Rank: func(d topology.Database, limit int) int { return i.primacy.Rank(d.ID, d.DataCentre, limit) },
+		MayConnect: func(d topology.Database, limit int) bool {
+			return i.primacy.MayConnect(d.ID, d.DataCentre, limit)
+		},
 	})
 	i.hop = &hop.Server{Pools: i.pools, Log: cfg.Log.With().Str("part", "hop").Logger()}
 	i.primacy = primacy.NewRunner(primacy.Config{
--- a/internal/primacy/failover.go
+++ b/internal/primacy/failover.go
@@ -135,20 +135,20 @@
 	r.replaceInTurn(ctx, rec, registered, switchoverRankDelay, true)
 }
 
-// failOver publishes a suspicion if the primary does not answer, and
-// replaces the primary if a quorum of the instances suspects it.
+// failOver replaces a primary that does not answer if a quorum of the instances
+// suspects it. A suspicion that few share is neither published nor counted in the
+// store: in a large deployment some instances always fail to reach some database.
 func (r *Runner) failOver(ctx context.Context, rec Record) {
 	if !r.suspectsPrimary(ctx, rec) {
 		r.clearSuspicion(rec.Service)
 		return
 	}
-	r.mu.Lock()
-	if t, ok := r.reg.Suspects[rec.Service]; !ok || t != rec.Token {
-		r.reg.Suspects[rec.Service] = rec.Token
-		r.markDirty()
-		r.log.Warn().Str("service", rec.Service).Str("database", rec.Primary).Uint64("token", rec.Token).Msg("The primary does not answer this instance.")
+	r.suspect(rec)
+	if !r.isWidelySuspected(ctx, rec) {
+		r.delayNextCount(ctx, rec.Service)
+		return
 	}
-	r.mu.Unlock()
+	r.publishSuspicion(rec.Service)
 	if !r.awaitTurn(ctx, rec) {
 		return
 	}
@@ -157,7 +157,7 @@
 		registered = r.addDirectSuspicions(ctx, rec, registered)
 	}
 	if err != nil || !HasQuorum(registered, rec.Excluded, rec.Service, rec.Token) {
-		_ = sleep(ctx, quorumRetryDelay) // the next check observes the end of ctx
+		r.delayNextCount(ctx, rec.Service)
 		return
 	}
 	r.replaceInTurn(ctx, rec, registered, rankDelay, false)
@@ -197,12 +197,45 @@
 	return time.Duration(rankOf(self, service, instances)/countersPerTurn) * turnDelay
 }
 
+// suspect notes that this instance gets no answer from the primary of a record.
+func (r *Runner) suspect(rec Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, ok := r.reg.Suspects[rec.Service]; ok && t == rec.Token {
+		return
+	}
+	r.reg.Suspects[rec.Service] = rec.Token
+	r.log.Warn().Str("service", rec.Service).Str("database", rec.Primary).Uint64("token", rec.Token).Msg("The primary does not answer this instance.")
+}
+
+// publishSuspicion makes publishLoop write a suspicion unless the registration has
+// it already.
+func (r *Runner) publishSuspicion(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if token, ok := r.published.suspects[service]; !ok || token != r.reg.Suspects[service] {
+		r.markDirty()
+	}
+}
+
+// delayNextCount waits after a vote without a quorum, longer after each one in a row.
+func (r *Runner) delayNextCount(ctx context.Context, service string) {
+	r.mu.Lock()
+	delay := min(max(2*r.countDelays[service], quorumRetryDelay), maxQuorumRetryDelay)
+	r.countDelays[service] = delay
+	r.mu.Unlock()
+	_ = sleep(ctx, delay) // the next check observes the end of ctx
+}
+
 func (r *Runner) clearSuspicion(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.countDelays, service)
 	if _, ok := r.reg.Suspects[service]; ok {
 		delete(r.reg.Suspects, service)
-		r.markDirty()
+		if _, published := r.published.suspects[service]; published {
+			r.markDirty()
+		}
 		r.log.Info().Str("service", service).Msg("The primary answers this instance again.")
 	}
 }
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -23,6 +23,7 @@
 	mu          sync.Mutex
 	revision    uint64
 	records     map[string]Record
+	lists       int // linearizable lists of the registrations
 	regs        map[string]Registration
 	changed     chan struct{}
 	unavailable bool
@@ -112,6 +113,11 @@
 func (f *fakeStore) Registrations(context.Context) ([]Registration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lists++
+	return f.registrations()
+}
+
+func (f *fakeStore) registrations() ([]Registration, error) {
 	if f.unavailable {
 		return nil, errStoreDown
 	}
@@ -122,8 +128,10 @@
 	return all, nil
 }
 
-func (f *fakeStore) StaleRegistrations(ctx context.Context) ([]Registration, error) {
-	return f.Registrations(ctx)
+func (f *fakeStore) StaleRegistrations(context.Context) ([]Registration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registrations()
 }
 
 func (f *fakeStore) Register(_ context.Context, r Registration) (Registration, error) {
@@ -185,7 +193,10 @@
 }
 
 func (v storeView) StaleRegistrations(ctx context.Context) ([]Registration, error) {
-	return v.Registrations(ctx)
+	if v.refuses.Load() {
+		return nil, errStoreDown
+	}
+	return v.fakeStore.StaleRegistrations(ctx)
 }
 
 func (v storeView) Register(ctx context.Context, r Registration) (Registration, error) {
--- a/internal/primacy/owners.go
+++ b/internal/primacy/owners.go
@@ -50,24 +50,74 @@
 	return ownership.Order(self, owners), false
 }
 
+// directShare is the part of a connection limit that is open to instances which reach
+// no owner of the database: a quarter. Half is for the owners.
+const directShare = 4
+
+// MayConnect reports whether an instance may connect itself to a database whose
+// owners it does not reach. All instances derive the same few from the
+// registrations, so that together they stay within the limit.
+func MayConnect(registered []Registration, self, id string, limit int) bool {
+	all := make([]ownership.Instance, 0, len(registered))
+	listed := false
+	for _, reg := range registered {
+		all = append(all, ownership.Instance{Name: reg.Instance})
+		listed = listed || reg.Instance == self
+	}
+	return listed && rankOf(self, "direct "+id, all) < max(1, limit/directShare)
+}
+
 // cachedOwners holds the arguments and the result of a call of Owners.
 type cachedOwners struct {
 	dataCentre string
 	limit      int
 	owners     []ownership.Instance
 	self       bool
+	mayConnect bool
+	rank       int
 }
 
 // Owners calls the function Owners for this instance and the instances that it
 // knows. The result is cached until these change; callers must not modify it.
 func (r *Runner) Owners(id, dataCentre string, limit int) ([]ownership.Instance, bool) {
+	o := r.ownersOf(id, dataCentre, limit)
+	return o.owners, o.self
+}
+
+// MayConnect calls the function MayConnect for this instance and the instances that
+// it knows.
+func (r *Runner) MayConnect(id, dataCentre string, limit int) bool {
+	return r.ownersOf(id, dataCentre, limit).mayConnect
+}
+
+// Rank returns the position of this instance in an order of the instances that it
+// knows, which is different for each database.
+func (r *Runner) Rank(id, dataCentre string, limit int) int {
+	return r.ownersOf(id, dataCentre, limit).rank
+}
+
+// rankAt computes Rank. An instance that is not listed comes last. r.mu is held.
+func (r *Runner) rankAt(id string) int {
+	all := make([]ownership.Instance, 0, len(r.knownInstances))
+	for _, reg := range r.knownInstances {
+		all = append(all, ownership.Instance{Name: reg.Instance})
+	}
+	order := ownership.Order("share "+id, all)
+	rank := slices.IndexFunc(order, func(i ownership.Instance) bool { return i.Name == r.cfg.Instance })
+	if rank < 0 {
+		return len(order)
+	}
+	return rank
+}
+
+func (r *Runner) ownersOf(id, dataCentre string, limit int) cachedOwners {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o, ok := r.ownersCache[id]
 	if !ok || o.dataCentre != dataCentre || o.limit != limit {
 		owners, self := Owners(r.knownInstances, r.cfg.Instance, id, dataCentre, limit)
-		o = cachedOwners{dataCentre, limit, owners, self}
+		o = cachedOwners{dataCentre, limit, owners, self, MayConnect(r.knownInstances, r.cfg.Instance, id, limit), r.rankAt(id)}
 		r.ownersCache[id] = o
 	}
-	return o.owners, o.self
+	return o
 }
--- a/internal/primacy/peer_vote.go
+++ b/internal/primacy/peer_vote.go
@@ -57,6 +57,49 @@
 	return v, v.Incarnation == reg.Incarnation
 }
 
+// isWidelySuspected reports whether enough of a sample of the instances share a
+// suspicion for a majority to be likely, or the sample can't tell because none of it
+// answers.
+func (r *Runner) isWidelySuspected(ctx context.Context, rec Record) bool {
+	r.mu.Lock()
+	sample := slices.Clone(r.knownInstances)
+	r.mu.Unlock()
+	sample = slices.DeleteFunc(sample, func(reg Registration) bool { return !r.canQuery(reg, rec) })
+	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	sample = sample[:min(voteSampleSize, len(sample))]
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	votes := make(chan *Vote, len(sample))
+	for _, reg := range sample {
+		go func() {
+			if v, ok := r.requestVote(ctx, reg, rec); ok {
+				votes <- &v
+				return
+			}
+			votes <- nil
+		}()
+	}
+	answered, suspects := 0, 0
+	for range sample {
+		v := <-votes
+		if v == nil {
+			continue
+		}
+		answered++
+		if v.Suspects {
+			suspects++
+		}
+		if sharedWidely(suspects, len(sample)) {
+			return true
+		}
+	}
+	return answered == 0
+}
+
+// sharedWidely reports whether a suspicion that some instances of a sample share may
+// have a majority.
+func sharedWidely(suspects, sample int) bool { return 4*suspects >= sample }
+
 // addDirectSuspicions asks instances that have not published a suspicion and
 // adds their answers to the published ones.
 func (r *Runner) addDirectSuspicions(ctx context.Context, rec Record, registered []Registration) []Registration {
@@ -72,7 +115,7 @@
 	}
 	rand.Shuffle(len(unpublished), func(i, j int) { unpublished[i], unpublished[j] = unpublished[j], unpublished[i] })
 	first := unpublished[:min(voteSampleSize, len(unpublished))]
-	if n := r.requestSuspicions(ctx, rec, out, first); 4*n >= len(first) {
+	if n := r.requestSuspicions(ctx, rec, out, first); sharedWidely(n, len(first)) {
 		r.requestSuspicions(ctx, rec, out, unpublished[len(first):])
 	}
 	return out
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -48,7 +48,7 @@
 	r.reg.Revision = stored.Revision
 	r.cfg.Cache.SetValidity(stored.Validity)
 	known := r.published.incarnation
-	r.published = publishedState{stored.Incarnation, stored.Validity}
+	r.published = publishedState{stored.Incarnation, stored.Validity, reg.Suspects}
 	if known != stored.Incarnation {
 		r.cfg.Cache.SetIncarnation(stored.Incarnation)
 		r.askStore = true
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -303,6 +303,27 @@
 	}
 }
 
+// Guards against direct connections of hundreds of instances to a database whose
+// owners they do not reach in time, and against newcomers that all count themselves
+// among the few that may open one.
+func TestFewInstancesConnectWithoutAnOwner(t *testing.T) {
+	for _, c := range []struct{ instances, limit, want int }{{295, 88, 22}, {75, 46, 11}, {64, 3, 1}, {3900, 400, 100}} {
+		all := newFleet(c.instances, 6)
+		n := 0
+		for _, reg := range all {
+			if MayConnect(all, reg.Instance, "db-1", c.limit) {
+				n++
+			}
+		}
+		if n != c.want {
+			t.Errorf("%+v: %d instances may connect", c, n)
+		}
+		if MayConnect(all, "newcomer", "db-1", c.limit) {
+			t.Errorf("%+v: an instance that is not listed may connect", c)
+		}
+	}
+}
+
 // Guards against all instances listing the registrations at once when a primary
 // fails, and against a vote that no instance counts immediately.
 func TestFewInstancesCountVotesAtOnce(t *testing.T) {
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -38,6 +38,7 @@
 	published       publishedState
 	reregistrations int // how often this process registered under a new incarnation after an exclusion
 	dirty           chan struct{}
+	countDelays     map[string]time.Duration // by service; since the latest vote without a quorum
 	checking        map[string]bool          // services whose check or replacement is in progress
 	recordSeenAt    map[string]time.Duration // by service; when the current record was first seen
 	instanceCount   int
@@ -64,6 +65,7 @@
 type publishedState struct {
 	incarnation string
 	validity    time.Duration
+	suspects    map[string]uint64
 }
 
 // NewRunner returns a runner. Call Run to start it.
@@ -77,6 +79,7 @@
 			Stopped: make(map[string]uint64), Suspects: make(map[string]uint64),
 		},
 		dirty:        make(chan struct{}, 1),
+		countDelays:  make(map[string]time.Duration),
 		checking:     make(map[string]bool),
 		recordSeenAt: make(map[string]time.Duration),
 		ownersCache:  make(map[string]cachedOwners),
--- a/internal/primacy/runner_test.go
+++ b/internal/primacy/runner_test.go
@@ -27,20 +27,33 @@
 }
 
 // Guards against a promotion because of a fault in one instance's own network
-// links.
+// links, and against calls to the store for a suspicion that nobody shares.
 func TestOneSuspicionDoesNotReplaceThePrimary(t *testing.T) {
 	store, g := newFakeStore(), newFakeGroup()
-	startInstances(t, store, g, "a", "b", "c")
+	a := startInstances(t, store, g, "a", "b", "c")["a"].runner
+	eventually(t, "a knows the others", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.knownInstances) == 3
+	})
 	g.mu.Lock()
 	g.unreachableFrom["a"] = true
 	g.mu.Unlock()
-	eventually(t, "the suspicion is published", func() bool {
-		store.mu.Lock()
-		defer store.mu.Unlock()
-		_, ok := store.regs["a"].Suspects["ledger"]
+	eventually(t, "a suspects the primary", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		_, ok := a.reg.Suspects["ledger"]
 		return ok
 	})
+	store.mu.Lock()
+	lists := store.lists
+	store.mu.Unlock()
 	time.Sleep(500 * time.Millisecond)
+	store.mu.Lock()
+	if _, ok := store.regs["a"].Suspects["ledger"]; ok || store.lists != lists {
+		t.Errorf("published: %v, %d lists of the registrations: want none for a suspicion of one in three", ok, store.lists-lists)
+	}
+	store.mu.Unlock()
 	if promoted, _ := g.promotions(); len(promoted) != 0 || store.record().Phase != Serving {
 		t.Errorf("promoted %v, record %+v", promoted, store.record())
 	}
--- a/internal/primacy/timing.go
+++ b/internal/primacy/timing.go
@@ -39,6 +39,10 @@
 	probeTimeout = 250 * time.Millisecond
 	// quorumRetryDelay is the delay after a vote without a quorum.
 	quorumRetryDelay = 150 * time.Millisecond
+	// maxQuorumRetryDelay bounds the exponential back-off after several such votes.
+	// Those who do not reach a primary that others reach would otherwise list all
+	// registrations as fast as the store answers.
+	maxQuorumRetryDelay = 1200 * time.Millisecond
 	// countersPerTurn is how many instances count votes at the same time, and
 	// turnDelay the delay between two such groups: if no instance of the first
 	// group can start the replacement within it, the next group tries as well.
