Serve requests that can meet their target before those that can't

Cause: while the replicas of a service lag, its primary gets a fifth more work than it can do; a queue as long as the timeouts then makes every answer late. Ruled out: more connections; both slots of the primary were busy. Change: a request that can no longer meet its route's latency target waits for those of its rank that can. Owners get the target with the request.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -59,6 +59,10 @@
 	Caller   string // fairness key within the class
 	Rank     catalog.Rank
 	Deadline time.Time // zero means none
+	// Target is when the request should be answered; zero means none. Under
+	// PolicyTargets, a request that can no longer meet its target waits for those of
+	// its rank that can.
+	Target time.Time
 	// Pinned marks a statement of an open transaction. The transaction already
 	// holds a connection, and the statement is served before new work of its
 	// rank.
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -66,7 +66,9 @@
 	state    itemState
 	index    int // in its heap
 	deadline time.Duration
-	order    int64 // sort key within the flow: the deadline, or the sequence number for the baselines
+	target   time.Duration
+	late     bool  // the target can't be met
+	order    int64 // sort key within the flow: the target or the deadline, or the sequence number for the baselines
 	seq      uint64
 	arrived  time.Duration
 	debited  float64 // estimated slot time in seconds, debited at the start
@@ -97,9 +99,13 @@
 		}
 	}
 	c.seq++
-	it := &item{class: cq, rank: rank, pinned: r.Pinned, deadline: deadline, order: int64(deadline), seq: c.seq, arrived: now}
-	if c.policy != PolicyTargets {
+	it := &item{class: cq, rank: rank, pinned: r.Pinned, deadline: deadline, target: noDeadline, order: int64(deadline), seq: c.seq, arrived: now}
+	switch {
+	case c.policy != PolicyTargets:
 		it.order = int64(c.seq)
+	case !r.Target.IsZero():
+		it.target = r.Target.Sub(start)
+		it.order = int64(min(it.target, deadline))
 	}
 	if deadline != noDeadline {
 		cq.observeBudget(deadline - now)
@@ -132,7 +138,7 @@
 	var it *item
 	switch {
 	case c.inFlight < c.limiter.allowed():
-		it = c.ranks[c.pickRank()].pop()
+		it = c.popOnTime(now)
 	case c.inFlight == c.limiter.allowed():
 		it = c.popBeyondLimit(now)
 	}
@@ -149,6 +155,23 @@
 	return it
 }
 
+// popOnTime removes the next item. One that can no longer meet its target is put back
+// once, behind those of its rank that can: without that, a queue that is longer than
+// the targets makes all of its requests late, although the database could serve most
+// of them in time.
+func (c *core) popOnTime(now time.Duration) *item {
+	for {
+		rq := &c.ranks[c.pickRank()]
+		it := rq.pop()
+		if it == nil || it.pinned || it.late || rq.count == 0 || now+seconds(it.class.cost.mean) <= it.target {
+			return it
+		}
+		it.late, it.order = true, int64(it.deadline)
+		it.class.restoreStartTag(it.flow)
+		rq.push(it, it.flow.caller)
+	}
+}
+
 func (c *core) start(it *item) {
 	it.state = stateRunning
 	c.inFlight++
--- a/internal/admission/flows.go
+++ b/internal/admission/flows.go
@@ -51,7 +51,7 @@
 	}
 	var best *classQueue
 	for _, cq := range r.active {
-		if best == nil || cq.firstOrder() < best.firstOrder() {
+		if best == nil || cq.first().before(best.first()) {
 			best = cq
 		}
 	}
@@ -135,8 +135,8 @@
 	heap.Fix(&q.active, f.index)
 }
 
-// firstOrder returns the sort key of the next request. The class must not be empty.
-func (q *classQueue) firstOrder() int64 { return q.active[0].items[0].order }
+// first returns the next request. The class must not be empty.
+func (q *classQueue) first() *item { return q.active[0].items[0] }
 
 func (q *classQueue) pop() *item {
 	f := q.active[0]
@@ -212,17 +212,24 @@
 	q.budget += (d.Seconds() - q.budget) / 16
 }
 
-// itemHeap is a heap of items by sort key, then by arrival.
-type itemHeap []*item
-
-func (h itemHeap) Len() int { return len(h) }
-func (h itemHeap) Less(i, j int) bool {
-	if h[i].order != h[j].order {
-		return h[i].order < h[j].order
+// before reports whether an item is served before another one of its flow: items that
+// can meet their target first, then by sort key, then by arrival.
+func (it *item) before(other *item) bool {
+	if it.late != other.late {
+		return other.late
+	}
+	if it.order != other.order {
+		return it.order < other.order
 	}
-	return h[i].seq < h[j].seq
+	return it.seq < other.seq
 }
-func (h itemHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].index, h[j].index = i, j }
+
+// itemHeap is a heap of items in the order of before.
+type itemHeap []*item
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h itemHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i]; h[i].index, h[j].index = i, j }
 func (h *itemHeap) Push(x any) {
 	it := x.(*item)
 	it.index = len(*h)
@@ -237,20 +244,20 @@
 	return it
 }
 
-// flowHeap is a heap of flows by start tag, then by the sort key of the first
-// request.
+// flowHeap is a heap of flows: those whose first request can meet its target first,
+// then by start tag, then by the first request.
 type flowHeap []*flow
 
 func (h flowHeap) Len() int { return len(h) }
 func (h flowHeap) Less(i, j int) bool {
+	a, b := h[i].head(), h[j].head()
+	if a.late != b.late {
+		return b.late
+	}
 	if h[i].startTag != h[j].startTag {
 		return h[i].startTag < h[j].startTag
 	}
-	a, b := h[i].head(), h[j].head()
-	if a.order != b.order {
-		return a.order < b.order
-	}
-	return a.seq < b.seq
+	return a.before(b)
 }
 func (h flowHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].index, h[j].index = i, j }
 func (h *flowHeap) Push(x any) {
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -117,7 +117,7 @@
 	}
 	err := c.enc.Encode(request{
 		ID: c.priority.ID, Class: c.priority.Class, Caller: c.priority.Caller, Rank: c.priority.Rank,
-		Remaining: time.Until(deadline), Commands: commands,
+		Remaining: time.Until(deadline), RemainingTarget: remainingTarget(c.priority), Commands: commands,
 	})
 	if err == nil {
 		err = c.w.Flush()
@@ -134,6 +134,13 @@
 	return rep, nil
 }
 
+func remainingTarget(r admission.Request) time.Duration {
+	if r.Target.IsZero() {
+		return 0
+	}
+	return time.Until(r.Target)
+}
+
 // receive returns the final reply to a request.
 func (c *ownerConn) receive() (reply, error) {
 	for {
--- a/internal/hop/protocol.go
+++ b/internal/hop/protocol.go
@@ -34,6 +34,9 @@
 	Caller    string
 	Rank      catalog.Rank
 	Remaining time.Duration // time until the deadline; instances have different clocks
+	// RemainingTarget is the time until the request should be answered; 0 means that
+	// it has no target. It is negative if the target has passed.
+	RemainingTarget time.Duration
 	Commands  []statement.Command
 }
 
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -256,7 +256,9 @@
 		acquireDeadline := deadline.Add(-answerMargin)
 		ctx, cancel := context.WithDeadline(ctx, acquireDeadline)
 		defer cancel()
-		lease, err := pool.Acquire(ctx, admission.Request{ID: r.ID, Class: r.Class, Caller: r.Caller, Rank: r.Rank, Deadline: acquireDeadline})
+		lease, err := pool.Acquire(ctx, admission.Request{
+			ID: r.ID, Class: r.Class, Caller: r.Caller, Rank: r.Rank, Deadline: acquireDeadline, Target: targetOf(r),
+		})
 		if err != nil {
 			return reply{NotSent: withoutCause(result.From(err))}
 		}
@@ -281,6 +283,14 @@
 	return reply{Answers: answers}
 }
 
+// targetOf returns the time by which a request should be answered, or the zero time.
+func targetOf(r request) time.Time {
+	if r.RemainingTarget == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(r.RemainingTarget)
+}
+
 func (p *peerConn) txState() statement.TxState {
 	if p.lease != nil {
 		return statement.TxOpen
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -19,6 +19,7 @@
 	begin        *statement.Statement // BEGIN to send before the statement; nil if none
 	arrivedAt    time.Duration
 	deadline     time.Time // for the answer, over all attempts
+	target       time.Time // by which the caller should have the answer; zero if the route has no target
 
 	attemptsByDatabase map[string]int
 	attempts           int
@@ -49,6 +50,9 @@
 		st: st, route: route, writes: st.Kind == statement.Write,
 		arrivedAt: s.srv.cfg.Now(), deadline: time.Now().Add(timeout),
 	}
+	if route.LatencyTarget > 0 {
+		req.target = time.Now().Add(route.LatencyTarget)
+	}
 	if s.tx != nil && s.tx.lease == nil {
 		req.begin = &s.tx.begin
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -164,7 +164,7 @@
 	id := t.pool.Database().ID
 	ctx, cancel := context.WithDeadline(context.Background(), req.deadline)
 	lease, err := t.pool.Acquire(ctx, admission.Request{
-		ID: req.st.ID, Class: req.class(), Caller: s.fairnessKey(), Rank: req.rank(), Deadline: req.deadline,
+		ID: req.st.ID, Class: req.class(), Caller: s.fairnessKey(), Rank: req.rank(), Deadline: req.deadline, Target: req.target,
 	})
 	cancel()
 	if err != nil {
