Hand over replacements when an instance shuts down

Ruled out: a shorter time-out; a promoter may have to wait for the validity. Change: an instance that shuts down starts no replacement, finishes those in progress, and gives up the record of one that is not complete 0.7 s before its sessions end, unless a promotion call is unanswered.

--- a/internal/hop/protocol.go
+++ b/internal/hop/protocol.go
@@ -37,7 +37,7 @@
 	// RemainingTarget is the time until the request should be answered; 0 means that
 	// it has no target. It is negative if the target has passed.
 	RemainingTarget time.Duration
-	Commands  []statement.Command
+	Commands        []statement.Command
 }
 
 // reply is the owner's message in response to a request.
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -172,6 +172,9 @@
 	// rollbackReserve is how long before the end of the sessions open transactions
 	// are rolled back, so that their callers can be told.
 	rollbackReserve = 500 * time.Millisecond
+	// handOverReserve is how long before the end of the grace period, without
+	// exitReserve, a replacement of a primary is given up.
+	handOverReserve = 700 * time.Millisecond
 	// unregisterTimeout bounds the removal of the instance's registration.
 	unregisterTimeout = 300 * time.Millisecond
 )
@@ -229,6 +232,13 @@
 	log.Info().Msg("Shutdown started; the instance is no longer ready.")
 	ctx, cancel := context.WithTimeout(context.Background(), i.cfg.GracePeriod-exitReserve)
 	defer cancel()
+	retired := make(chan struct{})
+	go func() {
+		defer close(retired)
+		rctx, rcancel := context.WithTimeout(ctx, i.cfg.GracePeriod-exitReserve-handOverReserve)
+		defer rcancel()
+		i.primacy.Retire(rctx)
+	}()
 	closeIdle := min(rotationDelay, i.cfg.GracePeriod/2)
 	end := i.cfg.GracePeriod - exitReserve
 	go func() {
@@ -239,6 +249,7 @@
 		CloseIdle: closeIdle, RollBackOpen: end - rollbackReserve, CloseAll: end,
 	})
 	_ = callers.Close() // the shutdown may end before closeIdle
+	<-retired
 	wctx, wcancel := context.WithTimeout(context.Background(), unregisterTimeout)
 	defer wcancel()
 	i.primacy.Unregister(wctx)
--- a/internal/primacy/failover.go
+++ b/internal/primacy/failover.go
@@ -292,8 +292,11 @@
 	age := r.cfg.Now() - r.recordSeenAt[rec.Service]
 	r.mu.Unlock()
 	limit := takeoverTimeout
-	if rec.Promoter == r.incarnation() {
+	switch rec.Promoter {
+	case r.incarnation():
 		limit = ownRetryDelay // this instance's own attempt failed
+	case noPromoter:
+		limit = 0
 	}
 	if age < limit {
 		return
@@ -306,10 +309,20 @@
 }
 
 func (r *Runner) runReplacement(ctx context.Context, rec Record, planned bool) {
+	ctx, end, ok := r.retirement.begin(ctx)
+	if !ok {
+		return // another instance replaces the primary
+	}
+	defer end()
 	held, err := r.takeRecord(ctx, rec, planned && rec.Phase == Serving)
 	if err == nil {
 		err = r.replace(ctx, held)
 	}
+	// A promotion call that is still on its way must not arrive after one of a
+	// successor, so the successor then waits for the time-out.
+	if err != nil && r.retirement.started() && !errors.Is(err, errPromotionUnanswered) {
+		r.handOver(rec.Service)
+	}
 	if err != nil && !errors.Is(err, errRecordTaken) {
 		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token+1).Err(err).Msg("The primary was not replaced.")
 	}
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -284,6 +284,7 @@
 	promoted        []string
 	tokens          []uint64
 	promotionFails  bool // promotions fail without an effect
+	promotionStalls bool // promotions are accepted without an effect
 }
 
 func newFakeGroup() *fakeGroup {
@@ -335,6 +336,9 @@
 	if g.promotionFails {
 		return errStoreDown
 	}
+	if g.promotionStalls {
+		return nil
+	}
 	s := g.status[id]
 	s.Primary, s.Term, s.HeldTerm = true, 2, 0
 	g.status[id] = s
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -46,6 +46,9 @@
 // errRecordTaken means that another promoter holds the record.
 var errRecordTaken = errors.New("another instance holds the service's record")
 
+// errPromotionUnanswered means that a promotion call may still be on its way.
+var errPromotionUnanswered = errors.New("a promotion call was not answered")
+
 // takeRecord starts a replacement: it makes this instance the promoter in the
 // service's record, under a new token.
 func (r *Runner) takeRecord(ctx context.Context, from Record, planned bool) (Record, error) {
@@ -297,14 +300,21 @@
 
 // promote asks the platform to promote the record's candidate and waits until
 // the candidate reports that it is primary.
-func (r *Runner) promote(ctx context.Context, rec Record) (leader, error) {
+func (r *Runner) promote(ctx context.Context, rec Record) (_ leader, err error) {
 	until := r.cfg.Now() + leadTimeout
+	unanswered := false
+	defer func() {
+		if err != nil && unanswered {
+			err = fmt.Errorf("%w: %w", errPromotionUnanswered, err)
+		}
+	}()
 	for r.cfg.Now() < until {
 		err := r.callPromote(ctx, rec)
 		if errors.Is(err, ErrNotRunning) {
 			return leader{}, err
 		}
 		if err != nil {
+			unanswered = true
 			r.log.Warn().Str("service", rec.Service).Str("database", rec.Candidate).Err(err).Msg("The promotion call failed. It may still take effect.")
 		}
 		if l, ok := r.awaitLeadership(ctx, rec, err == nil, until); ok {
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -33,6 +33,8 @@
 	cfg Config
 	log zerolog.Logger
 
+	retirement retirement
+
 	mu              sync.Mutex
 	reg             Registration
 	published       publishedState
