Contain panics, and try all upstreams in one round

Cause: a panic in one session ended the process with all sessions. At full size 220 instances asked all databases for their status for seconds: after a failed upstream they went to the store and the databases, and 1.2 s later to the same upstream again, never to the second one; each status query to an owner opened a connection. Ruled out: a refusing store alone; two thirds of the instances reached it. Change: sessions, peers' connections, checks of services and background tasks contain panics, log the stack and count them. The second upstream is asked in the same round, without waiting. Connections to owners are kept.

--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -106,6 +106,9 @@
 	} else if conn != nil {
 		p.discard(conn)
 	}
+	if p.owner != "" {
+		return p.controlThroughOwner(ctx, c, began)
+	}
 	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID)
 	if err != nil {
 		return statement.Status{}, dialError(p.db.ID, err)
@@ -116,6 +119,24 @@
 	return s, err
 }
 
+// controlThroughOwner opens a connection to the owner for a control command and keeps
+// it for others: such connections don't count against the database's limit.
+func (p *Pool) controlThroughOwner(ctx context.Context, c statement.Command, began time.Duration) (statement.Status, error) {
+	conn, err := p.connect(ctx)
+	if err != nil {
+		return statement.Status{}, err
+	}
+	deadline, _ := ctx.Deadline() // set by Control
+	s, err := conn.Status(deadline, c)
+	p.recordControl(began, err)
+	if err == nil {
+		p.putIdle(conn)
+	} else {
+		p.discard(conn)
+	}
+	return s, err
+}
+
 // putIdle adds a connection to the idle list, or closes it if the pool has too many.
 // The connection must not be in a transaction.
 func (p *Pool) putIdle(c *pooledConn) {
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/sockets"
@@ -144,17 +145,7 @@
 	go func() {
 		defer close(requests)
 		defer cancel()
-		for {
-			var r request
-			if p.dec.Decode(&r) != nil {
-				return // the peer has disconnected
-			}
-			select {
-			case requests <- r:
-			case <-ctx.Done():
-				return
-			}
-		}
+		contain.Run(p.server.Log, "connection of a peer", func() { p.readRequests(ctx, requests) })
 	}()
 	defer cancel()
 	defer func() {
@@ -172,6 +163,21 @@
 	}
 }
 
+// readRequests passes on the peer's requests until it disconnects or ctx ends.
+func (p *peerConn) readRequests(ctx context.Context, requests chan<- request) {
+	for {
+		var r request
+		if p.dec.Decode(&r) != nil {
+			return // the peer has disconnected
+		}
+		select {
+		case requests <- r:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (p *peerConn) send(rep reply) error {
 	p.sendMu.Lock()
 	defer p.sendMu.Unlock()
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/hop"
 	"geraniumbeam/internal/measure"
@@ -187,9 +188,11 @@
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.closeIdleWhileIsolated} {
 		wg.Go(func() {
-			if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
-				log.Error().Err(err).Msg("A background task has stopped with an error.")
-			}
+			contain.Loop(ctx, log, "background task", func(ctx context.Context) {
+				if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+					log.Error().Err(err).Msg("A background task has stopped with an error.")
+				}
+			})
 		})
 	}
 	i.serveHTTP(l.Ready, ready, log)
--- a/internal/platformd/metrics.go
+++ b/internal/platformd/metrics.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/measure"
 )
 
@@ -17,6 +18,7 @@
 	metricVersion       = "geraniumbeam_configuration_version"
 	metricInstances     = "geraniumbeam_instances"
 	metricIsolated      = "geraniumbeam_isolated"
+	metricPanics        = "geraniumbeam_contained_panics_total"
 	metricReady         = "geraniumbeam_ready"
 )
 
@@ -37,6 +39,7 @@
 		{metricInstances, int64(i.primacy.Instances())},
 		{metricIsolated, boolToInt(i.primacy.Isolated())},
 		{metricReady, boolToInt(i.Ready())},
+		{metricPanics, contain.Panics()},
 	} {
 		if err := measure.WriteValue(w, v.name, measure.Labels{}, v.value); err != nil {
 			return err
--- a/internal/primacy/failover.go
+++ b/internal/primacy/failover.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/ownership"
 )
 
@@ -29,7 +30,7 @@
 				continue
 			}
 			go func() {
-				r.checkService(ctx, service)
+				contain.Run(r.log, "check of a service", func() { r.checkService(ctx, service) })
 				r.mu.Lock()
 				defer r.mu.Unlock()
 				r.checking[service] = false
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -190,32 +190,37 @@
 }
 
 // renewFromUpstream confirms the cached records from the snapshot of an upstream and
-// takes over its listing.
+// takes over its listing. After the first upstream it tries the other ones at once.
 func (r *Runner) renewFromUpstream(ctx context.Context) bool {
-	r.mu.Lock()
-	upstream, ok := r.upstreams.pick(r.cfg.Now())
-	_, failedBefore := r.upstreams.failures[upstream.Address]
-	q := r.lastSnapshot
-	r.mu.Unlock()
-	if !ok {
-		return false
-	}
-	switch {
-	case failedBefore:
-		q = SnapshotQuery{} // does not wait
-	case upstream.DataCentre != r.cfg.DataCentre:
-		q.Wait = headWait
-	default:
-		q.Wait = memberWait
-	}
-	ok = r.fetchUpstream(ctx, upstream, q)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if failedBefore == ok {
-		r.log.Info().Str("upstream", upstream.Name).Bool("provides", ok).Msg("The source of the store's state changed.")
+	for attempt := range maxUpstreams {
+		r.mu.Lock()
+		upstream, ok := r.upstreams.pick(r.cfg.Now())
+		_, failedBefore := r.upstreams.failures[upstream.Address]
+		q := r.lastSnapshot
+		r.mu.Unlock()
+		if !ok {
+			return false
+		}
+		switch {
+		case failedBefore || attempt > 0:
+			q = SnapshotQuery{} // does not wait
+		case upstream.DataCentre != r.cfg.DataCentre:
+			q.Wait = headWait
+		default:
+			q.Wait = memberWait
+		}
+		ok = r.fetchUpstream(ctx, upstream, q)
+		r.mu.Lock()
+		if failedBefore == ok {
+			r.log.Info().Str("upstream", upstream.Name).Bool("provides", ok).Msg("The source of the store's state changed.")
+		}
+		r.upstreams.record(upstream.Address, ok, r.cfg.Now())
+		r.mu.Unlock()
+		if ok {
+			return true
+		}
 	}
-	r.upstreams.record(upstream.Address, ok, r.cfg.Now())
-	return ok
+	return false
 }
 
 // fetchUpstream sends a query to an upstream and processes the snapshot. It reports
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/contain"
 )
 
 // Config holds the dependencies of a Runner. All fields are required.
@@ -94,8 +96,10 @@
 // registration.
 func (r *Runner) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){r.publishLoop, r.renewLoop, r.watchLoop, r.failoverLoop, r.instancesLoop} {
-		wg.Go(func() { loop(ctx) })
+	for name, loop := range map[string]func(context.Context){
+		"registration": r.publishLoop, "renewal": r.renewLoop, "watch": r.watchLoop, "failover": r.failoverLoop, "instances": r.instancesLoop,
+	} {
+		wg.Go(func() { contain.Loop(ctx, r.log, name, loop) })
 	}
 	wg.Wait()
 	return ctx.Err()
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -289,7 +289,7 @@
 		lease.Release()
 		return
 	}
-	go lease.Rollback(time.Now().Add(rollbackTimeout))
+	s.srv.rollBack(lease)
 }
 
 // confirmPrimary reports whether the target is still the recorded primary. If the
@@ -314,7 +314,7 @@
 // replaced before it answered.
 func (s *session) handleReplacedPrimary(req *request, t target, lease *dbpool.Lease) (outcome, bool) {
 	if req.begin != nil && req.st.Kind != statement.Commit {
-		go lease.Rollback(time.Now().Add(rollbackTimeout))
+		s.srv.rollBack(lease)
 		e := result.Errorf(result.RolledBack, "the primary is being replaced; the transaction was rolled back")
 		return failure(e, "the primary may have been replaced", t), req.isRepeatable()
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/freshness"
 	"geraniumbeam/internal/measure"
@@ -148,7 +149,7 @@
 	s.sessions[sess] = struct{}{}
 	s.mu.Unlock()
 	s.wg.Go(func() {
-		sess.run()
+		contain.Run(s.cfg.Log, "session", sess.run)
 		s.mu.Lock()
 		delete(s.sessions, sess)
 		s.signalAllEnded()
@@ -156,6 +157,11 @@
 	})
 }
 
+// rollBack rolls back the open transaction of a lease in the background.
+func (s *Server) rollBack(lease *dbpool.Lease) {
+	go contain.Run(s.cfg.Log, "rollback", func() { lease.Rollback(time.Now().Add(rollbackTimeout)) })
+}
+
 // signalAllEnded closes allEnded if a shutdown has begun and no session is left.
 // s.mu is held.
 func (s *Server) signalAllEnded() {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -83,8 +83,7 @@
 // discardTransaction rolls back the open transaction, if any, and forgets it.
 func (s *session) discardTransaction() {
 	if s.tx != nil && s.tx.lease != nil {
-		lease := s.tx.lease
-		go lease.Rollback(time.Now().Add(rollbackTimeout))
+		s.srv.rollBack(s.tx.lease)
 	}
 	s.tx = nil
 }
@@ -205,9 +204,8 @@
 // it as failed: the caller can only end it.
 func (s *session) failTransaction() {
 	if s.tx.lease != nil {
-		lease := s.tx.lease
+		s.srv.rollBack(s.tx.lease)
 		s.tx.lease = nil
-		go lease.Rollback(time.Now().Add(rollbackTimeout))
 	}
 	s.tx.failed = true
 }
