Take a detour through another instance around a cut

Cause: an instance that is cut off from a primary, or from the databases of a read, refuses its callers although other instances reach them; the load balancer does not know. Ruled out: replacing the primary; a majority reaches it. A cut that separates the primary, a majority of the instances and the rest with the store (split) stays as it was: one side can't confirm the record, the other has no majority. Change: while its own connections fail, an instance sends its requests through up to four others, first of its own data centre, that reach the database. The state of the store also passes between peers, and databases are asked only for records that were not confirmed for 0.6 s.

--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -87,6 +87,16 @@
 	return p.health.unresponsiveSince(p.now())
 }
 
+// unresponsiveFor returns how long the database has failed to answer this instance, or
+// 0 if it is considered responsive.
+func (p *Pool) unresponsiveFor(now time.Duration) time.Duration {
+	since, unresponsive := p.UnresponsiveSince()
+	if !unresponsive {
+		return 0
+	}
+	return now - since
+}
+
 // Control runs a control command without waiting in the queue. It uses an idle
 // connection if there is one, and otherwise opens one outside the pool.
 func (p *Pool) Control(ctx context.Context, c statement.Command, timeout time.Duration) (statement.Status, error) {
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -10,7 +10,8 @@
 var ownerSizing = Sizing{MaxOpen: maxOpenPerInstance, IdleTimeout: idleTimeoutDefault, ViaOwner: true}
 
 // paths holds the pools through which an instance reaches one database: one for
-// each owner, in order of preference, and one of direct connections. Set.mu
+// each owner or, while the direct connections fail, for each instance that may still
+// reach the database, in order of preference, and one of direct connections. Set.mu
 // protects all fields except lastAnsweredControl.
 type paths struct {
 	owners              []*Pool
--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -20,11 +20,12 @@
 	owners map[string]*fakeDatabase // by address
 	direct *fakeDatabase
 	self   bool
+	limit  int
 }
 
 func newOversubscribedSet(t *testing.T) *oversubscribedSet {
 	t.Helper()
-	x := &oversubscribedSet{owners: map[string]*fakeDatabase{"o1:1": {}, "o2:1": {}}, direct: &fakeDatabase{}}
+	x := &oversubscribedSet{owners: map[string]*fakeDatabase{"o1:1": {}, "o2:1": {}}, direct: &fakeDatabase{}, limit: 46}
 	x.set = NewSet(SetConfig{
 		Dial: x.direct.dial, Clock: clock.Real{}, Now: clock.SinceBoot, Instances: func() int { return 64 }, Topology: topology.New(),
 		Owners: func(topology.Database, int) ([]ownership.Instance, bool) {
@@ -41,7 +42,7 @@
 func (x *oversubscribedSet) reconcile() []*Pool {
 	x.set.mu.Lock()
 	defer x.set.mu.Unlock()
-	return x.set.reconcile(topology.Database{ID: "db-1", Service: "ledger", Address: "db:1"}, 46, 64)
+	return x.set.reconcile(topology.Database{ID: "db-1", Service: "ledger", Address: "db:1"}, x.limit, 64)
 }
 
 // use performs one exchange and returns the name of the owner that it went through.
@@ -224,3 +225,53 @@
 		}
 	}
 }
+
+// Guards against refusals by an instance that is cut off from a primary which other
+// instances reach (six of nine fronts are cut off for seven seconds), and against the
+// detour staying in use afterwards.
+func TestDetourAroundACut(t *testing.T) {
+	x := newOversubscribedSet(t)
+	x.set.cfg.Owners, x.limit = nil, 128
+	x.set.cfg.Detours = func(topology.Database) []ownership.Instance {
+		return []ownership.Instance{{Name: "o1", Address: "o1:1"}, {Name: "o2", Address: "o2:1"}}
+	}
+	x.reconcile()
+	if through, err := x.use(t); through != "" || err != nil {
+		t.Fatalf("through %q, %v, want a direct connection", through, err)
+	}
+	setError(x.direct, errBroken)
+	setError(x.owners["o1:1"], errBroken) // it does not reach the database either and refuses the handshake
+	served := false
+	for end := time.Now().Add(5 * time.Second); !served && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		x.reconcile()
+		through, err := x.use(t)
+		served = through == "o2" && err == nil
+	}
+	if !served {
+		t.Fatal("requests are not sent through the instance that reaches the database")
+	}
+	if _, err := x.set.Status(t.Context(), "ledger", "db-1", time.Second); err != nil {
+		t.Errorf("status through the detour: %v", err)
+	}
+	if _, unresponsive := x.set.UnresponsiveSince("ledger", "db-1"); unresponsive {
+		t.Error("a primary that others reach is suspected")
+	}
+	if _, ok := x.set.Owned("db-1"); ok {
+		t.Error("an instance that does not reach the database offers a detour")
+	}
+	setError(x.direct, nil)
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		for _, p := range x.reconcile() {
+			p.Maintain(context.Background())
+		}
+		if through, err := x.use(t); through == "" && err == nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the direct connection is not used again")
+		}
+	}
+	if _, ok := x.set.Owned("db-1"); !ok {
+		t.Error("an instance that reaches the database offers no detour")
+	}
+}
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -21,6 +21,11 @@
 	// propagationTime is how long after its registration a database is assumed
 	// to be known to every instance. Outages of the store last up to 12 s.
 	propagationTime = 20 * time.Second
+	// detourDelay is how long a database may be unresponsive before requests take a
+	// detour through another instance. The load balancer can't tell which databases
+	// an instance reaches, so without it the callers of an instance that is cut off
+	// from a primary are refused until the cut ends.
+	detourDelay = 50 * time.Millisecond
 )
 
 // SetConfig configures a Set. Metrics and Owners may be nil; DialOwner is required
@@ -43,6 +48,9 @@
 	// database that it does not own while it reaches none of the owners. If it is
 	// nil, it may.
 	MayConnect func(d topology.Database, limit int) bool
+	// Detours returns instances that may reach a database which this instance does
+	// not reach, in order of preference. If it is nil, there are none.
+	Detours func(d topology.Database) []ownership.Instance
 	// DialOwner connects to the owner at address to use the database with the
 	// given id.
 	DialOwner func(ctx context.Context, address, id string) (Conn, error)
@@ -137,6 +145,9 @@
 		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
 	}
 	p.direct.SetSizing(sizing)
+	if len(owners) == 0 && s.cfg.Detours != nil && p.direct.unresponsiveFor(s.cfg.Now()) > detourDelay {
+		owners = s.cfg.Detours(d)
+	}
 	p.owners = s.reconcileOwners(d, p.owners, owners)
 	return append(slices.Clone(p.owners), p.direct)
 }
@@ -181,12 +192,13 @@
 	return p.pick(), true
 }
 
-// Owned returns the direct pool of a database if this instance is one of its owners.
+// Owned returns the direct pool of a database if this instance is one of its owners,
+// or if the database has none and this instance reaches it.
 func (s *Set) Owned(id string) (*Pool, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	p, ok := s.pools[id]
-	if !ok || !p.isOwner {
+	if !ok || p.direct == nil || (!p.isOwner && (len(p.owners) > 0 || !p.direct.usable())) {
 		return nil, false
 	}
 	return p.direct, true
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -81,7 +81,8 @@
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
 		},
-		Rank: func(d topology.Database, limit int) int { return i.primacy.Rank(d.ID, d.DataCentre, limit) },
+		Detours: func(d topology.Database) []ownership.Instance { return i.primacy.Detours(d.ID, d.DataCentre) },
+		Rank:    func(d topology.Database, limit int) int { return i.primacy.Rank(d.ID, d.DataCentre, limit) },
 		MayConnect: func(d topology.Database, limit int) bool {
 			return i.primacy.MayConnect(d.ID, d.DataCentre, limit)
 		},
--- a/internal/primacy/owners.go
+++ b/internal/primacy/owners.go
@@ -50,6 +50,42 @@
 	return ownership.Order(self, owners), false
 }
 
+// maxDetours bounds the instances through which one tries to reach a database.
+const maxDetours = 4
+
+// Detours returns instances through which self may reach a database that it does not
+// reach itself: those of its own data centre, which answer soonest whether they do,
+// then those of the database's.
+func Detours(registered []Registration, self, id, ownDataCentre, dataCentre string) []ownership.Instance {
+	var own, near, other []ownership.Instance
+	for _, reg := range registered {
+		i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
+		switch {
+		case reg.Address == "" || reg.Instance == self:
+		case reg.DataCentre == ownDataCentre:
+			own = append(own, i)
+		case reg.DataCentre == dataCentre:
+			near = append(near, i)
+		default:
+			other = append(other, i)
+		}
+	}
+	key := "detour " + id + " " + self // spreads the load over those that reach the database
+	detours := ownership.Order(key, own)
+	detours = detours[:min(len(detours), maxDetours/2)]
+	detours = append(detours, ownership.Order(key, near)...)
+	detours = append(detours, ownership.Order(key, other)...)
+	return detours[:min(len(detours), maxDetours)]
+}
+
+// Detours calls the function Detours for this instance and the instances that it
+// knows.
+func (r *Runner) Detours(id, dataCentre string) []ownership.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Detours(r.knownInstances, r.cfg.Instance, id, r.cfg.DataCentre, dataCentre)
+}
+
 // directShare is the part of a connection limit that is open to instances which reach
 // no owner of the database: a quarter. Half is for the owners.
 const directShare = 4
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/topology"
 )
@@ -269,23 +270,39 @@
 	defer cancel()
 	for _, address := range r.randomPeers() {
 		wg.Go(func() {
-			sent := r.cfg.Now()
-			s, err := r.cfg.Peers.FetchSnapshot(ctx, address, SnapshotQuery{})
-			if err != nil || s.Age > relayMaxAge {
-				return // the caller falls back to the databases
-			}
-			if s.Age <= storeContactMaxAge {
-				inContact.Store(true)
-			}
-			for _, rec := range r.cfg.Cache.Confirm(s.Records, askedAt(s, sent, r.cfg.Now())) {
-				r.recordChanged(rec, "told by a peer")
-			}
+			contain.Run(r.log, "query to a peer", func() {
+				if r.renewFromPeer(ctx, address) {
+					inContact.Store(true)
+				}
+			})
 		})
 	}
 	wg.Wait()
 	return inContact.Load()
 }
 
+// renewFromPeer takes over the snapshot of a peer, which others may then get from this
+// instance: so the state reaches those that the store does not answer, although few
+// are in contact with it. It reports whether the peer is in contact with the store.
+func (r *Runner) renewFromPeer(ctx context.Context, address string) bool {
+	var q SnapshotQuery
+	if l, _ := r.cfg.Listings.Listing(); l != nil {
+		q.Content = l.Content
+	}
+	sent := r.cfg.Now()
+	s, err := r.cfg.Peers.FetchSnapshot(ctx, address, q)
+	received := r.cfg.Now()
+	if err != nil || s.Age > relayMaxAge {
+		return false // the caller falls back to the databases
+	}
+	asked := askedAt(s, sent, received)
+	if s.Listing != nil {
+		r.cfg.Listings.Adopt(s.Listing, asked+s.Age-s.ListingAge)
+	}
+	r.confirmRecords(s.Records, s.Revision, asked)
+	return s.Age <= storeContactMaxAge
+}
+
 // randomPeers returns the addresses of up to fallbackPeerCount other instances.
 func (r *Runner) randomPeers() []string {
 	r.mu.Lock()
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -366,3 +366,27 @@
 		t.Errorf("list intervals: %v, %v, %v", listInterval(7), listInterval(64), listInterval(3900))
 	}
 }
+
+// Guards against a detour through the instance itself, and against detours that all
+// lead through one instance.
+func TestDetoursAreSpread(t *testing.T) {
+	all := newFleet(9, 4)
+	first := make(map[string]int)
+	for _, reg := range all {
+		detours := Detours(all, reg.Instance, "db-1", reg.DataCentre, "a")
+		if len(detours) != maxDetours || detours[0].DataCentre != reg.DataCentre {
+			t.Errorf("%s: detours %v, want %d, the first in its own data centre", reg.Instance, detours, maxDetours)
+		}
+		for _, d := range detours {
+			if d.Name == reg.Instance {
+				t.Errorf("%s is its own detour", d.Name)
+			}
+		}
+		first[detours[0].Name]++
+	}
+	for name, n := range first {
+		if n > 4 {
+			t.Errorf("%d instances take their detour through %s first", n, name)
+		}
+	}
+}
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -105,6 +105,7 @@
 	asked := r.cfg.Now()
 	records, at, err := r.cfg.Store.Records(ctx)
 	if err != nil {
+		r.log.Debug().Err(err).Msg("The store did not confirm the records.")
 		return err
 	}
 	r.confirmRecords(records, at, asked)
@@ -116,21 +117,29 @@
 }
 
 // renewFromDatabases confirms the cached record of each service whose databases
-// show that no replacement has begun (see ConfirmsPrimary). It reports whether it
-// confirmed any.
+// show that no replacement has begun (see ConfirmsPrimary), unless it was confirmed
+// within databaseQueryAge. It reports whether any is confirmed.
 func (r *Runner) renewFromDatabases(ctx context.Context) bool {
 	var (
 		extended atomic.Bool
 		wg       sync.WaitGroup
 	)
 	for _, service := range r.cfg.Services() {
-		if rec, _, ok := r.cfg.Cache.Record(service); ok && rec.Phase == Serving {
-			wg.Go(func() {
+		rec, confirmed, ok := r.cfg.Cache.Record(service)
+		if !ok || rec.Phase != Serving {
+			continue
+		}
+		if r.cfg.Now()-confirmed < databaseQueryAge {
+			extended.Store(true)
+			continue
+		}
+		wg.Go(func() {
+			contain.Run(r.log, "query to databases", func() {
 				if r.extendFromDatabases(ctx, rec) {
 					extended.Store(true)
 				}
 			})
-		}
+		})
 	}
 	wg.Wait()
 	return extended.Load()
--- a/internal/primacy/timing.go
+++ b/internal/primacy/timing.go
@@ -12,6 +12,10 @@
 	// renewal that fails after it, and the status requests to databases that
 	// replace it. A promoter waits for it if an instance is out of reach.
 	recordValidity = 1300 * time.Millisecond
+	// databaseQueryAge is the age of a confirmation from which databases are asked
+	// instead of the store. Each question takes a slot of a database, and an instance
+	// that lost its upstream usually has the state from others by then.
+	databaseQueryAge = 600 * time.Millisecond
 	// hedgeDelay is how long an instance waits for the store before it asks peers
 	// and databases as well. A store that is not slow answers within 5 ms.
 	hedgeDelay = 200 * time.Millisecond
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -280,7 +280,7 @@
 	time.Sleep(300 * time.Millisecond)
 	mustQuery("s1.1/commit", "COMMIT")
 	if code := h.instances[0].terminate(t, 20*time.Second); code != 0 {
-		t.Errorf("exit code %d after SIGTERM, want 0", code)
+		t.Errorf("exit code %d after SIGTERM, want 0; the log ends with:\n%s", code, h.instances[0].log.tail(8<<10))
 	}
 	log := h.instances[0].log.tail(maxLogBytes)
 	if !strings.Contains(log, "The instance has stopped.") {
