Keep detours from delaying the detection of a lost primary

Ruled out: the number of detours. Change: the failure counts from the direct connections; a dial to another instance takes 0.2 s at most; a status query tries all detours before a primary is suspected. A test of peers gets its listings.

--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -17,6 +17,7 @@
 	owners              []*Pool
 	direct              *Pool
 	isOwner             bool         // this instance is an owner of the database's connections
+	detour              bool         // owners are detours, because the direct connections fail
 	mayConnect          bool         // direct connections are allowed while no owner is usable
 	lastAnsweredControl atomic.Int64 // sending time of the last control command that the database answered
 }
@@ -24,8 +25,10 @@
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
 // is usable and this instance may not connect itself, it returns the first owner's.
 func (p *paths) pick() *Pool {
-	if pool := p.usableOwner(nil); pool != nil {
-		return pool
+	for _, pool := range p.owners {
+		if pool.usable() {
+			return pool
+		}
 	}
 	if len(p.owners) == 0 || p.mayConnect {
 		return p.direct
@@ -33,26 +36,21 @@
 	return p.owners[0]
 }
 
-// alternative returns another pool than the given one for a status query, or nil.
-func (p *paths) alternative(to *Pool) *Pool {
-	if pool := p.usableOwner(to); pool != nil {
-		return pool
-	}
-	if p.mayConnect && to != p.direct {
-		return p.direct
-	}
-	return nil
-}
-
-// usableOwner returns the pool of the first usable owner, without the given one, or
-// nil.
-func (p *paths) usableOwner(except *Pool) *Pool {
+// forStatus returns the pools through which a status query may be sent, in order.
+func (p *paths) forStatus() []*Pool {
+	var pools []*Pool
 	for _, pool := range p.owners {
-		if pool != except && pool.usable() {
-			return pool
+		if pool.usable() {
+			pools = append(pools, pool)
 		}
 	}
-	return nil
+	if p.mayConnect && !p.detour || len(p.owners) == 0 {
+		pools = append(pools, p.direct)
+	}
+	if len(pools) == 0 {
+		pools = append(pools, p.pick())
+	}
+	return pools
 }
 
 // recordControl records that the database answered a control command that was sent
@@ -66,6 +64,10 @@
 	if len(p.owners) == 0 {
 		return p.direct.UnresponsiveSince()
 	}
+	if p.detour {
+		since, last, failed := p.direct.failure()
+		return since, failed && last > time.Duration(p.lastAnsweredControl.Load())
+	}
 	var since time.Duration
 	failed := false
 	for _, pool := range append(p.owners[:len(p.owners):len(p.owners)], p.direct) {
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -22,6 +22,10 @@
 	// packets between data centres and a database that is five times slower
 	// than usual.
 	dialTimeout = 1 * time.Second
+	// ownerDialTimeout bounds the opening of a connection to another instance. A
+	// handshake takes two round trips, of 10 ms between data centres; one lost packet
+	// is sent again by the next attempt.
+	ownerDialTimeout = 200 * time.Millisecond
 	// dialBackoffMin and dialBackoffMax bound the exponential back-off after a
 	// failed dial.
 	dialBackoffMin = 50 * time.Millisecond
@@ -230,7 +234,11 @@
 	p.health.begin(now)
 	p.mu.Unlock()
 
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	timeout := dialTimeout
+	if p.owner != "" {
+		timeout = ownerDialTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID)
 
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -145,7 +145,8 @@
 		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
 	}
 	p.direct.SetSizing(sizing)
-	if len(owners) == 0 && s.cfg.Detours != nil && p.direct.unresponsiveFor(s.cfg.Now()) > detourDelay {
+	p.detour = len(owners) == 0 && s.cfg.Detours != nil && p.direct.unresponsiveFor(s.cfg.Now()) > detourDelay
+	if p.detour {
 		owners = s.cfg.Detours(d)
 	}
 	p.owners = s.reconcileOwners(d, p.owners, owners)
@@ -219,38 +220,40 @@
 
 // Control implements primacy.Databases. A status query uses the pool that requests
 // use, because opening a separate connection costs the database as much as a
-// statement. If that fails, it is repeated through another owner, or on a direct
-// connection if this instance may open one. Commands that change the database's state
+// statement. If that fails, it is repeated through the other owners or detours, or on a
+// direct connection if this instance may open one. Commands that change the database's state
 // always use a direct connection.
 func (s *Set) Control(ctx context.Context, _, id string, c statement.Command, timeout time.Duration) (statement.Status, error) {
 	s.mu.RLock()
 	p, ok := s.pools[id]
-	var preferred, alternative, direct *Pool
+	var pools []*Pool
 	if ok {
-		preferred, direct = p.pick(), p.direct
-		alternative = p.alternative(preferred)
+		pools = []*Pool{p.direct}
+		if c.Op == statement.OpStatus {
+			pools = p.forStatus()
+		}
 	}
 	s.mu.RUnlock()
 	if !ok {
 		return statement.Status{}, result.Errorf(result.DatabaseDown, "database %s is not in the topology", id)
 	}
 	began := s.cfg.Now()
-	pool := direct
-	if c.Op == statement.OpStatus && preferred != direct {
-		st, err := preferred.Control(ctx, c, timeout/2)
-		if err == nil {
+	var (
+		st  statement.Status
+		err error
+	)
+	for i, pool := range pools {
+		left := timeout - (s.cfg.Now() - began)
+		if i < len(pools)-1 {
+			left = min(left, timeout/2)
+		}
+		if st, err = pool.Control(ctx, c, left); err == nil {
 			p.recordControl(began)
 			return st, nil
 		}
-		if alternative == nil {
-			return st, err
+		if s.cfg.Now()-began >= timeout {
+			break
 		}
-		pool = alternative
-		timeout -= s.cfg.Now() - began
-	}
-	st, err := pool.Control(ctx, c, timeout)
-	if err == nil {
-		p.recordControl(began)
 	}
 	return st, err
 }
--- a/internal/primacy/peer_vote_test.go
+++ b/internal/primacy/peer_vote_test.go
@@ -55,7 +55,7 @@
 	}{{renewInterval, true}, {storeContactMaxAge + ms, false}, {relayMaxAge + ms, false}} {
 		peers := &fakePeers{snapshots: map[string]StoreSnapshot{"x:1": {Records: []Record{{Service: "ledger", Revision: 5, Phase: Serving}}, Age: c.age}}}
 		cache := NewRecordCache("self", validity, clock.SinceBoot)
-		r := NewRunner(Config{Instance: "self", Peers: peers, Cache: cache, Now: clock.SinceBoot, Log: zerolog.Nop()})
+		r := NewRunner(Config{Instance: "self", Peers: peers, Cache: cache, Listings: &fakeListings{}, Now: clock.SinceBoot, Log: zerolog.Nop()})
 		r.knownInstances = []Registration{{Instance: "x", Address: "x:1"}}
 		if got := r.renewFromPeers(t.Context()); got != c.inContact {
 			t.Errorf("a peer that asked the store %v ago: in contact %v, want %v", c.age, got, c.inContact)
