--- a/internal/entry/caller_conn.go
+++ b/internal/entry/caller_conn.go
@@ -64,9 +64,7 @@
 	}
 	c := &callerConn{server: s, conn: conn}
 	c.reader.conn, c.reader.maxBody = conn, s.cfg.Settings.Callers.MaxMessage
-	ok := c.connect()
-	s.startingConns.Add(-1)
-	if !ok {
+	if !c.connectCounted() {
 		return
 	}
 	defer s.unregister(c)
@@ -76,6 +74,13 @@
 	}
 }
 
+// connectCounted calls connect and removes the connection from those that are starting,
+// also after a panic.
+func (c *callerConn) connectCounted() bool {
+	defer c.server.startingConns.Add(-1)
+	return c.connect()
+}
+
 // connect runs the startup phase and registers the connection. It returns false if
 // the connection is to be closed.
 func (c *callerConn) connect() bool {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/directory"
 	"geraniumbeam/internal/events"
 	"geraniumbeam/internal/metrics"
@@ -131,7 +132,10 @@
 		if err != nil {
 			return s.handleAcceptError(ctx, err)
 		}
-		s.background.Go(func() { s.serveCaller(conn) })
+		s.background.Go(func() {
+			// serveCaller's deferred calls end the session before the panic arrives here.
+			contain.Run(s.cfg.Log, "caller's session", func() { s.serveCaller(conn) })
+		})
 	}
 }
 
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -252,10 +252,14 @@
 	if records == nil {
 		records = r.snapshotRecords
 	}
-	r.snapshotRecords = records
-	r.lastSnapshot = SnapshotQuery{Process: s.Process, After: s.Sequence, Records: s.RecordsVersion}
 	r.mu.Unlock()
 	r.confirmRecords(records, s.Revision, asked)
+	// Only now: a concurrent query must not learn that nothing has changed since
+	// records that are not in the cache yet.
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.snapshotRecords = records
+	r.lastSnapshot = SnapshotQuery{Process: s.Process, After: s.Sequence, Records: s.RecordsVersion}
 	return true
 }
 
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -55,8 +55,8 @@
 	knownInstances []Registration          // from the latest list
 	ownersCache    map[string]cachedOwners // by database; computed from knownInstances
 	state          storeState
-	// lastSnapshot identifies the latest snapshot of an upstream, and
-	// snapshotRecords are its records. Only renewLoop uses the latter.
+	// lastSnapshot identifies the latest snapshot of an upstream whose records are
+	// in the cache, and snapshotRecords are these.
 	lastSnapshot    SnapshotQuery
 	snapshotRecords []Record
 	// askStore is set while the records must be confirmed by the store itself,
