Bound the time for which a detour keeps a primary in use

Ruled out: a wrong test; a majority without the primary must replace it. Change: after 10 s only direct connections count for a suspicion. A connection that opens and fails again does not start the time anew.

--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -16,10 +16,11 @@
 type paths struct {
 	owners              []*Pool
 	direct              *Pool
-	isOwner             bool         // this instance is an owner of the database's connections
-	detour              bool         // owners are detours, because the direct connections fail
-	mayConnect          bool         // direct connections are allowed while no owner is usable
-	lastAnsweredControl atomic.Int64 // sending time of the last control command that the database answered
+	isOwner             bool          // this instance is an owner of the database's connections
+	detourAt            time.Duration // when a detour was last needed; 0: never
+	detourSince         time.Duration // since when owners are detours, because the direct connections fail; 0: they are not
+	mayConnect          bool          // direct connections are allowed while no owner is usable
+	lastAnsweredControl atomic.Int64  // sending time of the last control command that the database answered
 }
 
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
@@ -37,14 +38,17 @@
 }
 
 // forStatus returns the pools through which a status query may be sent, in order.
-func (p *paths) forStatus() []*Pool {
+func (p *paths) forStatus(now time.Duration) []*Pool {
+	if p.detourSince != 0 && now-p.detourSince > maxDetourTime {
+		return []*Pool{p.direct}
+	}
 	var pools []*Pool
 	for _, pool := range p.owners {
 		if pool.usable() {
 			pools = append(pools, pool)
 		}
 	}
-	if p.mayConnect && !p.detour || len(p.owners) == 0 {
+	if p.mayConnect && p.detourSince == 0 || len(p.owners) == 0 {
 		pools = append(pools, p.direct)
 	}
 	if len(pools) == 0 {
@@ -64,7 +68,7 @@
 	if len(p.owners) == 0 {
 		return p.direct.UnresponsiveSince()
 	}
-	if p.detour {
+	if p.detourSince != 0 {
 		since, last, failed := p.direct.failure()
 		return since, failed && last > time.Duration(p.lastAnsweredControl.Load())
 	}
--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -259,6 +259,12 @@
 	if _, ok := x.set.Owned("db-1"); ok {
 		t.Error("an instance that does not reach the database offers a detour")
 	}
+	// A long cut must not be hidden: the primary may be cut off from its replicas.
+	x.set.cfg.Now = func() time.Duration { return clock.SinceBoot() + maxDetourTime + time.Second }
+	if _, err := x.set.Status(t.Context(), "ledger", "db-1", time.Second); err == nil {
+		t.Error("a detour hides a cut for longer than maxDetourTime")
+	}
+	x.set.cfg.Now = clock.SinceBoot
 	setError(x.direct, nil)
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
 		for _, p := range x.reconcile() {
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -26,6 +26,13 @@
 	// an instance reaches, so without it the callers of an instance that is cut off
 	// from a primary are refused until the cut ends.
 	detourDelay = 50 * time.Millisecond
+	// maxDetourTime is how long a detour keeps a primary from being suspected. A
+	// primary that a majority of the instances does not reach for longer is replaced:
+	// it may be cut off from its replicas as well, which then lack its commits.
+	maxDetourTime = 10 * time.Second
+	// detourMemory is how long the direct connections must work before a later
+	// failure counts as another cut.
+	detourMemory = 3 * time.Second
 )
 
 // SetConfig configures a Set. Metrics and Owners may be nil; DialOwner is required
@@ -145,14 +152,31 @@
 		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
 	}
 	p.direct.SetSizing(sizing)
-	p.detour = len(owners) == 0 && s.cfg.Detours != nil && p.direct.unresponsiveFor(s.cfg.Now()) > detourDelay
-	if p.detour {
-		owners = s.cfg.Detours(d)
+	if len(owners) == 0 {
+		owners = s.detours(d, p)
 	}
 	p.owners = s.reconcileOwners(d, p.owners, owners)
 	return append(slices.Clone(p.owners), p.direct)
 }
 
+// detours returns the instances through which to reach a database while the direct
+// connections fail. s.mu is held.
+func (s *Set) detours(d topology.Database, p *paths) []ownership.Instance {
+	now := s.cfg.Now()
+	if s.cfg.Detours == nil || p.direct.unresponsiveFor(now) <= detourDelay {
+		// A connection that opens and then fails again does not end the cut.
+		if now-p.detourAt > detourMemory {
+			p.detourSince = 0
+		}
+		return nil
+	}
+	p.detourAt = now
+	if p.detourSince == 0 {
+		p.detourSince = now
+	}
+	return s.cfg.Detours(d)
+}
+
 // reconcileOwners returns a pool for each owner, reusing those in old, and closes the
 // pools that are no longer needed.
 func (s *Set) reconcileOwners(d topology.Database, old []*Pool, owners []ownership.Instance) []*Pool {
@@ -230,7 +254,7 @@
 	if ok {
 		pools = []*Pool{p.direct}
 		if c.Op == statement.OpStatus {
-			pools = p.forStatus()
+			pools = p.forStatus(s.cfg.Now())
 		}
 	}
 	s.mu.RUnlock()
