--- a/internal/topology/listing.go
+++ b/internal/topology/listing.go
@@ -63,7 +63,20 @@
 		s.requestList()
 	case s.listing == nil || l.DatabasesRevision >= s.listing.DatabasesRevision:
 		s.apply(l, currentAt)
+	default:
+		s.reportIgnored(l.DatabasesRevision)
+	}
+}
+
+// reportIgnored logs the first of the listings in a row that were ignored because
+// they are older than the one in use. s.mu is held.
+func (s *Syncer) reportIgnored(revision uint64) {
+	if s.ignoring {
+		return
 	}
+	s.ignoring = true
+	s.Log.Warn().Uint64("revision", revision).Uint64("revision_in_use", s.listing.DatabasesRevision).
+		Uint64("version", s.Topology.Snapshot().Version).Msg("A listing is older than the one in use and was ignored.")
 }
 
 // confirm notes that the content in use is that of l, which was current at the
@@ -85,7 +98,7 @@
 	s.reportChanges(l.Databases, l.DatabasesRevision)
 	s.Topology.Replace(l.Databases, s.Now())
 	s.listing, s.currentAt = l, max(s.currentAt, currentAt)
-	s.needed = false
+	s.needed, s.ignoring = false, false
 	s.signal()
 	if s.OnListing != nil {
 		s.OnListing()
--- a/internal/topology/syncer.go
+++ b/internal/topology/syncer.go
@@ -58,6 +58,7 @@
 	currentAt time.Duration // time of the latest request that showed that the listing was current
 	needed    bool          // the store must be listed
 	relayed   bool          // another instance provides the listings
+	ignoring  bool          // an older listing was ignored since the one in use
 
 	changed        chan struct{}
 	reportedDamage map[string]bool // errors that were logged already; only Run uses it
@@ -176,6 +177,7 @@
 	defer s.mu.Unlock()
 	if s.listing != nil && at < s.listing.DatabasesRevision {
 		s.needed = false // another instance has provided a newer listing meanwhile
+		s.reportIgnored(at)
 		return nil
 	}
 	s.apply(&Listing{Configuration: c, Databases: all, ConfigurationRevision: configured, DatabasesRevision: at, Content: content}, asked)
