Show what a store restored from an older copy breaks

The stand-in of the store can be restored from a backup: revisions go back and are given out again, watches from later ones get 410, the era rises, and the operator's and the databases' objects are written again.

--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -55,6 +56,28 @@
 	runs           []Run
 	term           uint64
 	lastConnection uint64
+	promotions     []PromotionCall
+}
+
+// PromotionCall is a call that asks for the promotion of a database.
+type PromotionCall struct {
+	Database string
+	Holder   string // the instance that calls
+	Token    uint64
+}
+
+// PromotionCalls returns the calls so far that named databases of the group.
+func (g *Group) PromotionCalls() []PromotionCall {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]PromotionCall(nil), g.promotions...)
+}
+
+// recordPromotion notes a call if it names a database of the group.
+func (g *Group) recordPromotion(c PromotionCall) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promotions = append(g.promotions, c)
 }
 
 // NewGroup starts a group whose first database is the primary, and registers its
@@ -199,12 +222,17 @@
 			Service string `json:"service"`
 			ID      string `json:"id"`
 		}
-		if err := json.NewDecoder(r.Body).Decode(&body); err != nil || r.Header.Get("X-Geraniumbeam-Fencing-Token") == "" {
+		token, tokenErr := strconv.ParseUint(r.Header.Get("X-Geraniumbeam-Fencing-Token"), 10, 64)
+		if err := json.NewDecoder(r.Body).Decode(&body); err != nil || tokenErr != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		for _, g := range groups {
-			if g.cfg.Service == body.Service && g.Promote(body.ID) {
+			if g.cfg.Service != body.Service {
+				continue
+			}
+			g.recordPromotion(PromotionCall{body.ID, r.Header.Get("X-Geraniumbeam-Lease-Holder"), token})
+			if g.Promote(body.ID) {
 				return
 			}
 		}
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -68,6 +68,7 @@
 // Store is the object store. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
+	era      uint64 // the number of restores, and one
 	revision uint64
 	objects  map[string]map[string]Object
 	history  []change
@@ -79,7 +80,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), faults: make(map[string]Fault)}
+	return &Store{era: 1, revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), faults: make(map[string]Fault)}
 }
 
 // Listen serves the store on a new loopback address and returns it. SetFault
@@ -132,6 +133,7 @@
 }
 
 func (s *Store) serve(name string, w http.ResponseWriter, r *http.Request) {
+	s.setEra(w)
 	switch s.fault(name) {
 	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -263,6 +265,11 @@
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+// remove is Remove with s.mu held.
+func (s *Store) remove(kind, name string) {
 	o, ok := s.objects[kind][name]
 	if !ok {
 		return
@@ -282,6 +289,7 @@
 	s.changed = make(chan struct{})
 }
 
+// watch answers a watch. One that waits through a restore ends with status 410.
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, err1 := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, err2 := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
@@ -290,8 +298,11 @@
 		return
 	}
 	expired := time.After(time.Duration(wait) * time.Millisecond)
+	era := w.Header().Get(eraHeader)
 	for {
 		events, at, changed, gone := s.changesSince(kind, after)
+		s.setEra(w)
+		gone = gone || w.Header().Get(eraHeader) != era
 		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -326,7 +337,7 @@
 			events = append(events, map[string]any{"object": c.object, "removed": c.removed})
 		}
 	}
-	return events, s.revision, s.changed, after+1 < oldest
+	return events, s.revision, s.changed, after+1 < oldest || after > s.revision
 }
 
 // Route is a route of the operators' configuration.
