Order revisions of the store within an era only

Callers saw routes that a change had added refused, and statements went to databases that had left, for as long as the store's counter was below its value from before a restore.

A revision now consists of the era and the number, and a later era is newer. It is one type for listings, records, registrations and watches. A watch or a write that a store of a later era answers fails, because the number that it names may belong to something else there.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -51,7 +51,7 @@
 func voteHandler(vote func(primacy.Record) primacy.Vote) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		var rec primacy.Record
-		if err := json.NewDecoder(io.LimitReader(req.Body, maxBodyBytes)).Decode(&rec); err != nil || rec.Service == "" || rec.Revision == 0 {
+		if err := json.NewDecoder(io.LimitReader(req.Body, maxBodyBytes)).Decode(&rec); err != nil || rec.Service == "" || rec.Revision.IsZero() {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumbeam/internal/primacy"
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/topology"
 )
 
@@ -30,7 +31,7 @@
 	srv := httptest.NewServer(Handler(fakeResponder{vote: func(r primacy.Record) primacy.Vote { received = r; return want }}))
 	defer srv.Close()
 	address := strings.TrimPrefix(srv.URL, "http://")
-	rec := primacy.Record{Service: "ledger", Revision: 7, Token: 4, Phase: primacy.Replacing, Primary: "db-1", Term: 3, Excluded: []string{"x"}}
+	rec := primacy.Record{Service: "ledger", Revision: revision.Revision{Era: 2, Number: 7}, Token: 4, Phase: primacy.Replacing, Primary: "db-1", Term: 3, Excluded: []string{"x"}}
 	got, err := NewClient().Vote(context.Background(), address, rec)
 	if err != nil || got != want || !reflect.DeepEqual(received, rec) {
 		t.Errorf("got %+v, %v; received %+v", got, err, received)
@@ -44,15 +45,15 @@
 // against accepting a response without a snapshot or with a negative age.
 func TestSnapshotRoundTrip(t *testing.T) {
 	want := primacy.StoreSnapshot{
-		Records:  []primacy.Record{{Service: "ledger", Revision: 7, Token: 2, Phase: primacy.Serving, Primary: "db-1", Term: 3, Excluded: []string{"x"}}},
-		Revision: 12, Age: 345 * time.Microsecond, Held: 2 * time.Millisecond, Process: "a#1", Sequence: 4, RecordsVersion: 5,
+		Records:  []primacy.Record{{Service: "ledger", Revision: revision.Revision{Era: 2, Number: 7}, Token: 2, Phase: primacy.Serving, Primary: "db-1", Term: 3, Excluded: []string{"x"}}},
+		Revision: revision.Revision{Era: 2, Number: 12}, Age: 345 * time.Microsecond, Held: 2 * time.Millisecond, Process: "a#1", Sequence: 4, RecordsVersion: 5,
 		Listing: &topology.Listing{
 			Configuration: topology.Configuration{
 				Version: 3, Routes: map[string]topology.Route{"browse": {Database: "browse", Service: "ledger", Consistency: topology.BoundedAge, Timeout: time.Second}},
 				Services: map[string]topology.Service{"ledger": {Name: "ledger", MaxConnections: 16}},
 			},
 			Databases:             []topology.Database{{ID: "db-1", Service: "ledger", Address: "h:1", Leaving: true, Primary: true, StartMillis: 77}},
-			ConfigurationRevision: 11, DatabasesRevision: 12, Content: 1<<63 + 1,
+			ConfigurationRevision: revision.Revision{Era: 2, Number: 11}, DatabasesRevision: revision.Revision{Era: 2, Number: 12}, Content: 1<<63 + 1,
 		},
 		ListingAge: time.Second,
 	}
--- a/internal/primacy/failover.go
+++ b/internal/primacy/failover.go
@@ -97,7 +97,7 @@
 		if err != nil || !s.Primary {
 			continue
 		}
-		rec, err := r.cfg.Store.CreateRecord(ctx, Record{Service: service, Token: 1, Phase: Serving, Primary: m.ID, Term: s.Term})
+		rec, err := r.cfg.Store.CreateRecord(ctx, r.era(), Record{Service: service, Token: 1, Phase: Serving, Primary: m.ID, Term: s.Term})
 		if err == nil {
 			r.applyRecord(rec, "created")
 		}
@@ -105,6 +105,13 @@
 	}
 }
 
+// era returns the era of the store's latest known state.
+func (r *Runner) era() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.revision.Era
+}
+
 // primaryMember returns the recorded primary from the known databases.
 func (r *Runner) primaryMember(rec Record) (Member, bool) {
 	for _, m := range r.cfg.Databases.Members(rec.Service) {
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -22,6 +23,7 @@
 type fakeStore struct {
 	mu          sync.Mutex
 	revision    uint64
+	era         uint64
 	records     map[string]Record
 	lists       int // linearizable lists of the registrations
 	regs        map[string]Registration
@@ -39,32 +41,32 @@
 
 func (f *fakeStore) put(r Record) Record {
 	f.revision++
-	r.Revision = f.revision
+	r.Revision = revision.Revision{Era: f.era, Number: f.revision}
 	f.records[r.Service] = r
 	close(f.changed)
 	f.changed = make(chan struct{})
 	return r
 }
 
-func (f *fakeStore) Records(context.Context) ([]Record, uint64, error) {
+func (f *fakeStore) Records(context.Context) ([]Record, revision.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unavailable {
-		return nil, 0, errStoreDown
+		return nil, revision.Revision{}, errStoreDown
 	}
 	var all []Record
 	for _, r := range f.records {
 		all = append(all, r)
 	}
-	return all, f.revision, nil
+	return all, revision.Revision{Era: f.era, Number: f.revision}, nil
 }
 
-func (f *fakeStore) WatchRecords(ctx context.Context, after uint64, _ time.Duration) ([]Record, uint64, error) {
+func (f *fakeStore) WatchRecords(ctx context.Context, after revision.Revision, _ time.Duration) ([]Record, revision.Revision, error) {
 	for {
 		f.mu.Lock()
-		changed, at := f.changed, f.revision
+		changed, at := f.changed, revision.Revision{Era: f.era, Number: f.revision}
 		f.mu.Unlock()
-		if at > after {
+		if after.Before(at) {
 			return f.Records(ctx)
 		}
 		select {
@@ -75,7 +77,7 @@
 	}
 }
 
-func (f *fakeStore) CreateRecord(_ context.Context, r Record) (Record, error) {
+func (f *fakeStore) CreateRecord(_ context.Context, era uint64, r Record) (Record, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, ok := f.records[r.Service]; ok {
@@ -84,7 +86,7 @@
 	return f.put(r), nil
 }
 
-func (f *fakeStore) UpdateRecord(_ context.Context, r Record) (Record, error) {
+func (f *fakeStore) UpdateRecord(_ context.Context, era uint64, r Record) (Record, error) {
 	f.mu.Lock()
 	before, after := f.before, f.after
 	f.mu.Unlock()
@@ -98,7 +100,7 @@
 	if f.unavailable {
 		return Record{}, errStoreDown
 	}
-	if f.records[r.Service].Revision != r.Revision {
+	if f.records[r.Service].Revision.Number != r.Revision.Number {
 		return Record{}, ErrConflict
 	}
 	stored := f.put(r)
@@ -163,26 +165,26 @@
 	refuses *atomic.Bool
 }
 
-func (v storeView) Records(ctx context.Context) ([]Record, uint64, error) {
+func (v storeView) Records(ctx context.Context) ([]Record, revision.Revision, error) {
 	if v.refuses.Load() {
-		return nil, 0, errStoreDown
+		return nil, revision.Revision{}, errStoreDown
 	}
 	return v.fakeStore.Records(ctx)
 }
 
-func (v storeView) WatchRecords(ctx context.Context, after uint64, wait time.Duration) ([]Record, uint64, error) {
+func (v storeView) WatchRecords(ctx context.Context, after revision.Revision, wait time.Duration) ([]Record, revision.Revision, error) {
 	records, at, err := v.fakeStore.WatchRecords(ctx, after, wait)
 	if v.refuses.Load() {
-		return nil, 0, errStoreDown
+		return nil, revision.Revision{}, errStoreDown
 	}
 	return records, at, err
 }
 
-func (v storeView) UpdateRecord(ctx context.Context, r Record) (Record, error) {
+func (v storeView) UpdateRecord(ctx context.Context, era uint64, r Record) (Record, error) {
 	if v.refuses.Load() {
 		return Record{}, errStoreDown
 	}
-	return v.fakeStore.UpdateRecord(ctx, r)
+	return v.fakeStore.UpdateRecord(ctx, era, r)
 }
 
 func (v storeView) Registrations(ctx context.Context) ([]Registration, error) {
@@ -233,7 +235,7 @@
 	f.relayed = relayed
 }
 
-func (f *fakeListings) ObserveRevision(uint64, time.Duration) {}
+func (f *fakeListings) ObserveRevision(revision.Revision, time.Duration) {}
 
 // network passes requests between the instances of a test. Their names serve as
 // addresses.
--- a/internal/primacy/model_test.go
+++ b/internal/primacy/model_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/statement"
 )
 
@@ -53,7 +54,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: time.Hour, regs: make(map[string]*Registration),
-		record: Record{Service: "ledger", Revision: 1, Token: 1, Phase: Serving, Primary: dbName(0), Term: 1},
+		record: Record{Service: "ledger", Revision: revision.Revision{Number: 1}, Token: 1, Phase: Serving, Primary: dbName(0), Term: 1},
 		terms:  [3]uint64{1, 1, 1},
 		claims: [3]bool{true},
 	}
@@ -73,7 +74,8 @@
 }
 
 func (m *model) write(r Record) {
-	r.Revision = m.record.Revision + 1
+	r.Revision = m.record.Revision
+	r.Revision.Number++
 	m.record = r
 }
 
--- a/internal/primacy/peer_vote_test.go
+++ b/internal/primacy/peer_vote_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/revision"
 	"github.com/rs/zerolog"
 )
 
@@ -53,7 +54,7 @@
 		age       time.Duration
 		inContact bool
 	}{{renewInterval, true}, {storeContactMaxAge + ms, false}, {relayMaxAge + ms, false}} {
-		peers := &fakePeers{snapshots: map[string]StoreSnapshot{"x:1": {Records: []Record{{Service: "ledger", Revision: 5, Phase: Serving}}, Age: c.age}}}
+		peers := &fakePeers{snapshots: map[string]StoreSnapshot{"x:1": {Records: []Record{{Service: "ledger", Revision: revision.Revision{Number: 5}, Phase: Serving}}, Age: c.age}}}
 		cache := NewRecordCache("self", validity, clock.SinceBoot)
 		r := NewRunner(Config{Instance: "self", Peers: peers, Cache: cache, Listings: &fakeListings{}, Now: clock.SinceBoot, Log: zerolog.Nop()})
 		r.knownInstances = []Registration{{Instance: "x", Address: "x:1"}}
@@ -87,7 +88,7 @@
 	cache := NewRecordCache("a", validity, func() time.Duration { return now })
 	cache.SetIncarnation("a")
 	r := NewRunner(Config{Instance: "a", Incarnation: "a", Cache: cache, Now: func() time.Duration { return now }, Log: zerolog.Nop()})
-	serving := Record{Service: "ledger", Revision: 5, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
+	serving := Record{Service: "ledger", Revision: revision.Revision{Number: 5}, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
 	cache.Confirm([]Record{serving}, now)
 	if v := r.Vote(serving); v.Incarnation != "" || v.Stopped != 1 || v.Suspects {
 		t.Errorf("before the registration: %+v", v)
@@ -98,7 +99,7 @@
 		t.Errorf("registered and suspecting: %+v", v)
 	}
 	replacing := serving
-	replacing.Revision, replacing.Token, replacing.Phase = 6, 2, Replacing
+	replacing.Revision.Number, replacing.Token, replacing.Phase = 6, 2, Replacing
 	if v := r.Vote(replacing); v.Stopped != 2 || v.Suspects {
 		t.Errorf("after the record of a replacement: %+v", v)
 	}
@@ -140,7 +141,7 @@
 func TestDirectQueriesAreLimited(t *testing.T) {
 	peers := &fakePeers{}
 	r := NewRunner(Config{Instance: "self", Peers: peers, Now: clock.SinceBoot, Log: zerolog.Nop()})
-	rec := Record{Service: "ledger", Revision: 5, Token: 1, Excluded: []string{"x-0"}}
+	rec := Record{Service: "ledger", Revision: revision.Revision{Number: 5}, Token: 1, Excluded: []string{"x-0"}}
 	for _, c := range []struct{ instances, asked int }{{1, 0}, {5, 4}, {maxDirectQueries + 1, voteSampleSize}, {maxDirectQueries + 2, 0}} {
 		peers.votes = 0
 		r.addDirectSuspicions(t.Context(), rec, newRegistrations(c.instances, "x"))
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -63,11 +63,14 @@
 // effect.
 func (r *Runner) writeRecord(ctx context.Context, next Record) (Record, error) {
 	for {
-		done, err := r.cfg.Store.UpdateRecord(ctx, next)
+		done, err := r.cfg.Store.UpdateRecord(ctx, next.Revision.Era, next)
 		if err == nil {
 			r.applyRecord(done, "written by this instance")
 			return done, nil
 		}
+		if errors.Is(err, ErrRestored) {
+			return Record{}, fmt.Errorf("write record of service %s: %w", next.Service, err)
+		}
 		if !errors.Is(err, ErrConflict) {
 			r.log.Warn().Str("service", next.Service).Uint64("token", next.Token).Err(err).Msg("Writing the record of a service failed.")
 		}
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -18,6 +18,7 @@
 	"errors"
 	"time"
 
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/statement"
 )
 
@@ -34,8 +35,10 @@
 // by compare-and-swap on its revision. Its JSON form, with the Go field names, is
 // sent to other instances.
 type Record struct {
-	Service  string
-	Revision uint64 // of the store
+	Service string
+	// Revision holds the era in which the record was written, and the number under
+	// which the store has it.
+	Revision revision.Revision
 	Token    uint64 // fencing token; grows with each attempt to replace the primary
 	Phase    Phase
 	Primary  string // id of the database
@@ -50,14 +53,17 @@
 	// Excluded are incarnations that did not confirm in time. They must register
 	// under a new incarnation before they use a primary of the service.
 	Excluded []string
+	// Unsettled means that the store was restored since the latest replacement, so
+	// that it may have lost the registrations of instances that use the primary.
+	Unsettled bool
 }
 
 // Registration is what an instance publishes about itself. Only the instance
 // itself writes it.
 type Registration struct {
 	Instance    string
-	Revision    uint64 // of the store
-	Incarnation string // differs for each start of the process and each new registration after an exclusion
+	Revision    revision.Revision // of the store that returned the registration
+	Incarnation string            // differs for each start of the process and each new registration after an exclusion
 	DataCentre  string
 	Address     string // where peers reach the instance
 	// Validity is how long the instance uses a record after a request confirmed it.
@@ -75,20 +81,27 @@
 var (
 	ErrConflict = errors.New("the object has another revision or exists already")
 	ErrNotFound = errors.New("the object does not exist")
+	// ErrRestored means that the store was restored from an older copy meanwhile. A
+	// write that was sent before may be lost or have hit another version of the
+	// object.
+	ErrRestored = errors.New("the store was restored from an older copy")
 )
 
 // Store keeps records and registrations. Lists are linearizable unless stated
 // otherwise.
 type Store interface {
 	// Records also returns the revision of the whole store.
-	Records(ctx context.Context) ([]Record, uint64, error)
+	Records(ctx context.Context) ([]Record, revision.Revision, error)
 	// WatchRecords waits for records that changed after the revision. It also
-	// returns the revision from which to continue.
-	WatchRecords(ctx context.Context, after uint64, wait time.Duration) ([]Record, uint64, error)
-	// CreateRecord fails with ErrConflict if the record exists.
-	CreateRecord(ctx context.Context, r Record) (Record, error)
-	// UpdateRecord fails with ErrConflict unless r.Revision is current.
-	UpdateRecord(ctx context.Context, r Record) (Record, error)
+	// returns the revision from which to continue. It fails with ErrRestored if the
+	// store is no longer in the era of that revision.
+	WatchRecords(ctx context.Context, after revision.Revision, wait time.Duration) ([]Record, revision.Revision, error)
+	// CreateRecord writes a record of the given era. It fails with ErrConflict if the
+	// record exists, and with ErrRestored if the store is in a later era.
+	CreateRecord(ctx context.Context, era uint64, r Record) (Record, error)
+	// UpdateRecord fails with ErrConflict unless the number of r.Revision is current,
+	// and with ErrRestored if the store is in a later era than the given one.
+	UpdateRecord(ctx context.Context, era uint64, r Record) (Record, error)
 	Registrations(ctx context.Context) ([]Registration, error)
 	// StaleRegistrations returns registrations that may be seconds old.
 	StaleRegistrations(ctx context.Context) ([]Registration, error)
--- a/internal/primacy/record_cache.go
+++ b/internal/primacy/record_cache.go
@@ -60,7 +60,7 @@
 
 func (c *RecordCache) update(r Record) bool {
 	old, known := c.entries[r.Service]
-	if known && old.record.Revision >= r.Revision {
+	if known && !old.record.Revision.Before(r.Revision) {
 		return false
 	}
 	if !known {
--- a/internal/primacy/record_cache_test.go
+++ b/internal/primacy/record_cache_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/statement"
 )
 
@@ -17,8 +18,8 @@
 
 func (c *fakeClock) read() time.Duration { return c.now }
 
-func servingRecord(revision, token uint64, primary string) Record {
-	return Record{Service: "ledger", Revision: revision, Token: token, Phase: Serving, Primary: primary, Term: token}
+func servingRecord(number, token uint64, primary string) Record {
+	return Record{Service: "ledger", Revision: revision.Revision{Number: number}, Token: token, Phase: Serving, Primary: primary, Term: token}
 }
 
 // newConfirmedCache returns the cache of instance a with a record of db-1 that
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -9,6 +9,7 @@
 
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/topology"
 )
 
@@ -53,10 +54,10 @@
 // StoreSnapshot is the state of the store as an instance knows it, directly or from
 // others.
 type StoreSnapshot struct {
-	Records  []Record      // nil if the requester has them already
-	Revision uint64        // of the store
-	Age      time.Duration // since the request to the store, when the response was sent
-	Held     time.Duration // between the arrival of the query and the response
+	Records  []Record          // nil if the requester has them already
+	Revision revision.Revision // of the store
+	Age      time.Duration     // since the request to the store, when the response was sent
+	Held     time.Duration     // between the arrival of the query and the response
 
 	Process        string // the responding process
 	Sequence       uint64 // grows with each change of the snapshot
@@ -84,15 +85,15 @@
 	Adopt(l *topology.Listing, currentAt time.Duration)
 	// SetRelayed tells whether listings come from another instance.
 	SetRelayed(relayed bool)
-	// ObserveRevision records a revision that the store returned to a request that
+	// ObserveRevision records the revision that the store returned to a request that
 	// was sent at asked.
-	ObserveRevision(revision uint64, asked time.Duration)
+	ObserveRevision(at revision.Revision, asked time.Duration)
 }
 
 // storeState is what this instance knows of the store, besides the records, which
 // are in the cache.
 type storeState struct {
-	revision uint64
+	revision revision.Revision
 	asked    time.Duration // when the request to the store was sent; 0: none
 	sequence uint64
 	changed  chan struct{} // closed at the next change of sequence
@@ -325,14 +326,14 @@
 
 // confirmRecords processes a complete list of records that was requested from the
 // store at asked.
-func (r *Runner) confirmRecords(records []Record, revision uint64, asked time.Duration) {
+func (r *Runner) confirmRecords(records []Record, at revision.Revision, asked time.Duration) {
 	for _, rec := range r.cfg.Cache.Confirm(records, asked) {
 		r.recordChanged(rec, "listed")
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if asked > r.state.asked {
-		r.state.asked, r.state.revision = asked, revision
+	if asked > r.state.asked && at.Era >= r.state.revision.Era {
+		r.state.asked, r.state.revision = asked, at
 		r.state.advance()
 	}
 }
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -13,6 +13,7 @@
 
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/topology"
 )
 
@@ -189,9 +190,9 @@
 	})
 	r.published.incarnation = "self"
 	r.upstreams.set([]ownership.Instance{{Name: "x-0", Address: "x-0:1"}, {Name: "x-1", Address: "x-1:1"}})
-	rec := Record{Service: "ledger", Revision: 5, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
+	rec := Record{Service: "ledger", Revision: revision.Revision{Number: 5}, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
 	const age = 500 * time.Millisecond
-	peers.snapshots["x-1:1"] = StoreSnapshot{Records: []Record{rec}, Revision: 99, Age: age}
+	peers.snapshots["x-1:1"] = StoreSnapshot{Records: []Record{rec}, Revision: revision.Revision{Number: 99}, Age: age}
 	before := r.cfg.Now()
 	if !r.renewFromUpstream(t.Context()) || peers.fetches != 2 {
 		t.Fatalf("the second upstream was not used at once; %d were asked", peers.fetches)
@@ -253,7 +254,7 @@
 		t.Errorf("%+v, %v: want a newer snapshot without records", s, ok)
 	}
 	rec := store.record()
-	rec.Revision, rec.Phase = rec.Revision+1, Replacing
+	rec.Revision.Number, rec.Phase = rec.Revision.Number+1, Replacing
 	r.applyRecord(rec, "test")
 	s, ok := r.Snapshot(t.Context(), q)
 	if !ok || len(s.Records) != 1 || s.Records[0].Phase != Replacing || s.RecordsVersion == full.RecordsVersion {
@@ -268,7 +269,7 @@
 // Guards against an instance that waits for an upstream which lost the store, and
 // against the use of records before the registration, of which no promoter knows.
 func TestSnapshotsBeforeRegistration(t *testing.T) {
-	rec := Record{Service: "ledger", Revision: 5, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
+	rec := Record{Service: "ledger", Revision: revision.Revision{Number: 5}, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
 	listing := &topology.Listing{Content: 3}
 	peers := &fakePeers{snapshots: map[string]StoreSnapshot{"x:1": {Records: []Record{rec}, Listing: listing}}}
 	cache, listings := NewRecordCache("self", validity, clock.SinceBoot), &fakeListings{}
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumbeam/internal/contain"
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/statement"
 )
 
@@ -263,7 +264,7 @@
 // watchStart returns the store's revision from which to watch and a channel that is
 // closed when the upstreams change. It reports false if this instance has upstreams,
 // does not know them yet, or has not heard from the store.
-func (r *Runner) watchStart() (after uint64, changed <-chan struct{}, direct bool) {
+func (r *Runner) watchStart() (after revision.Revision, changed <-chan struct{}, direct bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.state.revision, r.roleChanged, r.roleKnown && len(r.upstreams.ordered) == 0 && r.state.asked != 0
@@ -281,7 +282,7 @@
 // that this instance stopped using it.
 func (r *Runner) recordChanged(rec Record, how string) {
 	r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Str("phase", string(rec.Phase)).
-		Str("primary", rec.Primary).Uint64("term", rec.Term).Uint64("revision", rec.Revision).Str("how", how).
+		Str("primary", rec.Primary).Uint64("term", rec.Term).Stringer("revision", rec.Revision).Str("how", how).
 		Str("promoter", rec.Promoter).Str("candidate", rec.Candidate).Msg("The record of a service changed.")
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/primacy/retire.go
+++ b/internal/primacy/retire.go
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	rec.Promoter = noPromoter
-	done, err := r.cfg.Store.UpdateRecord(ctx, rec)
+	done, err := r.cfg.Store.UpdateRecord(ctx, rec.Revision.Era, rec)
 	if err != nil {
 		r.log.Warn().Str("service", service).Uint64("token", rec.Token).Err(err).Msg("Giving up the record of a service failed.")
 		return
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -16,6 +16,7 @@
 	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -52,7 +53,7 @@
 	h := &harness{
 		t: t, sent: make(map[string][]statement.Command), topology: topology.New(),
 		handlers: make(map[string]func(statement.Command) (statement.Answer, error)),
-		record:   primacy.Record{Service: testService, Revision: 1, Token: 1, Phase: primacy.Serving, Primary: "db-1", Term: 1},
+		record:   primacy.Record{Service: testService, Revision: revision.Revision{Number: 1}, Token: 1, Phase: primacy.Serving, Primary: "db-1", Term: 1},
 	}
 	h.records = primacy.NewRecordCache("me", time.Minute, clock.SinceBoot)
 	h.records.SetIncarnation("me")
@@ -96,7 +97,7 @@
 
 // startFailover records that the primary is being replaced.
 func (h *harness) startFailover() {
-	h.record.Revision++
+	h.record.Revision.Number++
 	h.record.Token++
 	h.record.Phase = primacy.Replacing
 	h.confirm()
@@ -104,7 +105,7 @@
 
 // promote ends the failover with the database as the new primary.
 func (h *harness) promote(id string) {
-	h.record.Revision++
+	h.record.Revision.Number++
 	h.record.Term++
 	h.record.Phase, h.record.Primary = primacy.Serving, id
 	h.confirm()
--- a/internal/proxy/outcome_test.go
+++ b/internal/proxy/outcome_test.go
@@ -236,7 +236,7 @@
 	h.records.Invalidate(testService, 1)
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		h.record.Revision++
+		h.record.Revision.Number++
 		h.confirm()
 	}()
 	if a := h.session(testRoute).handle(st(statement.Write)); a.Err != nil {
--- a/internal/topology/listing.go
+++ b/internal/topology/listing.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"geraniumbeam/internal/revision"
 )
 
 // Listing is the configuration and the registrations, as the store returned them.
@@ -15,14 +17,16 @@
 	Databases     []Database
 	// ConfigurationRevision and DatabasesRevision are the store's revisions at
 	// which the two parts were read.
-	ConfigurationRevision, DatabasesRevision uint64
+	ConfigurationRevision, DatabasesRevision revision.Revision
 	// Content identifies the configuration and the databases: listings with equal
 	// values differ in their revisions at most.
 	Content uint64
 }
 
 // Revision returns the store's revision up to which the listing is complete.
-func (l *Listing) Revision() uint64 { return min(l.ConfigurationRevision, l.DatabasesRevision) }
+func (l *Listing) Revision() revision.Revision {
+	return revision.Min(l.ConfigurationRevision, l.DatabasesRevision)
+}
 
 // contentOf returns a hash of a configuration and registrations. Equal versions of a
 // configuration are equal.
@@ -61,7 +65,7 @@
 		// A process that has just started must not use databases that the others
 		// know to have left.
 		s.requestList()
-	case s.listing == nil || l.DatabasesRevision >= s.listing.DatabasesRevision:
+	case s.listing == nil || !l.DatabasesRevision.Before(s.listing.DatabasesRevision):
 		s.apply(l, currentAt)
 	default:
 		s.reportIgnored(l.DatabasesRevision)
@@ -70,12 +74,12 @@
 
 // reportIgnored logs the first of the listings in a row that were ignored because
 // they are older than the one in use. s.mu is held.
-func (s *Syncer) reportIgnored(revision uint64) {
+func (s *Syncer) reportIgnored(at revision.Revision) {
 	if s.ignoring {
 		return
 	}
 	s.ignoring = true
-	s.Log.Warn().Uint64("revision", revision).Uint64("revision_in_use", s.listing.DatabasesRevision).
+	s.Log.Warn().Stringer("revision", at).Stringer("revision_in_use", s.listing.DatabasesRevision).
 		Uint64("version", s.Topology.Snapshot().Version).Msg("A listing is older than the one in use and was ignored.")
 }
 
@@ -83,8 +87,8 @@
 // given time. s.mu is held.
 func (s *Syncer) confirm(l *Listing, at time.Duration) {
 	confirmed := *s.listing
-	confirmed.ConfigurationRevision = max(confirmed.ConfigurationRevision, l.ConfigurationRevision)
-	confirmed.DatabasesRevision = max(confirmed.DatabasesRevision, l.DatabasesRevision)
+	confirmed.ConfigurationRevision = revision.Max(confirmed.ConfigurationRevision, l.ConfigurationRevision)
+	confirmed.DatabasesRevision = revision.Max(confirmed.DatabasesRevision, l.DatabasesRevision)
 	s.listing = &confirmed
 	s.currentAt = max(s.currentAt, at)
 	if s.Now()-s.currentAt > maxRelayedAge {
@@ -118,12 +122,12 @@
 
 // ObserveRevision records a revision that the store returned to a request that was
 // sent at asked. A newer one than that of the listing triggers a list.
-func (s *Syncer) ObserveRevision(revision uint64, asked time.Duration) {
+func (s *Syncer) ObserveRevision(at revision.Revision, asked time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.listing == nil: // Run makes the first one
-	case revision <= s.listing.Revision():
+	case !s.listing.Revision().Before(at):
 		s.currentAt = max(s.currentAt, asked)
 	case !s.relayed || s.Now()-s.currentAt > maxRelayedAge:
 		s.requestList()
--- a/internal/topology/listing_test.go
+++ b/internal/topology/listing_test.go
@@ -7,25 +7,30 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/revision"
 )
 
 // fakeSource counts the lists of a store that holds one database.
 type fakeSource struct {
 	lists    int
-	revision uint64
+	revision revision.Revision
 	leaving  bool
 	err      error
 }
 
-func (f *fakeSource) Databases(context.Context) ([]Database, uint64, []error, error) {
+func (f *fakeSource) Databases(context.Context) ([]Database, revision.Revision, []error, error) {
 	f.lists++
 	return []Database{{ID: "db-1", Service: "ledger", Leaving: f.leaving}}, f.revision, nil, f.err
 }
 
-func (f *fakeSource) Configuration(context.Context) (Configuration, uint64, error) {
+func (f *fakeSource) Configuration(context.Context) (Configuration, revision.Revision, error) {
 	return Configuration{Version: 3}, f.revision, f.err
 }
 
+// rev returns a revision of the first era.
+func rev(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
+
 // testSyncer is a syncer whose clock the test sets.
 type testSyncer struct {
 	*Syncer
@@ -34,7 +39,7 @@
 }
 
 func newTestSyncer() *testSyncer {
-	s := &testSyncer{source: &fakeSource{revision: 10}, now: time.Hour}
+	s := &testSyncer{source: &fakeSource{revision: rev(10)}, now: time.Hour}
 	s.Syncer = NewSyncer(New(), s.source, func() time.Duration { return s.now }, zerolog.Nop())
 	return s
 }
@@ -60,7 +65,7 @@
 	if l, _ := s.Listing(); l != nil || !s.needed {
 		t.Errorf("a stale listing is in use at the start: %+v; the store is listed: %v", l, s.needed)
 	}
-	s.source.revision, s.source.leaving = 20, true
+	s.source.revision, s.source.leaving = rev(20), true
 	current := s.listed(t)
 	s.Adopt(old, s.now)
 	if l, _ := s.Listing(); l.Content != current.Content || !s.Topology.Snapshot().Databases["ledger"][0].Leaving {
@@ -76,7 +81,7 @@
 	s := newTestSyncer()
 	s.SetRelayed(true)
 	s.Adopt(l, s.now)
-	s.ObserveRevision(15, s.now)
+	s.ObserveRevision(rev(15), s.now)
 	if s.needed {
 		t.Error("a new revision makes a relayed instance list the store")
 	}
@@ -87,11 +92,11 @@
 	}
 	direct := newTestSyncer()
 	direct.listed(t)
-	direct.ObserveRevision(10, direct.now)
+	direct.ObserveRevision(rev(10), direct.now)
 	if direct.needed {
 		t.Error("a known revision makes an instance list the store")
 	}
-	direct.ObserveRevision(11, direct.now)
+	direct.ObserveRevision(rev(11), direct.now)
 	if !direct.needed {
 		t.Error("a new revision does not make an instance list the store")
 	}
@@ -101,7 +106,7 @@
 // they are sent again and again, and against a changed one that is not sent.
 func TestContentIsTheSameForAllInstances(t *testing.T) {
 	a, b := newTestSyncer(), newTestSyncer()
-	b.source.revision = 30
+	b.source.revision = rev(30)
 	if x, y := a.listed(t), b.listed(t); x.Content != y.Content {
 		t.Errorf("contents %d and %d of equal listings", x.Content, y.Content)
 	}
@@ -126,3 +131,30 @@
 		t.Error("the store is listed again without a change")
 	}
 }
+
+// Guards against listings of a store that was restored from an older copy which have
+// no effect, because its revisions are below those that the instance has seen.
+func TestListingsOfARestoredStoreAreUsed(t *testing.T) {
+	s, other := newTestSyncer(), newTestSyncer()
+	s.source.revision = rev(90)
+	before := s.listed(t)
+	restored := revision.Revision{Era: 2, Number: 40}
+	s.ObserveRevision(restored, s.now)
+	if !s.needed {
+		t.Error("the revision of a restored store does not make an instance list it")
+	}
+	s.source.revision, s.source.leaving = restored, true
+	if l := s.listed(t); l.DatabasesRevision != restored || !s.Topology.Snapshot().Databases["ledger"][0].Leaving {
+		t.Errorf("the listing in use is %+v, want the one of the restored store", l)
+	}
+	other.Adopt(before, other.now)
+	l, _ := s.Listing()
+	other.Adopt(l, other.now)
+	if got, _ := other.Listing(); got.Content != l.Content {
+		t.Errorf("another instance keeps the listing %+v from before the restore", got)
+	}
+	other.Adopt(before, other.now)
+	if got, _ := other.Listing(); got.Content != l.Content {
+		t.Errorf("a listing from before the restore is used again: %+v", got)
+	}
+}
--- a/internal/topology/syncer.go
+++ b/internal/topology/syncer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"geraniumbeam/internal/revision"
 )
 
 const (
@@ -35,8 +37,8 @@
 // revision at that time. Registrations that can't be decoded are reported in
 // damaged and left out of all.
 type Source interface {
-	Databases(ctx context.Context) (all []Database, at uint64, damaged []error, err error)
-	Configuration(ctx context.Context) (Configuration, uint64, error)
+	Databases(ctx context.Context) (all []Database, at revision.Revision, damaged []error, err error)
+	Configuration(ctx context.Context) (Configuration, revision.Revision, error)
 }
 
 // Syncer keeps a Topology up to date. It lists the registrations and the
@@ -175,7 +177,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listing != nil && at < s.listing.DatabasesRevision {
+	if s.listing != nil && at.Before(s.listing.DatabasesRevision) {
 		s.needed = false // another instance has provided a newer listing meanwhile
 		s.reportIgnored(at)
 		return nil
@@ -185,7 +187,7 @@
 }
 
 // reportChanges logs each registration that differs from the known one.
-func (s *Syncer) reportChanges(all []Database, at uint64) {
+func (s *Syncer) reportChanges(all []Database, at revision.Revision) {
 	snap := s.Topology.Snapshot()
 	for _, d := range all {
 		old, known := snap.Find(d.Service, d.ID)
@@ -194,7 +196,7 @@
 			continue
 		}
 		s.Log.Info().Str("database", d.ID).Str("service", d.Service).Str("address", d.Address).Bool("leaving", d.Leaving).
-			Bool("primary", d.Primary).Int64("born_ms", d.StartMillis).Uint64("revision", at).Msg("A registration changed.")
+			Bool("primary", d.Primary).Int64("born_ms", d.StartMillis).Stringer("revision", at).Msg("A registration changed.")
 	}
 }
 
