Write records again that a restored store has lost

Cause: instances kept their record of a change of primary that the store had lost. Its revision was higher than the stored one, so each listing confirmed it although the store had another, and each conditional write of it conflicted. Registrations that were lost stayed so until they changed, tokens were given out again, and a promoter whose record was lost went on.

In a new era each instance registers again. A record has the era in which it was written, and one of an earlier era confirms nothing. An instance establishes it in its turn: it takes the newest of the stored and the remembered record, asks the databases, and writes it under a token of the new era, above all tokens of earlier eras. If the databases do not prove who leads, it starts a replacement. Until then the databases confirm the remembered records, as during an outage. Until the first replacement in the era, a promoter fences a quorum of the databases and waits out the validity even if all known instances have confirmed, because the store may have lost the registration of one. A promoter gives up when it learns of a newer record or era. A database that leads an earlier term than the record's no longer counts as another primary: it was replaced and has not noticed it, and it interrupted the use of its successor.

--- a/internal/primacy/failover.go
+++ b/internal/primacy/failover.go
@@ -57,7 +57,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, suspected := r.reg.Suspects[service]
-	return !suspected
+	return !suspected && !r.unestablished[service]
 }
 
 func (r *Runner) checkService(ctx context.Context, service string) {
@@ -65,6 +65,8 @@
 	defer cancel()
 	rec, confirmed, ok := r.cfg.Cache.Record(service)
 	switch {
+	case r.isUnestablished(service):
+		r.establish(ctx, service)
 	case !ok:
 		r.bootstrap(ctx, service)
 	case r.cfg.Now()-confirmed > recordValidity:
@@ -97,7 +99,8 @@
 		if err != nil || !s.Primary {
 			continue
 		}
-		rec, err := r.cfg.Store.CreateRecord(ctx, r.era(), Record{Service: service, Token: 1, Phase: Serving, Primary: m.ID, Term: s.Term})
+		era := r.currentEra()
+		rec, err := r.cfg.Store.CreateRecord(ctx, era, Record{Service: service, Token: nextToken(era, 0), Phase: Serving, Primary: m.ID, Term: s.Term})
 		if err == nil {
 			r.applyRecord(rec, "created")
 		}
@@ -105,13 +108,6 @@
 	}
 }
 
-// era returns the era of the store's latest known state.
-func (r *Runner) era() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state.revision.Era
-}
-
 // primaryMember returns the recorded primary from the known databases.
 func (r *Runner) primaryMember(rec Record) (Member, bool) {
 	for _, m := range r.cfg.Databases.Members(rec.Service) {
@@ -198,11 +194,16 @@
 // voteCountDelay returns how long an instance waits before it counts the votes on
 // a service. The first countersPerTurn instances do not wait.
 func voteCountDelay(known []Registration, self, service string) time.Duration {
-	instances := make([]ownership.Instance, 0, len(known))
-	for _, reg := range known {
+	return time.Duration(rankOf(self, service, namesOf(known))/countersPerTurn) * turnDelay
+}
+
+// namesOf returns the instances by their names only.
+func namesOf(registered []Registration) []ownership.Instance {
+	instances := make([]ownership.Instance, 0, len(registered))
+	for _, reg := range registered {
 		instances = append(instances, ownership.Instance{Name: reg.Instance})
 	}
-	return time.Duration(rankOf(self, service, instances)/countersPerTurn) * turnDelay
+	return instances
 }
 
 // suspect notes that this instance gets no answer from the primary of a record.
@@ -291,7 +292,7 @@
 	if sleep(ctx, time.Duration(rank)*delayPerRank) != nil || !r.unchanged(rec) {
 		return
 	}
-	r.runReplacement(ctx, rec, planned)
+	r.runReplacement(ctx, rec.Revision.Era, rec, planned)
 }
 
 // takeOver restarts a replacement that makes no progress.
@@ -316,13 +317,14 @@
 	r.replaceInTurn(ctx, rec, registered, rankDelay, true)
 }
 
-func (r *Runner) runReplacement(ctx context.Context, rec Record, planned bool) {
+// runReplacement replaces the primary of a record that the store has, in the given era.
+func (r *Runner) runReplacement(ctx context.Context, era uint64, rec Record, planned bool) {
 	ctx, end, ok := r.retirement.begin(ctx)
 	if !ok {
 		return // another instance replaces the primary
 	}
 	defer end()
-	held, err := r.takeRecord(ctx, rec, planned && rec.Phase == Serving)
+	held, err := r.takeRecord(ctx, era, rec, planned && rec.Phase == Serving)
 	if err == nil {
 		err = r.replace(ctx, held)
 	}
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,9 +40,12 @@
 	return &fakeStore{records: map[string]Record{}, regs: map[string]Registration{}, changed: make(chan struct{})}
 }
 
-func (f *fakeStore) put(r Record) Record {
+func (f *fakeStore) put(r Record) Record { return f.putInEra(f.era, r) }
+
+// putInEra stores a record that was written in the given era.
+func (f *fakeStore) putInEra(era uint64, r Record) Record {
 	f.revision++
-	r.Revision = revision.Revision{Era: f.era, Number: f.revision}
+	r.Revision = revision.Revision{Era: era, Number: f.revision}
 	f.records[r.Service] = r
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -66,6 +70,9 @@
 		f.mu.Lock()
 		changed, at := f.changed, revision.Revision{Era: f.era, Number: f.revision}
 		f.mu.Unlock()
+		if after.Era != at.Era {
+			return nil, after, ErrRestored
+		}
 		if after.Before(at) {
 			return f.Records(ctx)
 		}
@@ -83,7 +90,40 @@
 	if _, ok := f.records[r.Service]; ok {
 		return Record{}, ErrConflict
 	}
-	return f.put(r), nil
+	return f.write(era, r)
+}
+
+// write stores a record. As with the real store, one of an earlier era takes effect
+// although its writer is told that the store was restored. f.mu is held.
+func (f *fakeStore) write(era uint64, r Record) (Record, error) {
+	stored := f.putInEra(era, r)
+	if era < f.era {
+		return Record{}, ErrRestored
+	}
+	return stored, nil
+}
+
+// backup is a copy of a fakeStore.
+type backup struct {
+	revision uint64
+	records  map[string]Record
+	regs     map[string]Registration
+}
+
+func (f *fakeStore) backup() backup {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return backup{f.revision, maps.Clone(f.records), maps.Clone(f.regs)}
+}
+
+// restore brings the store back to a backup in the next era.
+func (f *fakeStore) restore(b backup) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.revision, f.records, f.regs = b.revision, maps.Clone(b.records), maps.Clone(b.regs)
+	close(f.changed)
+	f.changed = make(chan struct{})
 }
 
 func (f *fakeStore) UpdateRecord(_ context.Context, era uint64, r Record) (Record, error) {
@@ -103,13 +143,13 @@
 	if f.records[r.Service].Revision.Number != r.Revision.Number {
 		return Record{}, ErrConflict
 	}
-	stored := f.put(r)
+	stored, err := f.write(era, r)
 	if after != nil {
 		if err := after(r); err != nil {
 			return Record{}, err
 		}
 	}
-	return stored, nil
+	return stored, err
 }
 
 func (f *fakeStore) Registrations(context.Context) ([]Registration, error) {
@@ -125,6 +165,7 @@
 	}
 	var all []Registration
 	for _, r := range f.regs {
+		r.Revision.Era = f.era // of the response
 		all = append(all, r)
 	}
 	return all, nil
@@ -142,6 +183,7 @@
 	if f.unavailable {
 		return r, errStoreDown
 	}
+	r.Revision = revision.Revision{Era: f.era, Number: f.revision}
 	f.regs[r.Instance] = r
 	return r, nil
 }
@@ -243,13 +285,21 @@
 	mu          sync.Mutex
 	runners     map[string]*Runner
 	partitioned bool
+	isolated    string // an instance that can't be reached
+}
+
+// isolate makes an instance unreachable for the others.
+func (n *network) isolate(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated = name
 }
 
 func (n *network) runner(address string) (*Runner, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r, ok := n.runners[address]
-	if !ok || n.partitioned {
+	if !ok || n.partitioned || address == n.isolated {
 		return nil, errNetwork
 	}
 	return r, nil
@@ -327,6 +377,12 @@
 	g.stopped[id] = true
 }
 
+func (g *fakeGroup) start(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.stopped, id)
+}
+
 func (g *fakeGroup) Promote(_ context.Context, _, id, _ string, token uint64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -342,11 +398,22 @@
 		return nil
 	}
 	s := g.status[id]
-	s.Primary, s.Term, s.HeldTerm = true, 2, 0
+	s.Primary, s.Term, s.HeldTerm = true, g.latestTerm()+1, 0
 	g.status[id] = s
 	return nil
 }
 
+// latestTerm returns the highest term that a database leads. g.mu is held.
+func (g *fakeGroup) latestTerm() uint64 {
+	var latest uint64
+	for _, s := range g.status {
+		if s.Primary {
+			latest = max(latest, s.Term)
+		}
+	}
+	return latest
+}
+
 // databaseView is the group as seen by one instance.
 type databaseView struct {
 	*fakeGroup
--- a/internal/primacy/model_test.go
+++ b/internal/primacy/model_test.go
@@ -82,7 +82,7 @@
 // deliver passes a response to a running instance. If the record is being
 // replaced, the instance confirms in its registration that it stopped.
 func (m *model) deliver(x *modelInstance, a modelAnswer) {
-	x.cache.Confirm([]Record{a.record}, a.asked)
+	x.cache.Confirm([]Record{a.record}, 0, a.asked)
 	if r, _, _ := x.cache.Record("ledger"); r.Phase == Replacing && x.reachesStore {
 		m.regs[x.name].Stopped["ledger"] = max(m.regs[x.name].Stopped["ledger"], r.Token)
 	}
--- a/internal/primacy/peer_vote_test.go
+++ b/internal/primacy/peer_vote_test.go
@@ -89,7 +89,7 @@
 	cache.SetIncarnation("a")
 	r := NewRunner(Config{Instance: "a", Incarnation: "a", Cache: cache, Now: func() time.Duration { return now }, Log: zerolog.Nop()})
 	serving := Record{Service: "ledger", Revision: revision.Revision{Number: 5}, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
-	cache.Confirm([]Record{serving}, now)
+	cache.Confirm([]Record{serving}, 0, now)
 	if v := r.Vote(serving); v.Incarnation != "" || v.Stopped != 1 || v.Suspects {
 		t.Errorf("before the registration: %+v", v)
 	}
@@ -103,7 +103,7 @@
 	if v := r.Vote(replacing); v.Stopped != 2 || v.Suspects {
 		t.Errorf("after the record of a replacement: %+v", v)
 	}
-	cache.Confirm([]Record{serving}, now)
+	cache.Confirm([]Record{serving}, 0, now)
 	if p, ok := cache.Primary("ledger"); ok {
 		t.Errorf("%+v is used after the instance confirmed that it stopped", p)
 	}
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -50,20 +50,21 @@
 var errPromotionUnanswered = errors.New("a promotion call was not answered")
 
 // takeRecord starts a replacement: it makes this instance the promoter in the
-// service's record, under a new token.
-func (r *Runner) takeRecord(ctx context.Context, from Record, planned bool) (Record, error) {
+// service's record, under a new token of the given era.
+func (r *Runner) takeRecord(ctx context.Context, era uint64, from Record, planned bool) (Record, error) {
 	next := from
-	next.Token, next.Phase, next.Promoter = from.Token+1, Replacing, r.incarnation()
+	next.Token, next.Phase, next.Promoter = nextToken(era, from.Token), Replacing, r.incarnation()
 	next.Candidate, next.Planned = "", planned
-	return r.writeRecord(ctx, next)
+	next.Unsettled = from.Unsettled || from.Revision.Era != era
+	return r.writeRecord(ctx, era, next)
 }
 
 // writeRecord writes a record of which this instance is the promoter. If the
 // response is lost, it reads the record back to find out whether the write took
-// effect.
-func (r *Runner) writeRecord(ctx context.Context, next Record) (Record, error) {
+// effect. It fails with ErrRestored if the store leaves the era.
+func (r *Runner) writeRecord(ctx context.Context, era uint64, next Record) (Record, error) {
 	for {
-		done, err := r.cfg.Store.UpdateRecord(ctx, next.Revision.Era, next)
+		done, err := r.storeRecord(ctx, era, next)
 		if err == nil {
 			r.applyRecord(done, "written by this instance")
 			return done, nil
@@ -77,12 +78,16 @@
 		if err := sleep(ctx, storeRetryDelay); err != nil {
 			return Record{}, err
 		}
-		records, _, err := r.cfg.Store.Records(ctx)
+		records, at, err := r.cfg.Store.Records(ctx)
 		if err != nil {
 			continue
 		}
 		current, ok := findRecord(records, next.Service)
 		switch {
+		case at.Era != era:
+			return Record{}, fmt.Errorf("write record of service %s: %w", next.Service, ErrRestored)
+		case !ok && next.Revision.IsZero():
+			continue
 		case !ok:
 			return Record{}, fmt.Errorf("write record of service %s: the store has no such record", next.Service)
 		case current.Revision == next.Revision:
@@ -117,7 +122,7 @@
 	}
 	for _, c := range OrderCandidates(observed, len(excluded) > len(rec.Excluded)) {
 		rec.Candidate = c.ID
-		if rec, err = r.writeRecord(ctx, rec); err != nil {
+		if rec, err = r.writeRecord(ctx, rec.Revision.Era, rec); err != nil {
 			return err
 		}
 		leader, err := r.promote(ctx, rec)
@@ -142,7 +147,7 @@
 			return nil, err
 		}
 		r.awaitCatchUp(ctx, rec)
-		if len(missing) == 0 {
+		if len(missing) == 0 && !rec.Unsettled {
 			return rec.Excluded, nil
 		}
 	}
@@ -155,6 +160,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if rec.Unsettled {
+		// Instances whose registration the store has lost may still use the primary.
+		if err := sleep(ctx, recordValidity+validityMargin); err != nil {
+			return nil, err
+		}
+	}
 	if len(missing) == 0 {
 		return rec.Excluded, nil
 	}
@@ -171,12 +182,13 @@
 
 // fenceUntilQuorum fences replicas until all instances have confirmed, or until no
 // missing instance can have its record confirmed by databases without an answer
-// from a fenced one. It returns the incarnations that have not confirmed.
+// from a fenced one. With an unsettled record some instances may be unknown, so only
+// the latter counts. It returns the incarnations that have not confirmed.
 func (r *Runner) fenceUntilQuorum(ctx context.Context, rec Record, direct *stopTracker) ([]string, error) {
 	for {
 		fenced := r.fenceReplicas(ctx, rec)
 		missing, err := r.awaitStopped(ctx, rec, direct, func(time.Duration) time.Duration { return fenceRetryDelay })
-		if err != nil || len(missing) == 0 || len(fenced) >= fenceQuorumSize(r.countOthers(rec)) {
+		if err != nil || (len(missing) == 0 && !rec.Unsettled) || len(fenced) >= fenceQuorumSize(r.countOthers(rec)) {
 			return missing, err
 		}
 		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Int("raised", len(fenced)).Strs("missing", missing).
@@ -196,6 +208,9 @@
 		err        error
 	)
 	for {
+		if !r.holds(rec) {
+			return nil, errRecordTaken
+		}
 		if now := r.cfg.Now(); registered == nil || now-listed >= listInterval(len(registered)) {
 			listed = now
 			registered, err = r.cfg.Store.Registrations(ctx)
@@ -312,6 +327,9 @@
 		}
 	}()
 	for r.cfg.Now() < until {
+		if !r.holds(rec) {
+			return leader{}, errRecordTaken
+		}
 		err := r.callPromote(ctx, rec)
 		if errors.Is(err, ErrNotRunning) {
 			return leader{}, err
@@ -355,7 +373,8 @@
 func (r *Runner) completeReplacement(ctx context.Context, rec Record, l leader, excluded []string) error {
 	former := rec.Primary
 	rec.Phase, rec.Primary, rec.Term, rec.Candidate, rec.Excluded = Serving, l.id, l.term, "", excluded
-	rec, err := r.writeRecord(ctx, rec)
+	rec.Unsettled = false // no instance that the store does not know of uses an earlier record
+	rec, err := r.writeRecord(ctx, rec.Revision.Era, rec)
 	if err != nil {
 		return err
 	}
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -89,10 +89,12 @@
 }
 
 // Superseded reports whether any database is fenced at, or follows, a newer term
-// than the record's, or whether a database other than the recorded primary leads.
+// than the record's, or whether a database other than the recorded primary leads its
+// term. One that leads an earlier term was replaced and has not noticed it.
 func Superseded(rec Record, answered []MemberStatus) bool {
 	return slices.ContainsFunc(answered, func(o MemberStatus) bool {
-		return o.Status.HeldTerm > rec.Term || o.Status.Term > rec.Term || (o.Status.Primary && o.ID != rec.Primary)
+		return o.Status.HeldTerm > rec.Term || o.Status.Term > rec.Term ||
+			(o.Status.Primary && o.ID != rec.Primary && o.Status.Term == rec.Term)
 	})
 }
 
--- a/internal/primacy/record_cache.go
+++ b/internal/primacy/record_cache.go
@@ -35,7 +35,8 @@
 	mu           sync.Mutex
 	entries      map[string]*cachedRecord // by service
 	incarnation  string
-	registeredAt time.Duration // when the current incarnation was registered
+	registeredAt time.Duration // when the current incarnation was registered in era
+	era          uint64        // of the store that has the registration
 	version      uint64        // grows with each change of a record
 	changed      chan struct{}
 }
@@ -79,9 +80,11 @@
 	c.changed = make(chan struct{})
 }
 
-// Confirm processes a complete list of records from the store, requested at
-// asked. It returns the records that were newer than the cached ones.
-func (c *RecordCache) Confirm(records []Record, asked time.Duration) []Record {
+// Confirm processes a complete list of records from the store in the given era,
+// requested at asked. It returns the records that were newer than the cached ones. A
+// record that was written in an earlier era is not confirmed: the store may have lost
+// newer ones.
+func (c *RecordCache) Confirm(records []Record, era uint64, asked time.Duration) []Record {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var newer []Record
@@ -89,7 +92,9 @@
 		if c.update(r) {
 			newer = append(newer, r)
 		}
-		c.confirm(c.entries[r.Service], asked)
+		if r.Revision.Era == era && era == c.era {
+			c.confirm(c.entries[r.Service], asked)
+		}
 	}
 	c.notify()
 	return newer
@@ -143,10 +148,12 @@
 	return s.record.Phase == Serving && s.confirmedAt > 0 && now-s.confirmedAt < c.validity && !slices.Contains(s.record.Excluded, c.incarnation)
 }
 
-// IsCurrent reports whether p may still be used as primary of the service.
+// IsCurrent reports whether p may still be used as primary of the service. A record
+// that was written again after a restore of the store names the same primary and term
+// under another token.
 func (c *RecordCache) IsCurrent(service string, p Primary) bool {
 	current, ok := c.Primary(service)
-	return ok && current == p
+	return ok && current.ID == p.ID && current.Term == p.Term
 }
 
 // Record returns the newest known record of a service and when it was last
@@ -194,6 +201,16 @@
 	c.notify()
 }
 
+// SetEra notes that the instance is now registered in the given era. Lists that were
+// requested before confirm nothing. What was confirmed in an earlier era stays usable
+// for its validity.
+func (c *RecordCache) SetEra(era uint64) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era, c.registeredAt = era, now
+}
+
 // Changed returns a channel that is closed at the next change.
 func (c *RecordCache) Changed() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/primacy/record_cache_test.go
+++ b/internal/primacy/record_cache_test.go
@@ -29,7 +29,7 @@
 	clk := &fakeClock{now: time.Hour}
 	c := NewRecordCache("a", validity, clk.read)
 	c.SetIncarnation("a")
-	c.Confirm([]Record{servingRecord(5, 1, "db-1")}, clk.now)
+	c.Confirm([]Record{servingRecord(5, 1, "db-1")}, 0, clk.now)
 	return c, clk
 }
 
@@ -60,7 +60,7 @@
 	c, clk := newConfirmedCache(t)
 	asked := clk.now
 	clk.now = asked + 10*time.Second // suspended
-	c.Confirm([]Record{servingRecord(5, 1, "db-1")}, asked)
+	c.Confirm([]Record{servingRecord(5, 1, "db-1")}, 0, asked)
 	if p, ok := c.Primary("ledger"); ok {
 		t.Errorf("%+v is used after a response to an old request", p)
 	}
@@ -75,7 +75,7 @@
 	if !c.Update(r) {
 		t.Fatal("a newer record was not stored")
 	}
-	c.Confirm([]Record{servingRecord(5, 1, "db-1")}, clk.now)
+	c.Confirm([]Record{servingRecord(5, 1, "db-1")}, 0, clk.now)
 	c.Extend("ledger", 1, clk.now)
 	if _, ok := c.Primary("ledger"); ok {
 		t.Error("the former primary is used again")
@@ -88,7 +88,7 @@
 	c, clk := newConfirmedCache(t)
 	r := servingRecord(7, 2, "db-2")
 	r.Excluded = []string{"a"}
-	c.Confirm([]Record{r}, clk.now)
+	c.Confirm([]Record{r}, 0, clk.now)
 	if _, ok := c.Primary("ledger"); ok {
 		t.Fatal("an excluded instance uses the primary")
 	}
@@ -98,11 +98,11 @@
 	if _, ok := c.Primary("ledger"); ok {
 		t.Fatal("a confirmation from before the registration is used")
 	}
-	c.Confirm([]Record{r}, before)
+	c.Confirm([]Record{r}, 0, before)
 	if _, ok := c.Primary("ledger"); ok {
 		t.Fatal("a response to a request from before the registration is used")
 	}
-	c.Confirm([]Record{r}, clk.now)
+	c.Confirm([]Record{r}, 0, clk.now)
 	if p, ok := c.Primary("ledger"); !ok || p.ID != "db-2" {
 		t.Errorf("Primary = %+v, %v after the registration", p, ok)
 	}
@@ -121,7 +121,7 @@
 	if _, ok := c.Primary("ledger"); ok {
 		t.Fatal("the status of databases overrides the invalidation")
 	}
-	c.Confirm([]Record{servingRecord(6, 2, "db-2")}, clk.now)
+	c.Confirm([]Record{servingRecord(6, 2, "db-2")}, 0, clk.now)
 	if p, ok := c.Primary("ledger"); !ok || p.ID != "db-2" {
 		t.Errorf("Primary = %+v, %v after the store's response", p, ok)
 	}
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -47,12 +47,18 @@
 	defer r.mu.Unlock()
 	r.reg.Revision = stored.Revision
 	r.cfg.Cache.SetValidity(stored.Validity)
-	known := r.published.incarnation
-	r.published = publishedState{stored.Incarnation, stored.Validity, reg.Suspects}
-	if known != stored.Incarnation {
+	known := r.published
+	r.published = publishedState{stored.Incarnation, stored.Validity, reg.Suspects, stored.Revision.Era}
+	if known.incarnation != stored.Incarnation {
 		r.cfg.Cache.SetIncarnation(stored.Incarnation)
 		r.askStore = true
 	}
+	if known.era != stored.Revision.Era {
+		r.cfg.Cache.SetEra(stored.Revision.Era)
+	}
+	if !r.observeEraLocked(stored.Revision.Era) {
+		r.markDirty() // the store was restored while the response was on its way
+	}
 	return nil
 }
 
@@ -86,7 +92,7 @@
 // of instances, by which connections are divided, and the upstreams.
 func (r *Runner) instancesLoop(ctx context.Context) {
 	waits := []time.Duration{0, secondListDelay}
-	for wait := time.Duration(0); sleep(ctx, wait) == nil; {
+	for wait := time.Duration(0); r.awaitListTime(ctx, wait) == nil; {
 		cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		registered, err := r.cfg.Store.StaleRegistrations(cctx)
 		cancel()
@@ -103,10 +109,32 @@
 			wait = emptyListDelay // the upstreams are not known yet
 			continue
 		}
+		if era := registered[0].Revision.Era; r.isRegistered() && era > r.currentEra() {
+			r.observeEra(era)
+			wait = secondListDelay // some have not registered again yet
+			continue
+		}
 		r.setInstances(ctx, registered)
 	}
 }
 
+// awaitListTime waits for d, or until secondListDelay after the store was restored: by
+// then the instances have registered again.
+func (r *Runner) awaitListTime(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.relist:
+			t.Reset(secondListDelay)
+		case <-t.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // setInstances takes over a list of the registered instances.
 func (r *Runner) setInstances(ctx context.Context, registered []Registration) {
 	r.mu.Lock()
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -325,15 +325,19 @@
 }
 
 // confirmRecords processes a complete list of records that was requested from the
-// store at asked.
+// store at asked. One from before a restore of the store has no effect.
 func (r *Runner) confirmRecords(records []Record, at revision.Revision, asked time.Duration) {
-	for _, rec := range r.cfg.Cache.Confirm(records, asked) {
+	if !r.observeEra(at.Era) {
+		return
+	}
+	for _, rec := range r.cfg.Cache.Confirm(records, at.Era, asked) {
 		r.recordChanged(rec, "listed")
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if asked > r.state.asked && at.Era >= r.state.revision.Era {
+	if asked > r.state.asked {
 		r.state.asked, r.state.revision = asked, at
+		r.noteUnestablished(records, at.Era)
 		r.state.advance()
 	}
 }
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -23,6 +23,9 @@
 		} else {
 			source, confirmed := r.renew(ctx)
 			r.recordRound(confirmed)
+			if r.hasUnestablished() {
+				r.renewFromDatabases(ctx)
+			}
 			switch source {
 			case fromUpstream:
 				wait = upstreamInterval // the upstream holds the request
@@ -288,6 +291,9 @@
 	defer r.mu.Unlock()
 	r.state.advance()
 	r.recordSeenAt[rec.Service] = r.cfg.Now()
+	if r.era.known && rec.Revision.Era == r.era.number {
+		delete(r.unestablished, rec.Service)
+	}
 	if rec.Phase == Replacing && r.reg.Stopped[rec.Service] < rec.Token {
 		r.reg.Stopped[rec.Service] = rec.Token
 		r.markDirty()
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -59,6 +59,9 @@
 	// in the cache, and snapshotRecords are these.
 	lastSnapshot    SnapshotQuery
 	snapshotRecords []Record
+	era             knownEra
+	unestablished   map[string]bool // services whose record the restored store has lost or has from an earlier era
+	relist          chan struct{}   // makes instancesLoop list the instances
 	// askStore is set while the records must be confirmed by the store itself,
 	// because the snapshots of others may date from before the registration.
 	askStore bool
@@ -70,6 +73,7 @@
 	incarnation string
 	validity    time.Duration
 	suspects    map[string]uint64
+	era         uint64 // of the store
 }
 
 // NewRunner returns a runner. Call Run to start it.
@@ -82,13 +86,15 @@
 			DataCentre: cfg.DataCentre, Address: cfg.Address,
 			Stopped: make(map[string]uint64), Suspects: make(map[string]uint64),
 		},
-		dirty:        make(chan struct{}, 1),
-		countDelays:  make(map[string]time.Duration),
-		checking:     make(map[string]bool),
-		recordSeenAt: make(map[string]time.Duration),
-		ownersCache:  make(map[string]cachedOwners),
-		roleChanged:  make(chan struct{}),
-		state:        storeState{changed: make(chan struct{})},
+		dirty:         make(chan struct{}, 1),
+		countDelays:   make(map[string]time.Duration),
+		checking:      make(map[string]bool),
+		recordSeenAt:  make(map[string]time.Duration),
+		ownersCache:   make(map[string]cachedOwners),
+		roleChanged:   make(chan struct{}),
+		unestablished: make(map[string]bool),
+		relist:        make(chan struct{}, 1),
+		state:         storeState{changed: make(chan struct{})},
 	}
 }
 
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -93,7 +93,7 @@
 	})
 }
 
-func (h *harness) confirm() { h.records.Confirm([]primacy.Record{h.record}, clock.SinceBoot()) }
+func (h *harness) confirm() { h.records.Confirm([]primacy.Record{h.record}, 0, clock.SinceBoot()) }
 
 // startFailover records that the primary is being replaced.
 func (h *harness) startFailover() {
