--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -160,19 +160,19 @@
 	if err != nil {
 		return nil, err
 	}
+	fenced := r.cfg.Now()
+	if len(missing) > 0 {
+		missing, err = r.awaitStopped(ctx, rec, direct, func(validity time.Duration) time.Duration { return validity + validityMargin })
+		if err != nil {
+			return nil, err
+		}
+	}
 	if rec.Unsettled {
 		// Instances whose registration the store has lost may still use the primary.
-		if err := sleep(ctx, recordValidity+validityMargin); err != nil {
+		if err := sleep(ctx, fenced+recordValidity+validityMargin-r.cfg.Now()); err != nil {
 			return nil, err
 		}
 	}
-	if len(missing) == 0 {
-		return rec.Excluded, nil
-	}
-	missing, err = r.awaitStopped(ctx, rec, direct, func(validity time.Duration) time.Duration { return validity + validityMargin })
-	if err != nil {
-		return nil, err
-	}
 	if len(missing) > 0 {
 		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Strs("missing", missing).
 			Msg("Some instances did not confirm the replacement. Continuing because the validity of their cached records has passed.")
