Extend a lapsed record only if all other databases confirm it

A caller could be answered by a primary that had been replaced. An instance that reached neither store nor peers nor databases for longer than the validity of its record, and then the former primary and one replica, extended the record from these: a promotion clears the fences of all replicas, and a replica that does not follow the new primary yet looks as before.

While a record is valid, half of the other databases suffice as before: a promoter waits out the validity after its fences. Once it has lapsed all of them must answer, as only the promoted one is certain to show the promotion.

TestReplacedPrimaryIsNotUsedAgainWithoutTheStore fails without the change (c uses db-1 again) and passes with it.

--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -331,8 +331,9 @@
 	members         []Member
 	status          map[string]statement.Status
 	stopped         map[string]bool
-	unreachableFrom map[string]bool // instances that can't reach db-1
-	notRunning      map[string]bool // databases whose promotion fails with ErrNotRunning
+	unreachableFrom map[string]bool    // instances that can't reach db-1
+	cut             map[[2]string]bool // pairs of an instance and a database that it can't reach
+	notRunning      map[string]bool    // databases whose promotion fails with ErrNotRunning
 	promoted        []string
 	tokens          []uint64
 	promotionFails  bool // promotions fail without an effect
@@ -341,7 +342,8 @@
 
 func newFakeGroup() *fakeGroup {
 	g := &fakeGroup{
-		status: map[string]statement.Status{}, stopped: map[string]bool{}, unreachableFrom: map[string]bool{}, notRunning: map[string]bool{},
+		status: map[string]statement.Status{}, stopped: map[string]bool{}, unreachableFrom: map[string]bool{},
+		cut: map[[2]string]bool{}, notRunning: map[string]bool{},
 	}
 	for i, id := range []string{"db-1", "db-2", "db-3"} {
 		g.members = append(g.members, Member{ID: id, Primary: i == 0})
@@ -429,7 +431,7 @@
 func (v databaseView) Control(_ context.Context, _, id string, c statement.Command, _ time.Duration) (statement.Status, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.stopped[id] || (id == "db-1" && v.unreachableFrom[v.instance]) {
+	if !v.reaches(id) {
 		return statement.Status{}, errNetwork
 	}
 	s := v.status[id]
@@ -448,7 +450,12 @@
 func (v databaseView) UnresponsiveSince(_, id string) (time.Duration, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return 1, v.stopped[id] || (id == "db-1" && v.unreachableFrom[v.instance])
+	return 1, !v.reaches(id)
+}
+
+// reaches reports whether the instance reaches a database that runs. v.mu is held.
+func (v databaseView) reaches(id string) bool {
+	return !v.stopped[id] && (id != "db-1" || !v.unreachableFrom[v.instance]) && !v.cut[[2]string{v.instance, id}]
 }
 
 func (v databaseView) Members(string) []Member {
--- a/internal/primacy/model_test.go
+++ b/internal/primacy/model_test.go
@@ -157,7 +157,8 @@
 			if Superseded(r, answered) {
 				x.cache.Invalidate("ledger", r.Token)
 			}
-			if ConfirmsPrimary(r, answered, 2) {
+			_, valid := x.cache.Primary("ledger")
+			if ConfirmsPrimary(r, answered, 2, valid) {
 				x.cache.Extend("ledger", r.Token, m.now)
 			}
 		},
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -65,18 +65,27 @@
 // confirm an instance's cached record, and those that a promoter fences while it
 // can't reach that instance.
 
-// extendQuorumSize returns how many of the others must answer an instance: half.
-func extendQuorumSize(others int) int { return (others + 1) / 2 }
+// extendQuorumSize returns how many of the others must answer an instance: half
+// while its record is valid. Once that has lapsed, a promotion may have cleared the
+// fences, and a database that it did not promote may not show it yet. Only the promoted
+// one shows it for certain, so all must answer.
+func extendQuorumSize(others int, valid bool) int {
+	if !valid {
+		return others
+	}
+	return (others + 1) / 2
+}
 
 // fenceQuorumSize returns how many of the others a promoter must fence.
-func fenceQuorumSize(others int) int { return others - extendQuorumSize(others) + 1 }
+func fenceQuorumSize(others int) int { return others - extendQuorumSize(others, true) + 1 }
 
 // ConfirmsPrimary reports whether the status of databases shows that no
 // replacement of the record's primary has begun: the primary still leads the
 // record's term, enough of the others answered, and no answer shows a newer term
 // or another primary. A promoter fences the databases first and then waits for
-// the validity, so the primary may be used for that time.
-func ConfirmsPrimary(rec Record, answered []MemberStatus, others int) bool {
+// the validity, so the primary may be used for that time. valid tells whether the
+// record was valid when the databases were asked.
+func ConfirmsPrimary(rec Record, answered []MemberStatus, others int, valid bool) bool {
 	leads, unfenced := false, 0
 	for _, o := range answered {
 		if o.ID == rec.Primary {
@@ -85,7 +94,7 @@
 			unfenced++
 		}
 	}
-	return leads && others > 0 && unfenced >= extendQuorumSize(others) && !Superseded(rec, answered)
+	return leads && others > 0 && unfenced >= extendQuorumSize(others, valid) && !Superseded(rec, answered)
 }
 
 // Superseded reports whether any database is fenced at, or follows, a newer term
--- a/internal/primacy/record_cache_test.go
+++ b/internal/primacy/record_cache_test.go
@@ -197,9 +197,13 @@
 		{"another leads", []MemberStatus{primary, at(3, 0), leads}, 2, false},
 		{"there are none", []MemberStatus{primary}, 0, false},
 	} {
-		if got := ConfirmsPrimary(rec, c.answered, c.others); got != c.want {
+		if got := ConfirmsPrimary(rec, c.answered, c.others, true); got != c.want {
 			t.Errorf("%s: ConfirmsPrimary = %v, want %v", c.name, got, c.want)
 		}
+		lapsedWant := c.want && len(c.answered) == c.others+1
+		if got := ConfirmsPrimary(rec, c.answered, c.others, false); got != lapsedWant {
+			t.Errorf("%s, after the validity: ConfirmsPrimary = %v, want %v", c.name, got, lapsedWant)
+		}
 	}
 }
 
@@ -207,8 +211,8 @@
 // databases.
 func TestExtendAndFenceQuorumsIntersect(t *testing.T) {
 	for others := 1; others < 10; others++ {
-		if extendQuorumSize(others)+fenceQuorumSize(others) <= others || extendQuorumSize(others) < 1 || fenceQuorumSize(others) < 1 {
-			t.Errorf("%d others: %d extend, %d are fenced", others, extendQuorumSize(others), fenceQuorumSize(others))
+		if extendQuorumSize(others, true)+fenceQuorumSize(others) <= others || extendQuorumSize(others, true) < 1 || fenceQuorumSize(others) < 1 {
+			t.Errorf("%d others: %d extend, %d are fenced", others, extendQuorumSize(others, true), fenceQuorumSize(others))
 		}
 	}
 }
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -154,6 +154,7 @@
 func (r *Runner) extendFromDatabases(ctx context.Context, rec Record) bool {
 	asked := r.cfg.Now()
 	others := r.countOthers(rec)
+	_, valid := r.cfg.Cache.Primary(rec.Service)
 	answered := r.broadcast(ctx, rec, func(Member) (statement.Command, bool) {
 		return statement.Command{Op: statement.OpStatus}, true
 	})
@@ -163,7 +164,7 @@
 		r.cfg.Cache.Invalidate(rec.Service, rec.Token)
 		return false
 	}
-	if !ConfirmsPrimary(rec, answered, others) {
+	if !ConfirmsPrimary(rec, answered, others, valid) {
 		return false
 	}
 	r.cfg.Cache.Extend(rec.Service, rec.Token, asked)
--- a/internal/primacy/restore.go
+++ b/internal/primacy/restore.go
@@ -223,7 +223,7 @@
 func provesLeader(known, rec Record, answered []MemberStatus, all int, inUse bool) bool {
 	sameLeader := rec.Primary == known.Primary && rec.Term == known.Term
 	switch {
-	case all > 1 && !ConfirmsPrimary(rec, answered, all-1):
+	case all > 1 && !ConfirmsPrimary(rec, answered, all-1, inUse && sameLeader):
 		return false
 	case known.Phase == Serving && inUse && sameLeader:
 		return true
--- a/internal/primacy/runner_test.go
+++ b/internal/primacy/runner_test.go
@@ -169,6 +169,36 @@
 	}
 }
 
+// Guards against an instance that uses a replaced primary again because half of the
+// databases confirm its record: a promotion clears their fences before they follow the
+// new primary.
+func TestReplacedPrimaryIsNotUsedAgainWithoutTheStore(t *testing.T) {
+	store, g := newFakeStore(), newFakeGroup()
+	all := startInstances(t, store, g, "a", "b", "c")
+	c := all["c"]
+	c.storeRefuses.Store(true)
+	c.network.mu.Lock()
+	c.network.partitioned = true
+	c.network.mu.Unlock()
+	g.mu.Lock()
+	for name := range all {
+		g.unreachableFrom[name] = true
+	}
+	g.cut[[2]string{"c", "db-2"}], g.cut[[2]string{"c", "db-3"}] = true, true // c does not see their fences
+	g.mu.Unlock()
+	others := map[string]*instance{"a": all["a"], "b": all["b"]}
+	eventually(t, "db-2 leads", allUse(others, "db-2"))
+	eventually(t, "db-3 receives again", func() bool { return g.get("db-3").HeldTerm == 0 })
+	g.mu.Lock()
+	g.unreachableFrom["c"], g.cut[[2]string{"c", "db-3"}] = false, false
+	g.mu.Unlock()
+	for end := time.Now().Add(InitialValidity); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if p, ok := c.cache.Primary("ledger"); ok {
+			t.Fatalf("c uses %+v again", p)
+		}
+	}
+}
+
 // Guards against a promotion while an unreachable instance may continue to use
 // the former primary, confirmed by the database that the promoter did not fence.
 func TestTooFewFencedReplicasBlockThePromotion(t *testing.T) {
