Remember databases that left, and the newest configuration, through a restore

A database that had left and was no longer listed counted as new when a restored store listed it as ready again, and would have got work until its registration lapsed; DRAIN allows none. And an instance that starts gets its listing from others, who passed on the configuration of the copy although they have a newer one in force.

Databases that were removed while leaving are remembered for ten minutes by id and start time. The instance that lists the store passes on its knowledge of both.

--- a/internal/topology/listing_test.go
+++ b/internal/topology/listing_test.go
@@ -16,6 +16,7 @@
 	lists    int
 	revision revision.Revision
 	leaving  bool
+	version  uint64 // of the configuration
 	err      error
 }
 
@@ -25,7 +26,7 @@
 }
 
 func (f *fakeSource) Configuration(context.Context) (Configuration, revision.Revision, error) {
-	return Configuration{Version: 3}, f.revision, f.err
+	return Configuration{Version: f.version}, f.revision, f.err
 }
 
 // rev returns a revision of the first era.
@@ -39,7 +40,7 @@
 }
 
 func newTestSyncer() *testSyncer {
-	s := &testSyncer{source: &fakeSource{revision: rev(10)}, now: time.Hour}
+	s := &testSyncer{source: &fakeSource{revision: rev(10), version: 3}, now: time.Hour}
 	s.Syncer = NewSyncer(New(), s.source, func() time.Duration { return s.now }, zerolog.Nop())
 	return s
 }
@@ -158,3 +159,17 @@
 		t.Errorf("a listing from before the restore is used again: %+v", got)
 	}
 }
+
+// Guards against an instance that starts after a restore of the store and gets an older
+// configuration from the others than the one that they have in force.
+func TestListingHasTheConfigurationInForce(t *testing.T) {
+	s, other := newTestSyncer(), newTestSyncer()
+	s.source.version = 8
+	s.listed(t)
+	s.source.version, s.source.revision = 6, revision.Revision{Era: 2, Number: 4}
+	l := s.listed(t)
+	other.Adopt(l, other.now)
+	if v := other.Topology.Snapshot().Version; v != 8 {
+		t.Errorf("an instance that starts has version %d in force, want 8", v)
+	}
+}
--- a/internal/topology/syncer.go
+++ b/internal/topology/syncer.go
@@ -171,6 +171,9 @@
 		return err
 	}
 	s.reportDamaged(damaged)
+	// A store that was restored from an older copy may have forgotten what the
+	// instances that get this listing must not.
+	c, all = s.inForce(c), s.Topology.MarkLeaving(all)
 	content, err := contentOf(c, all)
 	if err != nil {
 		return err
@@ -211,6 +214,14 @@
 	}
 }
 
+// inForce returns the configuration in force if that is newer than c.
+func (s *Syncer) inForce(c Configuration) Configuration {
+	if snap := s.Topology.Snapshot(); snap.Version > c.Version {
+		return snap.Configuration
+	}
+	return c
+}
+
 func (s *Syncer) applyConfiguration(c Configuration) {
 	if c.Version != 0 && s.Topology.Apply(c) {
 		s.Log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Msg("A new configuration is in force.")
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -2,12 +2,13 @@
 // knows, and keeps them up to date from the store.
 //
 // Invariants: the version of the configuration never decreases while a process
-// runs. A database that is leaving is never listed as usable again under the same
-// start time.
+// runs. A database that is leaving, or has left within departedRetention, is never
+// listed as usable again under the same start time.
 package topology
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,12 +89,24 @@
 	missingSince time.Duration // 0: registered
 }
 
+// departedRetention is how long a database that has left is remembered. A store that
+// is restored from a copy some seconds old may list it again as it was before.
+const departedRetention = 10 * time.Minute
+
+// departure describes a database that has left.
+type departure struct {
+	startMillis  int64
+	leavingSince time.Duration
+	removedAt    time.Duration
+}
+
 // Topology is the state of one instance. It is safe for concurrent use.
 type Topology struct {
-	mu      sync.Mutex
-	entries map[string]entry
-	listed  bool          // whether the registrations were listed at least once
-	changed chan struct{} // closed at each change
+	mu       sync.Mutex
+	entries  map[string]entry
+	departed map[string]departure // by id; databases that were removed while leaving
+	listed   bool                 // whether the registrations were listed at least once
+	changed  chan struct{}        // closed at each change
 
 	current atomic.Pointer[Snapshot]
 }
@@ -106,7 +119,7 @@
 
 // New returns an empty topology.
 func New() *Topology {
-	t := &Topology{entries: make(map[string]entry), changed: make(chan struct{})}
+	t := &Topology{entries: make(map[string]entry), departed: make(map[string]departure), changed: make(chan struct{})}
 	t.current.Store(&Snapshot{})
 	return t
 }
@@ -151,12 +164,35 @@
 	case t.listed:
 		d.knownSince = now
 	}
-	if known && old.Leaving && old.StartMillis == d.StartMillis {
-		d.Leaving, d.leavingSince = true, old.leavingSince
+	if since, ok := t.leavingSince(d); ok {
+		d.Leaving, d.leavingSince = true, since
 	}
 	t.entries[d.ID] = entry{Database: d}
 }
 
+// leavingSince returns since when a database is known to leave, and whether it is,
+// whatever its registration says. t.mu is held.
+func (t *Topology) leavingSince(d Database) (time.Duration, bool) {
+	if old, known := t.entries[d.ID]; known && old.Leaving && old.StartMillis == d.StartMillis {
+		return old.leavingSince, true
+	}
+	gone, known := t.departed[d.ID]
+	return gone.leavingSince, known && gone.startMillis == d.StartMillis
+}
+
+// MarkLeaving returns the registrations with those marked that this instance knows to
+// leave or to have left.
+func (t *Topology) MarkLeaving(all []Database) []Database {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := slices.Clone(all)
+	for i, d := range out {
+		_, leaving := t.leavingSince(d)
+		out[i].Leaving = d.Leaving || leaving
+	}
+	return out
+}
+
 // unregister records that the store no longer has a registration. The database
 // stays listed for RemovalDelay; see Expire. t.mu is held.
 func (t *Topology) unregister(id string, now time.Duration) {
@@ -197,6 +233,14 @@
 		if e.missingSince != 0 && now-e.missingSince >= RemovalDelay {
 			removed = append(removed, id)
 			delete(t.entries, id)
+			if e.Leaving {
+				t.departed[id] = departure{e.StartMillis, e.leavingSince, now}
+			}
+		}
+	}
+	for id, gone := range t.departed {
+		if now-gone.removedAt > departedRetention {
+			delete(t.departed, id)
 		}
 	}
 	if removed != nil {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -63,3 +63,35 @@
 		t.Error("a restarted database is still listed as leaving")
 	}
 }
+
+// Guards against new work for a database that has left, when the store comes back from
+// a copy in which it was still ready.
+func TestDatabaseThatLeftIsNotUsedAgain(t *testing.T) {
+	tp := New()
+	leaving := db("a")
+	leaving.Leaving = true
+	tp.Register(leaving, 0)
+	tp.Replace(nil, time.Second)
+	removed := time.Second + RemovalDelay
+	tp.Expire(removed)
+	now := removed + time.Second
+	tp.Replace([]Database{db("a")}, now)
+	if got, ok := tp.Snapshot().Find("ledger", "a"); !ok || !got.Leaving || got.LeavingFor(now) != now {
+		t.Errorf("a database that left is %+v, leaving for %v; want leaving for %v", got, got.LeavingFor(now), now)
+	}
+	if marked := tp.MarkLeaving([]Database{db("a"), db("b")}); !marked[0].Leaving || marked[1].Leaving {
+		t.Errorf("other instances are told %+v", marked)
+	}
+	restarted := db("a")
+	restarted.StartMillis = 2
+	tp.Replace([]Database{restarted}, now)
+	if got, _ := tp.Snapshot().Find("ledger", "a"); got.Leaving {
+		t.Error("a database that started again is still listed as leaving")
+	}
+	tp.Replace(nil, now)
+	tp.Expire(now + RemovalDelay + departedRetention)
+	tp.Replace([]Database{db("a")}, now+RemovalDelay+departedRetention)
+	if len(tp.departed) != 0 {
+		t.Errorf("departures are remembered for ever: %v", tp.departed)
+	}
+}
