Restore the store in the model and in the soak

The model of replacements draws copies of the store that lack registrations, restores in any order, instances that register again late, establishment from partial answers, and a promotion call that takes effect after the restore. A fence is now above the highest term that any database knows, as the store may have lost several changes of primary.

--- a/internal/primacy/model_test.go
+++ b/internal/primacy/model_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,8 +18,10 @@
 type model struct {
 	t         *rapid.T
 	now       time.Duration
+	era       uint64 // of the store
 	record    Record
 	regs      map[string]*Registration
+	copies    []modelCopy
 	instances []*modelInstance
 	heldTerms [3]uint64 // terms at which databases are fenced
 	terms     [3]uint64
@@ -32,21 +36,31 @@
 	pending      []modelAnswer
 	frozen       bool
 	reachesStore bool
+	knownEra     uint64
 	lastAnswer   modelAnswer // of the store itself
 }
 
 // modelAnswer is a response of the store that has not arrived yet.
 type modelAnswer struct {
 	asked  time.Duration
+	era    uint64
 	record Record
 }
 
+// modelCopy is an earlier state from which the store may be restored.
+type modelCopy struct {
+	record Record
+	regs   map[string]*Registration
+}
+
 // modelPromoter is a replacement in progress.
 type modelPromoter struct {
 	token       uint64
 	fencedAt    time.Duration
 	fencedCount int // databases that it fenced
 	target      int
+	committed   bool // the candidate is recorded, and the promotion call is on its way
+	committedAt time.Duration
 }
 
 func dbName(i int) string { return fmt.Sprintf("db-%d", i) }
@@ -74,20 +88,72 @@
 }
 
 func (m *model) write(r Record) {
-	r.Revision = m.record.Revision
-	r.Revision.Number++
+	r.Revision = revision.Revision{Era: m.era, Number: m.record.Revision.Number + 1}
 	m.record = r
 }
 
 // deliver passes a response to a running instance. If the record is being
 // replaced, the instance confirms in its registration that it stopped.
 func (m *model) deliver(x *modelInstance, a modelAnswer) {
-	x.cache.Confirm([]Record{a.record}, 0, a.asked)
+	if a.era < x.knownEra {
+		return
+	}
+	x.knownEra = a.era
+	x.cache.Confirm([]Record{a.record}, a.era, a.asked)
 	if r, _, _ := x.cache.Record("ledger"); r.Phase == Replacing && x.reachesStore {
-		m.regs[x.name].Stopped["ledger"] = max(m.regs[x.name].Stopped["ledger"], r.Token)
+		m.stopped(x, r.Token)
+	}
+}
+
+// stopped notes in the registration of an instance, if the store has it, that it
+// stopped for a token.
+func (m *model) stopped(x *modelInstance, token uint64) {
+	if reg, ok := m.regs[x.name]; ok {
+		reg.Stopped["ledger"] = max(reg.Stopped["ledger"], token)
 	}
 }
 
+// cloneRegistrations copies the registrations of which keep returns true.
+func cloneRegistrations(regs map[string]*Registration, keep func(string) bool) map[string]*Registration {
+	out := make(map[string]*Registration)
+	for _, name := range slices.Sorted(maps.Keys(regs)) {
+		if keep(name) {
+			reg := *regs[name]
+			reg.Stopped = maps.Clone(reg.Stopped)
+			out[name] = &reg
+		}
+	}
+	return out
+}
+
+// holds reports whether the promoter's replacement is the one in the store.
+func (m *model) holds() bool {
+	return m.promoter != nil && m.record.Token == m.promoter.token && m.record.Revision.Era == m.era
+}
+
+// promote makes the promoter's target the leader of the next term.
+func (m *model) promote() {
+	target := m.promoter.target
+	m.terms[target] = m.terms[m.leader] + 1
+	m.leader = target
+	m.claims[target] = true   // the former primary claims to lead until it is demoted
+	m.heldTerms = [3]uint64{} // reset at once; replicas follow the new term later
+}
+
+// statuses draws the databases that answer a query.
+func (m *model) statuses() []MemberStatus {
+	var answered []MemberStatus
+	for i := range 3 {
+		if m.delivered("answers") {
+			answered = append(answered, MemberStatus{Member{ID: dbName(i)}, statement.Status{Term: m.terms[i], HeldTerm: m.heldTerms[i], Primary: m.claims[i]}})
+		}
+	}
+	return answered
+}
+
+// maxModelEra bounds the restores of one run.
+const maxModelEra = 3
+
 // check tests the invariant: no instance may use a database that is not primary.
 func (m *model) check() {
 	for _, x := range m.instances {
@@ -110,7 +176,7 @@
 		},
 		"ask": func(*rapid.T) {
 			if x := m.pickInstance(); x.reachesStore && !x.frozen {
-				x.lastAnswer = modelAnswer{m.now, m.record}
+				x.lastAnswer = modelAnswer{m.now, m.era, m.record}
 				x.pending = append(x.pending, x.lastAnswer)
 			}
 		},
@@ -129,7 +195,7 @@
 			}
 			x.cache.Update(m.record)
 			if m.delivered("told") {
-				m.regs[x.name].Stopped["ledger"] = max(m.regs[x.name].Stopped["ledger"], m.record.Token)
+				m.stopped(x, m.record.Token)
 			}
 		},
 		"answer": func(t *rapid.T) {
@@ -148,12 +214,7 @@
 			if x.frozen || !ok || r.Phase != Serving {
 				return
 			}
-			var answered []MemberStatus
-			for i := range 3 {
-				if m.delivered("answers") {
-					answered = append(answered, MemberStatus{Member{ID: dbName(i)}, statement.Status{Term: m.terms[i], HeldTerm: m.heldTerms[i], Primary: m.claims[i]}})
-				}
-			}
+			answered := m.statuses()
 			if Superseded(r, answered) {
 				x.cache.Invalidate("ledger", r.Token)
 			}
@@ -166,13 +227,16 @@
 		"cut":    func(*rapid.T) { x := m.pickInstance(); x.reachesStore = !x.reachesStore },
 		"begin": func(t *rapid.T) {
 			r := m.record
-			r.Token, r.Phase = r.Token+1, Replacing
+			if r.Revision.Era != m.era {
+				return // it must be established first
+			}
+			r.Token, r.Phase = nextToken(m.era, r.Token), Replacing
 			m.write(r)
 			m.promoter = &modelPromoter{token: r.Token, target: rapid.IntRange(0, 2).Draw(t, "target")}
 		},
 		"raise": func(*rapid.T) {
 			p := m.promoter
-			if p == nil || (p.fencedAt != 0 && p.fencedCount >= fenceQuorumSize(2)) || dbName(p.target) == m.record.Primary {
+			if !m.holds() || p.committed || (p.fencedAt != 0 && p.fencedCount >= fenceQuorumSize(2)) || dbName(p.target) == m.record.Primary {
 				return
 			}
 			p.fencedCount = 0
@@ -184,28 +248,97 @@
 			}
 			p.fencedAt = m.now
 		},
-		"promote": func(*rapid.T) {
+		"commit": func(*rapid.T) {
 			p := m.promoter
-			if p == nil || p.fencedAt == 0 {
+			if !m.holds() || p.committed || p.fencedAt == 0 {
 				return
 			}
 			var regs []Registration
 			for _, x := range m.instances {
-				regs = append(regs, *m.regs[x.name])
+				if reg, ok := m.regs[x.name]; ok {
+					regs = append(regs, *reg)
+				}
 			}
 			missing := Unacknowledged(regs, m.record.Excluded, "ledger", p.token)
-			if len(missing) > 0 && (p.fencedCount < fenceQuorumSize(2) || m.now-p.fencedAt <= longestValidity(missing)+validityMargin) {
+			waited := p.fencedCount >= fenceQuorumSize(2) && m.now-p.fencedAt > validity+validityMargin
+			if (len(missing) > 0 || m.record.Unsettled) && !waited {
 				return
 			}
-			m.leader = p.target
-			m.claims[p.target] = true // the former primary claims to lead until it is demoted
-			m.terms[p.target] = m.record.Term + 1
 			r := m.record
-			r.Phase, r.Primary, r.Term, r.Excluded = Serving, dbName(p.target), m.record.Term+1, append(r.Excluded, incarnations(missing)...)
+			r.Excluded = append(slices.Clone(r.Excluded), incarnations(missing)...)
+			if m.leader != p.target && m.terms[m.leader] > r.Term && m.claims[m.leader] { // promoted by another promoter
+				r.Phase, r.Primary, r.Term, r.Unsettled = Serving, dbName(m.leader), m.terms[m.leader], false
+				m.promoter = nil
+			} else {
+				p.committed, p.committedAt = true, m.now
+			}
 			m.write(r)
-			m.heldTerms = [3]uint64{} // reset at once; replicas follow the new term later
+		},
+		// The promotion call takes effect, if need be after a restore of the store.
+		"promote": func(*rapid.T) {
+			p := m.promoter
+			if p == nil || !p.committed {
+				return
+			}
+			m.promote()
+			if r := m.record; m.holds() {
+				r.Phase, r.Primary, r.Term, r.Unsettled = Serving, dbName(p.target), m.terms[p.target], false
+				m.write(r)
+			}
 			m.promoter = nil
 		},
+		"copy": func(*rapid.T) {
+			regs := cloneRegistrations(m.regs, func(string) bool { return m.delivered("registered before the copy") })
+			m.copies = append(m.copies, modelCopy{m.record, regs})
+		},
+		"restore": func(t *rapid.T) {
+			if len(m.copies) == 0 || m.era == maxModelEra {
+				return
+			}
+			c := m.copies[rapid.IntRange(0, len(m.copies)-1).Draw(t, "copy")]
+			m.era++
+			m.record, m.regs = c.record, cloneRegistrations(c.regs, func(string) bool { return true })
+			if p := m.promoter; p != nil && !p.committed {
+				m.promoter = nil // its next write fails
+			}
+		},
+		"register": func(*rapid.T) {
+			x := m.pickInstance()
+			if x.frozen || !x.reachesStore {
+				return
+			}
+			reg := &Registration{Instance: x.name, Incarnation: x.name, Validity: validity, Stopped: map[string]uint64{}}
+			if r, _, ok := x.cache.Record("ledger"); ok && r.Phase == Replacing {
+				reg.Stopped["ledger"] = r.Token
+			}
+			m.regs[x.name] = reg
+			x.cache.SetEra(m.era)
+			x.knownEra = m.era
+		},
+		"establish": func(t *rapid.T) {
+			x := m.pickInstance()
+			if x.frozen || !x.reachesStore || m.record.Revision.Era == m.era {
+				return
+			}
+			m.deliver(x, modelAnswer{m.now, m.era, m.record})
+			known, _, _ := x.cache.Record("ledger")
+			answered := m.statuses()
+			rec := withLeader(known, answered)
+			rec.Revision, rec.Token, rec.Unsettled = m.record.Revision, nextToken(m.era, rec.Token), true
+			_, inUse := x.cache.Primary("ledger")
+			if provesLeader(known, rec, answered, 3, inUse) {
+				rec.Phase = Serving
+				m.write(rec)
+				return
+			}
+			rec.Phase = Replacing
+			m.write(rec)
+			late := m.promoter // its promotion call may still be on its way
+			if late != nil && m.now-late.committedAt <= validity && m.delivered("promoted late") {
+				m.promote()
+			}
+			m.promoter = &modelPromoter{token: rec.Token, target: rapid.IntRange(0, 2).Draw(t, "target")}
+		},
 		"follow": func(t *rapid.T) {
 			i := rapid.IntRange(0, 2).Draw(t, "database")
 			m.terms[i] = m.terms[m.leader]
--- a/internal/primacy/restore.go
+++ b/internal/primacy/restore.go
@@ -204,12 +204,19 @@
 	return ok && known.Token == rec.Token && r.currentEra() == rec.Revision.Era
 }
 
-// withLeader returns the record with the database that leads the highest term, if one
-// does, and with that term.
+// withLeader returns the record with the highest term that a database knows, and with
+// the database that leads this term, if one says so. The store may have lost several
+// changes of primary, and fences must be above the terms of all of them.
 func withLeader(rec Record, answered []MemberStatus) Record {
 	for _, o := range answered {
-		if o.Status.Primary && o.Status.Term > rec.Term {
-			rec.Primary, rec.Term = o.ID, o.Status.Term
+		rec.Term = max(rec.Term, o.Status.Term)
+	}
+	if leads(rec, answered) {
+		return rec
+	}
+	for _, o := range answered {
+		if o.Status.Primary && o.Status.Term == rec.Term {
+			rec.Primary = o.ID
 		}
 	}
 	return rec
--- a/test/hosted_soak_test.go
+++ b/test/hosted_soak_test.go
@@ -15,7 +15,7 @@
 )
 
 // shortSeeds run by default. Seeds that failed once are in regressionSeeds.
-var shortSeeds = []uint64{1, 2, oversubscribedSeeds + 1, linkSeeds + 1}
+var shortSeeds = []uint64{1, 2, oversubscribedSeeds + 1, linkSeeds + 1, restoreSeeds + 1}
 
 // regressionSeeds are seeds that failed once, with the cause of the failure. They run
 // by default, too.
@@ -30,7 +30,10 @@
 	// linkSeeds is the first seed of deployments with a loopback proxy in front of
 	// each database and between each instance and the store. In those with an odd
 	// seed connections are oversubscribed as well.
-	linkSeeds    = 2000
+	linkSeeds = 2000
+	// restoreSeeds is the first seed of deployments, with loopback proxies, whose store
+	// also comes back from older copies.
+	restoreSeeds = 3000
 	soakDuration = 4 * time.Second // time of faults for each seed
 	// maxFaultGapMillis bounds the random time between two faults.
 	maxFaultGapMillis = 400
@@ -48,6 +51,9 @@
 	mu       sync.Mutex
 	faulty   map[string]bool // targets that currently have a fault
 	injected []string
+
+	restores bool            // the store may be restored
+	backups  []hosted.Backup // from before each fault
 }
 
 // applyFault calls start at once and end after a random time, unless the target
@@ -95,6 +101,13 @@
 	if s.h.links != nil {
 		kinds += linkFaults
 	}
+	if s.restores {
+		s.backups = append(s.backups, s.h.store.Backup())
+		if s.rng.IntN(restoreOdds) == 0 {
+			s.injectRestore(storeFault)
+			return
+		}
+	}
 	switch s.rng.IntN(kinds) {
 	case 0:
 		s.applyFault("kill", p.name, func() { p.signal(t, syscall.SIGKILL) }, restart)
@@ -133,8 +146,18 @@
 const (
 	directFaults = 13 // number of faults of processes and stand-ins
 	linkFaults   = 4  // number of faults of links
+	restoreOdds  = 5  // one in so many faults is a restore of the store, where it is restored at all
 )
 
+// injectRestore makes the store unavailable and brings it back from an earlier copy.
+func (s *faultInjector) injectRestore(outage hosted.Fault) {
+	i := s.rng.IntN(len(s.backups))
+	copied := s.backups[i]
+	s.applyFault(fmt.Sprintf("store %s, then restored to copy %d of %d", outage, i+1, len(s.backups)), "store",
+		func() { s.h.store.SetFault("", outage) },
+		func() { s.h.store.Restore(copied); s.h.store.SetFault("", hosted.Healthy) })
+}
+
 // injectLink injects a fault of the link to a database or of an instance's link to
 // the store. Connections that lost data are reset when the fault ends, since TCP
 // never delivers data after a gap.
@@ -182,7 +205,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	h := startSoak(t, seed)
 	hist := &history{}
-	s := &faultInjector{h: h, rng: rand.New(rand.NewPCG(seed, 77)), faulty: make(map[string]bool)}
+	s := &faultInjector{h: h, rng: rand.New(rand.NewPCG(seed, 77)), faulty: make(map[string]bool), restores: seed >= restoreSeeds}
 	stop := runCallers(h, hist, 16, seed)
 	for end := time.Now().Add(soakDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration(s.rng.IntN(maxFaultGapMillis)) * time.Millisecond)
@@ -192,6 +215,9 @@
 	h.waitAllServing() // every instance must recover
 	stop()
 	h.report(hist)
+	if s.restores {
+		h.checkTokensRise()
+	}
 	if t.Failed() {
 		t.Logf("seed %d, faults:\n%s", seed, strings.Join(s.injected, "\n"))
 		saveLogs(t, h, seed)
