Wait a little beyond the deadline for an owner's refusal

A caller could be told that the outcome of a statement was unknown although it had not run: an owner without a free connection refuses 20 ms before the deadline, and on a busy machine the refusal arrives after it, when the client had given up.

The client waits 100 ms beyond the deadline of statements for the owner's reply.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -18,6 +18,11 @@
 	"geraniumbeam/internal/statement"
 )
 
+// refusalGrace is how long after the deadline of statements the connection waits for
+// the owner's refusal, which is due answerMargin before it. Without the refusal nobody
+// can tell whether the statements were run.
+const refusalGrace = 100 * time.Millisecond
+
 // ownerConn is a connection to an owner, which runs the commands on one of its
 // connections to the database. It implements dbpool.Conn and dbpool.Prioritizer.
 type ownerConn struct {
@@ -83,7 +88,7 @@
 
 // Do implements dbpool.Conn.
 func (c *ownerConn) Do(deadline time.Time, commands []statement.Command) ([]statement.Answer, error) {
-	rep, err := c.exchange(deadline, commands)
+	rep, err := c.exchange(deadline, deadline.Add(refusalGrace), commands)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +103,7 @@
 
 // Status implements dbpool.Conn.
 func (c *ownerConn) Status(deadline time.Time, cmd statement.Command) (statement.Status, error) {
-	rep, err := c.exchange(deadline, []statement.Command{cmd})
+	rep, err := c.exchange(deadline, deadline, []statement.Command{cmd})
 	if err != nil {
 		return statement.Status{}, err
 	}
@@ -108,11 +113,12 @@
 	return *rep.Status, nil
 }
 
-// exchange sends commands and returns the owner's reply. It returns a
-// dbpool.NotSentError if the owner did not start the request.
-func (c *ownerConn) exchange(deadline time.Time, commands []statement.Command) (reply, error) {
+// exchange sends commands, which the owner must run by the deadline, and returns its
+// reply, for which it waits until replyBy. It returns a dbpool.NotSentError if the owner
+// did not start the request.
+func (c *ownerConn) exchange(deadline, replyBy time.Time, commands []statement.Command) (reply, error) {
 	var rep reply
-	if err := c.conn.SetDeadline(deadline); err != nil {
+	if err := c.conn.SetDeadline(replyBy); err != nil {
 		return rep, fmt.Errorf("exchange with owner: %w", err)
 	}
 	err := c.enc.Encode(request{
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/gob"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -386,3 +387,41 @@
 		t.Errorf("%d queries for one asker and then %d", n, askers)
 	}
 }
+
+// Guards against a refusal that arrives just after the deadline and is reported as an
+// unknown outcome: the owner sends it answerMargin before the deadline, and a busy
+// machine delays it by more.
+func TestRefusalJustAfterTheDeadlineIsKnown(t *testing.T) {
+	const late = 50 * time.Millisecond
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Errorf("take over the connection: %v", err)
+			return
+		}
+		defer func() { _ = conn.Close() }() // the client may have closed it
+		_, _ = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgrade + "\r\n\r\n")
+		_ = buffered.Flush() // the client reports a failure
+		var r request
+		if err := gob.NewDecoder(buffered.Reader).Decode(&r); err != nil {
+			t.Errorf("read the request: %v", err)
+			return
+		}
+		time.Sleep(r.Remaining + late)
+		if err := gob.NewEncoder(buffered.Writer).Encode(reply{NotSent: errNotOwner}); err != nil {
+			t.Errorf("send the refusal: %v", err)
+		}
+		_ = buffered.Flush()
+	}))
+	t.Cleanup(srv.Close)
+	c, err := Dial(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "db-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }() // not used afterwards
+	_, err = c.Do(time.Now().Add(100*time.Millisecond), []statement.Command{{Op: statement.OpStatement, Statement: readStatement("x")}})
+	var notSent *dbpool.NotSentError
+	if !errors.As(err, &notSent) {
+		t.Errorf("error %v, want a NotSentError", err)
+	}
+}
