--- a/internal/primacy/record_cache.go
+++ b/internal/primacy/record_cache.go
@@ -92,8 +92,8 @@
 		if c.update(r) {
 			newer = append(newer, r)
 		}
-		if r.Revision.Era == era && era == c.era {
-			c.confirm(c.entries[r.Service], asked)
+		if s := c.entries[r.Service]; r.Revision.Era == era && s.record.Revision.Era == era && era == c.era {
+			c.confirm(s, asked)
 		}
 	}
 	c.notify()
--- a/internal/primacy/restore_test.go
+++ b/internal/primacy/restore_test.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// Guards against a list from before a restore that confirms a record which another
+// instance wrote after it.
+func TestListOfAnEarlierEraConfirmsNoLaterRecord(t *testing.T) {
+	c, clk := newConfirmedCache(t)
+	later := servingRecord(3, nextToken(1, 1), "db-2")
+	later.Revision.Era = 1
+	clk.now += validity
+	c.Update(later)
+	c.Confirm([]Record{servingRecord(5, 1, "db-1")}, 0, clk.now)
+	if p, ok := c.Primary("ledger"); ok {
+		t.Errorf("%+v is used", p)
+	}
+}
+
 // Guards against an instance that uses a primary in an era in which it is not
 // registered, so that no promoter waits for it.
 func TestConfirmationNeedsARegistrationInTheEra(t *testing.T) {
