platform client: order versions of a restored platform by its era

The client puts the era into the high bits of all versions that it returns and takes it out of those that it sends; a call that names a version of another era than that of the response fails. After a failed watch the next one does not wait, as only a response shows the era.

--- a/internal/confsync/relay.go
+++ b/internal/confsync/relay.go
@@ -95,9 +95,10 @@
 func (s *Syncer) watchKind(ctx context.Context, kind string) {
 	retry := newBackoff()
 	var after uint64
+	wait := longPollTimeout
 	for ctx.Err() == nil {
 		began := s.clock.Now()
-		objects, version, err := s.cfg.Platform.Watch(ctx, kind, after, longPollTimeout)
+		objects, version, err := s.cfg.Platform.Watch(ctx, kind, after, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -105,8 +106,10 @@
 			s.vars.Add("watch_failed", 1)
 			s.log.Debug().Err(err).Str("kind", kind).Msg("Watch failed.")
 			s.sleep(ctx, retry.NextBackOff())
+			wait = 0 // the platform may have been restored, which only a response shows
 			continue
 		}
+		wait = longPollTimeout
 		s.applyAndPush(ctx, objects, "platform")
 		after = max(after, version)
 		for _, o := range objects {
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -271,3 +271,26 @@
 		t.Fatalf("version %d, want the highest of the peers, 7", v)
 	}
 }
+
+// Guards against instances that keep the objects from before a restore of the platform,
+// because the versions of the restored ones are lower.
+func TestObjectsOfARestoredPlatformAreUsed(t *testing.T) {
+	f := newFleet(t, 2, "a")
+	f.awaitWatches()
+	copied := f.standin.Backup()
+	var last platform.Object
+	for range 20 {
+		last = f.standin.PutObject(platform.KindService, "before", serviceData("before"))
+	}
+	f.awaitVersion(last.Version, func() {})
+	f.standin.Restore(copied)
+	f.standin.PutObject(platform.KindService, "after", serviceData("after"))
+	f.eventually("all instances have the object of the restored platform", func() bool {
+		for _, p := range f.peers {
+			if _, ok := p.cfg.Directory.Catalog().Service("after"); !ok {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -29,21 +29,23 @@
 }
 
 // do sends one call and decodes the response into out unless out is nil. After a
-// conflict it stores the current object in out.
-func (c *Client) do(ctx context.Context, k call, out any) error {
-	err := c.send(ctx, k, out)
+// conflict it stores the current object in out. It returns the platform's era when it
+// responded.
+func (c *Client) do(ctx context.Context, k call, out any) (era uint64, err error) {
+	era, err = c.send(ctx, k, out)
+	c.observeEra(era)
 	if err != nil {
 		c.vars.Add("failed_"+result.From(err).Code.String(), 1)
 	}
-	return err
+	return era, err
 }
 
-func (c *Client) send(ctx context.Context, k call, out any) error {
+func (c *Client) send(ctx context.Context, k call, out any) (era uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.wait)
 	defer cancel()
 	if err := c.limiter.Wait(ctx); err != nil {
 		c.vars.Add("limited", 1)
-		return result.Errorf(result.RateLimited, "platform %s: wait for the rate limit of this instance: %w", k.name, err)
+		return 0, result.Errorf(result.RateLimited, "platform %s: wait for the rate limit of this instance: %w", k.name, err)
 	}
 	target := c.base + k.path
 	if len(k.query) > 0 {
@@ -51,31 +53,32 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, k.method, target, bytes.NewReader(k.body))
 	if err != nil {
-		return result.Errorf(result.Invalid, "platform %s: %w", k.name, err)
+		return 0, result.Errorf(result.Invalid, "platform %s: %w", k.name, err)
 	}
 	c.vars.Add(k.name, 1)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return k.unavailable(err)
+		return 0, k.unavailable(err)
 	}
 	defer resp.Body.Close()
+	era = parseEra(resp.Header.Get(eraHeader))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
 	if err != nil {
-		return k.unavailable(err)
+		return era, k.unavailable(err)
 	}
 	if len(body) > maxResponse {
-		return k.unavailable(fmt.Errorf("response exceeds %d bytes", maxResponse))
+		return era, k.unavailable(fmt.Errorf("response exceeds %d bytes", maxResponse))
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		return k.failure(resp.StatusCode, body, out)
+		return era, k.failure(resp.StatusCode, body, out)
 	}
 	if out == nil {
-		return nil
+		return era, nil
 	}
 	if err := json.Unmarshal(body, out); err != nil {
-		return k.unavailable(fmt.Errorf("decode response: %w", err))
+		return era, k.unavailable(fmt.Errorf("decode response: %w", err))
 	}
-	return nil
+	return era, nil
 }
 
 // changesStore reports whether the call may change the store.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -40,6 +41,7 @@
 	limiter *rate.Limiter
 	timeout time.Duration
 	vars    *expvar.Map
+	era     atomic.Uint64 // of the platform, the highest in a response
 }
 
 var _ API = (*Client)(nil)
@@ -99,15 +101,16 @@
 // Get implements API.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
-	err := c.do(ctx, call{name: callGet, method: http.MethodGet, path: objectPath(kind, name)}, &o)
-	return o, err
+	era, err := c.do(ctx, call{name: callGet, method: http.MethodGet, path: objectPath(kind, name)}, &o)
+	return o.withEra(era), err
 }
 
 // List implements API.
 func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
 	var l ObjectList
-	err := c.do(ctx, call{name: callList, method: http.MethodGet, path: kindPath(kind)}, &l)
-	return l.Objects, l.Version, err
+	era, err := c.do(ctx, call{name: callList, method: http.MethodGet, path: kindPath(kind)}, &l)
+	objects, version := l.withEra(era)
+	return objects, version, err
 }
 
 // Put implements API. It rejects data above MaxValue with result.Invalid without
@@ -118,38 +121,59 @@
 			kind, name, len(data), MaxValue)
 	}
 	var o Object
-	err := c.do(ctx, call{
+	k := call{
 		name: callPut, method: http.MethodPut, path: objectPath(kind, name),
 		query: url.Values{ParamVersion: {versionText(version)}}, body: data,
-	}, &o)
-	return o, err
+	}
+	era, err := c.do(ctx, k, &o)
+	if err == nil {
+		err = k.checkEra(version, era)
+	}
+	return o.withEra(era), err
 }
 
 // Delete implements API.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
-	return c.do(ctx, call{
+	k := call{
 		name: callDelete, method: http.MethodDelete, path: objectPath(kind, name),
 		query: url.Values{ParamVersion: {versionText(version)}},
-	}, nil)
+	}
+	era, err := c.do(ctx, k, nil)
+	if err != nil {
+		return err
+	}
+	return k.checkEra(version, era)
 }
 
-// Watch implements API.
+// Watch implements API. After a restore of the platform it returns all objects, under
+// the versions of the new era.
 func (c *Client) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Object, uint64, error) {
+	if eraOf(after) < c.era.Load() {
+		after = NoVersion
+	}
 	var l ObjectList
-	err := c.do(ctx, call{
+	k := call{
 		name: callWatch, method: http.MethodGet, path: kindPath(kind), wait: wait,
 		query: url.Values{
-			ParamAfter: {strconv.FormatUint(after, 10)},
+			ParamAfter: {versionText(after)},
 			ParamWait:  {strconv.FormatInt(wait.Milliseconds(), 10)},
 		},
-	}, &l)
-	return l.Objects, l.Version, err
+	}
+	era, err := c.do(ctx, k, &l)
+	if err == nil {
+		err = k.checkEra(after, era)
+	}
+	if err != nil {
+		return nil, after, err
+	}
+	objects, version := l.withEra(era)
+	return objects, version, nil
 }
 
 // Instances implements API.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	var l InstanceList
-	err := c.do(ctx, call{name: callInstances, method: http.MethodGet, path: PathInstances}, &l)
+	_, err := c.do(ctx, call{name: callInstances, method: http.MethodGet, path: PathInstances}, &l)
 	return l.Instances, err
 }
 
@@ -160,16 +184,10 @@
 	if err != nil {
 		return err
 	}
-	return c.do(ctx, call{name: callHeartbeat, method: http.MethodPost, path: PathHeartbeat, body: body}, nil)
+	_, err = c.do(ctx, call{name: callHeartbeat, method: http.MethodPost, path: PathHeartbeat, body: body}, nil)
+	return err
 }
 
 func kindPath(kind string) string { return PathObjects + url.PathEscape(kind) }
 
 func objectPath(kind, name string) string { return kindPath(kind) + "/" + url.PathEscape(name) }
-
-func versionText(v uint64) string {
-	if v == AnyVersion {
-		return AnyVersionText
-	}
-	return strconv.FormatUint(v, 10)
-}
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -44,6 +44,7 @@
 func (s *Server) handleAPI(count *atomic.Int64, limit *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		count.Add(1)
+		s.store.setEra(w)
 		if s.faults.inOutage() {
 			s.abortConnection()
 		}
@@ -132,12 +133,20 @@
 	}
 	wait := min(max(0, time.Duration(waitMs)*time.Millisecond), maxWatchWait)
 	timeout := time.After(wait)
+	era := w.Header().Get(eraHeader)
 	for {
 		if s.faults.inOutage() {
 			s.abortConnection()
 		}
 		_, faults := s.faults.get()
+		if s.store.lacks(after) {
+			writeError(w, http.StatusGone, fmt.Sprintf("the platform has no version %d", after), nil)
+			return
+		}
 		objects, version, changed := s.store.changedSince(r.PathValue("kind"), after)
+		if s.store.setEra(w); w.Header().Get(eraHeader) != era {
+			s.abortConnection() // restored while it waited
+		}
 		if len(objects) > 0 {
 			writeJSON(w, platform.ObjectList{Objects: objects, Version: version})
 			return
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -26,6 +26,7 @@
 	now func() time.Time
 
 	mu      sync.Mutex
+	era     uint64 // the number of restores
 	version uint64
 	objects map[objectKey][]revision // newest last
 	changed chan struct{}            // closed at the next change
