--- a/internal/primacy/restore.go
+++ b/internal/primacy/restore.go
@@ -136,6 +136,13 @@
 		return
 	}
 	stored, _ := findRecord(records, service) // the zero value if the store has lost it
+	r.establishFrom(ctx, at.Era, known, stored)
+}
+
+// establishFrom writes the record of a service in an era, given the newest known record
+// and the one that the store has.
+func (r *Runner) establishFrom(ctx context.Context, era uint64, known, stored Record) {
+	service := known.Service
 	_, inUse := r.cfg.Cache.Primary(service)
 	all := len(r.cfg.Databases.Members(service))
 	answered := r.broadcast(ctx, known, func(Member) (statement.Command, bool) {
@@ -146,14 +153,14 @@
 	}
 	rec := withLeader(known, answered)
 	rec.Revision = stored.Revision
-	r.log.Warn().Str("service", service).Uint64("era", at.Era).Uint64("known_token", known.Token).Uint64("stored_token", stored.Token).
+	r.log.Warn().Str("service", service).Uint64("era", era).Uint64("known_token", known.Token).Uint64("stored_token", stored.Token).
 		Str("primary", rec.Primary).Uint64("term", rec.Term).Int("answered", len(answered)).Int("databases", all).Bool("in_use", inUse).
 		Msg("The record of a service is from before a restore of the store.")
 	switch {
 	case provesLeader(known, rec, answered, all, inUse):
-		r.writeEstablished(ctx, at.Era, rec)
+		r.writeEstablished(ctx, era, rec)
 	case Superseded(rec, answered) || r.eraAge() > establishTimeout:
-		r.runReplacement(ctx, at.Era, rec, false)
+		r.runReplacement(ctx, era, rec, false)
 	}
 }
 
