--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -10,7 +10,9 @@
 // instance that holds the service's record with the highest token, and only after
 // every registered instance has confirmed that it stopped using the former
 // primary, or the validity of its cached record has passed. The record in the
-// store, not a clock or a list of live instances, determines who may promote.
+// store, not a clock or a list of live instances, determines who may promote. A record
+// that was written before the store was restored from an older copy determines nothing
+// until it is established again (see restore.go).
 package primacy
 
 import (
