Keep the store's era in one place, and prove a leader by one rule

The store client kept the highest era of its responses for a metric only, while the runner knows the era anyway, also where another instance asks the store. The metric now comes from the runner, so on those instances it follows a restore at once and not with their next own call.

provesLeader repeated conditions of ConfirmsPrimary, and two functions looked for the leader's own claim; leads is now one function. A delay was set that the signal to list again sets as well.

--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -97,7 +97,7 @@
 			log.Warn().Err(err).Msg("Writing the metrics failed.")
 			return
 		}
-		store.WriteMetrics(w)
+		store.Calls.WriteText(w)
 	})
 	return mux
 }
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/revision"
 )
 
 // maxResponse limits the response to a call in bytes. The largest responses are
@@ -61,7 +62,7 @@
 		return 0, k.unavailable(err)
 	}
 	defer resp.Body.Close()
-	era = parseEra(resp.Header.Get(eraHeader))
+	era = revision.ParseEra(resp.Header.Get(eraHeader))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
 	if err != nil {
 		return era, k.unavailable(err)
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"fmt"
 	"strconv"
 
 	"geraniumbeam/internal/result"
@@ -40,15 +39,6 @@
 	return l.Objects, withEra(l.Version, era)
 }
 
-// parseEra returns the era in a header of a response.
-func parseEra(header string) uint64 {
-	era, err := strconv.ParseUint(header, 10, 64)
-	if err != nil {
-		return 0 // the platform has no eras
-	}
-	return era
-}
-
 // observeEra notes the era of a response.
 func (c *Client) observeEra(era uint64) {
 	for old := c.era.Load(); era > old; old = c.era.Load() {
@@ -71,5 +61,5 @@
 	if v == AnyVersion {
 		return AnyVersionText
 	}
-	return fmt.Sprint(numberOf(v))
+	return strconv.FormatUint(numberOf(v), 10)
 }
--- a/internal/platformd/metrics.go
+++ b/internal/platformd/metrics.go
@@ -15,6 +15,7 @@
 	metricRecordAge     = "geraniumbeam_record_age_microseconds"
 	metricRecordToken   = "geraniumbeam_record_token"
 	metricPrimaryUsable = "geraniumbeam_primary_usable"
+	metricStoreEra      = "geraniumbeam_store_era"
 	metricVersion       = "geraniumbeam_configuration_version"
 	metricInstances     = "geraniumbeam_instances"
 	metricIsolated      = "geraniumbeam_isolated"
@@ -35,6 +36,7 @@
 		name  string
 		value int64
 	}{
+		{metricStoreEra, int64(i.primacy.StoreEra())},
 		{metricVersion, int64(i.topology.Snapshot().Version)},
 		{metricInstances, int64(i.primacy.Instances())},
 		{metricIsolated, boolToInt(i.primacy.Isolated())},
--- a/internal/primacy/failover.go
+++ b/internal/primacy/failover.go
@@ -99,7 +99,7 @@
 		if err != nil || !s.Primary {
 			continue
 		}
-		era := r.currentEra()
+		era := r.StoreEra()
 		rec, err := r.cfg.Store.CreateRecord(ctx, era, Record{Service: service, Token: nextToken(era, 0), Phase: Serving, Primary: m.ID, Term: s.Term})
 		if err == nil {
 			r.applyRecord(rec, "created")
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -86,15 +86,20 @@
 // the validity, so the primary may be used for that time. valid tells whether the
 // record was valid when the databases were asked.
 func ConfirmsPrimary(rec Record, answered []MemberStatus, others int, valid bool) bool {
-	leads, unfenced := false, 0
+	unfenced := 0
 	for _, o := range answered {
-		if o.ID == rec.Primary {
-			leads = o.Status.Primary && o.Status.Term == rec.Term
-		} else {
+		if o.ID != rec.Primary {
 			unfenced++
 		}
 	}
-	return leads && others > 0 && unfenced >= extendQuorumSize(others, valid) && !Superseded(rec, answered)
+	return others > 0 && unfenced >= extendQuorumSize(others, valid) && leads(rec, answered) && !Superseded(rec, answered)
+}
+
+// leads reports whether the primary of rec says that it leads the record's term.
+func leads(rec Record, answered []MemberStatus) bool {
+	return slices.ContainsFunc(answered, func(o MemberStatus) bool {
+		return o.ID == rec.Primary && o.Status.Primary && o.Status.Term == rec.Term
+	})
 }
 
 // Superseded reports whether any database is fenced at, or follows, a newer term
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -109,9 +109,8 @@
 			wait = emptyListDelay // the upstreams are not known yet
 			continue
 		}
-		if era := registered[0].Revision.Era; r.isRegistered() && era > r.currentEra() {
-			r.observeEra(era)
-			wait = secondListDelay // some have not registered again yet
+		if era := registered[0].Revision.Era; r.isRegistered() && era > r.StoreEra() {
+			r.observeEra(era) // the next list is due when all have registered again
 			continue
 		}
 		r.setInstances(ctx, registered)
--- a/internal/primacy/restore.go
+++ b/internal/primacy/restore.go
@@ -74,8 +74,8 @@
 	return true
 }
 
-// currentEra returns the latest known era of the store.
-func (r *Runner) currentEra() uint64 {
+// StoreEra returns the latest known era of the store.
+func (r *Runner) StoreEra() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.era.number
@@ -208,7 +208,7 @@
 // known, and the store was not restored since the latest write of rec.
 func (r *Runner) holds(rec Record) bool {
 	known, _, ok := r.cfg.Cache.Record(rec.Service)
-	return ok && known.Token == rec.Token && r.currentEra() == rec.Revision.Era
+	return ok && known.Token == rec.Token && r.StoreEra() == rec.Revision.Era
 }
 
 // withLeader returns the record with the highest term that a database knows, and with
@@ -236,23 +236,10 @@
 // databases. Without that, all databases must have answered.
 func provesLeader(known, rec Record, answered []MemberStatus, all int, inUse bool) bool {
 	sameLeader := rec.Primary == known.Primary && rec.Term == known.Term
-	switch {
-	case all > 1 && !ConfirmsPrimary(rec, answered, all-1, inUse && sameLeader):
-		return false
-	case known.Phase == Serving && inUse && sameLeader:
-		return true
-	case len(answered) < all || Superseded(rec, answered) || !leads(rec, answered):
-		return false
-	}
-	return known.Phase == Serving || !sameLeader // a replacement in progress has ended
-}
-
-// leads reports whether the primary of rec says that it leads the record's term.
-func leads(rec Record, answered []MemberStatus) bool {
-	for _, o := range answered {
-		if o.ID == rec.Primary {
-			return o.Status.Primary && o.Status.Term == rec.Term
-		}
+	valid := known.Phase == Serving && inUse && sameLeader
+	proven := valid || (leads(rec, answered) && !Superseded(rec, answered))
+	if all > 1 {
+		proven = ConfirmsPrimary(rec, answered, all-1, valid)
 	}
-	return false
+	return proven && (known.Phase == Serving || !sameLeader) // another leader: a replacement in progress has ended
 }
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"fmt"
+	"strconv"
 )
 
 // Revision identifies a state of the store or the version of an object.
@@ -31,6 +32,16 @@
 // String returns the revision as ERA/NUMBER.
 func (r Revision) String() string { return fmt.Sprintf("%d/%d", r.Era, r.Number) }
 
+// ParseEra returns the era in a header of a response. A store that sends none, or none
+// that is a number, has no eras, which counts as era 0.
+func ParseEra(header string) uint64 {
+	era, err := strconv.ParseUint(header, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return era
+}
+
 // Min returns the older one.
 func Min(a, b Revision) Revision {
 	if a.Before(b) {
