--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -105,19 +105,18 @@
 	deadline, _ := ctx.Deadline()
 	began := p.now()
 	if conn := p.takeIdle(); conn != nil && conn.Alive() {
-		s, err := conn.Status(deadline, c)
-		p.recordControl(began, err)
-		if err == nil {
-			p.putIdle(conn)
-		} else {
-			p.discard(conn)
-		}
-		return s, err
+		return p.controlOn(conn, deadline, c, began)
 	} else if conn != nil {
 		p.discard(conn)
 	}
 	if p.owner != "" {
-		return p.controlThroughOwner(ctx, c, began)
+		// Connections to an owner don't count against the database's limit, so this
+		// one is kept for others.
+		conn, err := p.connect(ctx)
+		if err != nil {
+			return statement.Status{}, err
+		}
+		return p.controlOn(conn, deadline, c, began)
 	}
 	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID)
 	if err != nil {
@@ -129,14 +128,9 @@
 	return s, err
 }
 
-// controlThroughOwner opens a connection to the owner for a control command and keeps
-// it for others: such connections don't count against the database's limit.
-func (p *Pool) controlThroughOwner(ctx context.Context, c statement.Command, began time.Duration) (statement.Status, error) {
-	conn, err := p.connect(ctx)
-	if err != nil {
-		return statement.Status{}, err
-	}
-	deadline, _ := ctx.Deadline() // set by Control
+// controlOn runs a control command on a connection of the pool, which it keeps if the
+// command is answered.
+func (p *Pool) controlOn(conn *pooledConn, deadline time.Time, c statement.Command, began time.Duration) (statement.Status, error) {
 	s, err := conn.Status(deadline, c)
 	p.recordControl(began, err)
 	if err == nil {
--- a/internal/primacy/owners.go
+++ b/internal/primacy/owners.go
@@ -94,13 +94,8 @@
 // owners it does not reach. All instances derive the same few from the
 // registrations, so that together they stay within the limit.
 func MayConnect(registered []Registration, self, id string, limit int) bool {
-	all := make([]ownership.Instance, 0, len(registered))
-	listed := false
-	for _, reg := range registered {
-		all = append(all, ownership.Instance{Name: reg.Instance})
-		listed = listed || reg.Instance == self
-	}
-	return listed && rankOf(self, "direct "+id, all) < max(1, limit/directShare)
+	listed := slices.ContainsFunc(registered, func(reg Registration) bool { return reg.Instance == self })
+	return listed && rankOf(self, "direct "+id, namesOf(registered)) < max(1, limit/directShare)
 }
 
 // cachedOwners holds the arguments and the result of a call of Owners.
@@ -134,11 +129,7 @@
 
 // rankAt computes Rank. An instance that is not listed comes last. r.mu is held.
 func (r *Runner) rankAt(id string) int {
-	all := make([]ownership.Instance, 0, len(r.knownInstances))
-	for _, reg := range r.knownInstances {
-		all = append(all, ownership.Instance{Name: reg.Instance})
-	}
-	order := ownership.Order("share "+id, all)
+	order := ownership.Order("share "+id, namesOf(r.knownInstances))
 	rank := slices.IndexFunc(order, func(i ownership.Instance) bool { return i.Name == r.cfg.Instance })
 	if rank < 0 {
 		return len(order)
--- a/internal/primacy/peer_vote.go
+++ b/internal/primacy/peer_vote.go
@@ -58,6 +58,27 @@
 	return v, v.Incarnation == reg.Incarnation
 }
 
+// voteReply is the result of one of several vote requests.
+type voteReply struct {
+	index    int // of the instance that was asked
+	vote     Vote
+	answered bool
+}
+
+// requestVotes asks instances for their votes, in parallel, and returns a channel that
+// receives one reply for each. The caller need not receive them all.
+func (r *Runner) requestVotes(ctx context.Context, rec Record, of []Registration) <-chan voteReply {
+	replies := make(chan voteReply, len(of))
+	for i, reg := range of {
+		go func() {
+			reply := voteReply{index: i}
+			contain.Run(r.log, "vote request", func() { reply.vote, reply.answered = r.requestVote(ctx, reg, rec) })
+			replies <- reply
+		}()
+	}
+	return replies
+}
+
 // isWidelySuspected reports whether enough of a sample of the instances share a
 // suspicion for a majority to be likely, or the sample can't tell because none of it
 // answers.
@@ -70,26 +91,15 @@
 	sample = sample[:min(voteSampleSize, len(sample))]
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	votes := make(chan *Vote, len(sample))
-	for _, reg := range sample {
-		go func() {
-			var vote *Vote
-			contain.Run(r.log, "vote request", func() {
-				if v, ok := r.requestVote(ctx, reg, rec); ok {
-					vote = &v
-				}
-			})
-			votes <- vote
-		}()
-	}
+	votes := r.requestVotes(ctx, rec, sample)
 	answered, suspects := 0, 0
 	for range sample {
 		v := <-votes
-		if v == nil {
+		if !v.answered {
 			continue
 		}
 		answered++
-		if v.Suspects {
+		if v.vote.Suspects {
 			suspects++
 		}
 		if sharedWidely(suspects, len(sample)) {
@@ -130,26 +140,18 @@
 func (r *Runner) requestSuspicions(ctx context.Context, rec Record, registered []Registration, which []int) int {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	const none = -1
-	votes := make(chan int, len(which)) // the index of an instance that suspects the primary, or none
+	asked := make([]Registration, 0, len(which))
 	for _, i := range which {
-		reg := registered[i]
-		go func() {
-			vote := none
-			contain.Run(r.log, "vote request", func() {
-				if v, ok := r.requestVote(ctx, reg, rec); ok && v.Suspects {
-					vote = i
-				}
-			})
-			votes <- vote
-		}()
+		asked = append(asked, registered[i])
 	}
+	votes := r.requestVotes(ctx, rec, asked)
 	count := 0
 	for range which {
-		i := <-votes
-		if i == none {
+		v := <-votes
+		if !v.answered || !v.vote.Suspects {
 			continue
 		}
+		i := which[v.index]
 		count++
 		suspects := maps.Clone(registered[i].Suspects)
 		if suspects == nil {
--- a/test/hosted_cluster_test.go
+++ b/test/hosted_cluster_test.go
@@ -66,11 +66,7 @@
 		}
 		h.groups = append(h.groups, g)
 		limits[service] = limit
-		for route, kind := range map[string]string{routePrimary: "primary", routeBounded: "bounded", routeSession: "read_your_writes"} {
-			routes = append(routes, hosted.Route{
-				Database: route + service, Type: kind, Service: service, Timeout: 800 * time.Millisecond, MaxAge: boundedAge,
-			})
-		}
+		routes = append(routes, routesOf(service)...)
 	}
 	h.store.Configure(7, routes, limits, 3*time.Second)
 	promotions, stop, err := hosted.ListenPromotions(h.groups...)
@@ -87,6 +83,17 @@
 	return h
 }
 
+// routesOf returns the routes to a service.
+func routesOf(service string) []hosted.Route {
+	var routes []hosted.Route
+	for route, kind := range map[string]string{routePrimary: "primary", routeBounded: "bounded", routeSession: "read_your_writes"} {
+		routes = append(routes, hosted.Route{
+			Database: route + service, Type: kind, Service: service, Timeout: 800 * time.Millisecond, MaxAge: boundedAge,
+		})
+	}
+	return routes
+}
+
 // linkTo adds a link to a database or a store and returns the link's address. It
 // returns the address unchanged if the deployment has no links.
 func (h *hostedCluster) linkTo(id, address string) string {
--- a/test/hosted_restore_test.go
+++ b/test/hosted_restore_test.go
@@ -15,12 +15,9 @@
 // configure stores a configuration with the routes of the first service and one more
 // that callers know as database extra.
 func (h *hostedCluster) configure(version int, extra string) {
-	routes := []hosted.Route{
-		{Database: extra, Type: "primary", Service: "svc0", Timeout: 800 * time.Millisecond, MaxAge: boundedAge},
-	}
-	for route, kind := range map[string]string{routePrimary: "primary", routeBounded: "bounded", routeSession: "read_your_writes"} {
-		routes = append(routes, hosted.Route{Database: route + "svc0", Type: kind, Service: "svc0", Timeout: 800 * time.Millisecond, MaxAge: boundedAge})
-	}
+	routes := append(routesOf("svc0"), hosted.Route{
+		Database: extra, Type: "primary", Service: "svc0", Timeout: 800 * time.Millisecond, MaxAge: boundedAge,
+	})
 	h.store.Configure(version, routes, map[string]int{"svc0": 4 * len(h.instances)}, 3*time.Second)
 }
 
