--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -91,7 +91,7 @@
 		}
 		word, rest, _ := strings.Cut(line, " ")
 		switch word {
-		case "DATAROW":
+		case wordRow:
 			a.rows = append(a.rows, rest)
 		case "COMPLETE":
 			a.signature = rest
--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -115,14 +115,14 @@
 		return map[string]any{
 			"name": "r-" + database, "database": database, "path_prefix": "/", "route_type": kind, "service": service, "priority": priority,
 			"timeout_ms": statementTimeout.Milliseconds(), "target_latency_ms": 250, "max_attempts": 2,
-			"max_staleness_ms": maxStaleness.Milliseconds(),
+			fieldMaxAge: maxStaleness.Milliseconds(),
 		}
 	}
 	d.store.Put("config", "main", map[string]any{
 		"version":  7,
 		"routes":   []map[string]any{route(routePrimary, "primary", 0), route(routeSession, "read_your_writes", 1)},
 		"services": []map[string]any{{"name": service, "max_connections": maxConnections, "sync_replicas": syncReplicas}},
-		"limits":   map[string]any{"tx_idle_ms": txIdle.Milliseconds()},
+		"limits":   map[string]any{fieldTxIdle: txIdle.Milliseconds()},
 	})
 }
 
@@ -208,7 +208,7 @@
 		return err
 	}
 	cmd := exec.CommandContext(context.Background(), program, "run")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GERANIUMBEAM_BOOT=" + i.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), envSettings + "=" + i.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/lab/grey.go
+++ b/review/lab/grey.go
@@ -12,7 +12,7 @@
 )
 
 // greyDatabase stands before a database and makes it grey: while it is on, the
-// database refuses a share of its requests with THROTTLED and does not run them. It
+// database refuses a share of its requests as overloaded and does not run them. It
 // refuses only requests outside transactions and no control commands, so that nothing
 // else about the database changes: a refused request leaves the session in state I.
 type greyDatabase struct {
@@ -76,8 +76,8 @@
 		}
 		id, verb := requestOf(line)
 		if state == "I" && g.refuses(verb) {
-			g.rec.add(g.id, "refuses %s: %s with THROTTLED", id, verb)
-			if _, err := fmt.Fprintf(instance, "ERROR THROTTLED %s\r\nREADY I %s\r\n", g.id, position); err != nil {
+			g.rec.add(g.id, "refuses %s: %s with %s", id, verb, codeOverloaded)
+			if _, err := fmt.Fprintf(instance, "ERROR %s %s\r\nREADY I %s\r\n", codeOverloaded, g.id, position); err != nil {
 				return
 			}
 			continue
@@ -107,13 +107,13 @@
 	}
 }
 
-// requestOf returns the id and the verb of a QUERY message, without a WAITFOR.
+// requestOf returns the id and the verb of a QUERY message, without the position that it waits for.
 func requestOf(line string) (id, verb string) {
 	f := strings.Fields(line)
 	if len(f) < 3 || f[0] != "QUERY" {
 		return "", ""
 	}
-	if f[2] == "WAITFOR" && len(f) > 4 {
+	if f[2] == wordWaitFor && len(f) > 4 {
 		return f[1], f[4]
 	}
 	return f[1], f[2]
--- a/review/lab/late_delete.go
+++ b/review/lab/late_delete.go
@@ -42,8 +42,12 @@
 	cut       *partition // of instance 0 from the store and from the other instances
 	store     *storeLink // of instance 0
 
-	mu  sync.Mutex
-	ops map[string]lateOp // by id
+	rounds      int // one service for each
+	connections int // limit of each database
+
+	mu   sync.Mutex
+	ops  map[string]lateOp // by id
+	inTx map[string]bool   // statements of transactions, by id
 }
 
 // lateOp is a statement of a caller.
@@ -62,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &lateCase{rec: rec, d: d, cut: &partition{}, ops: make(map[string]lateOp)}
+	c := &lateCase{rec: rec, d: d, cut: &partition{}, ops: make(map[string]lateOp), rounds: lateRounds, connections: lateConnections}
 	if err := c.start(); err != nil {
 		return nil, err
 	}
@@ -82,17 +86,17 @@
 func (c *lateCase) start() error {
 	limits := make(map[string]int)
 	var routes []hosted.Route
-	for round := range lateRounds {
+	for round := range c.rounds {
 		name := lateService(round)
 		g, err := hosted.NewGroup(hosted.GroupConfig{
-			Service: name, Databases: 3, Slots: 2, MaxConnections: lateConnections, ReplicationLag: 8 * time.Millisecond,
+			Service: name, Databases: 3, Slots: 2, MaxConnections: c.connections, ReplicationLag: 8 * time.Millisecond,
 			ServiceTime: 3 * time.Millisecond, PromotionDelay: latePromoteDelay,
 		}, c.d.store)
 		if err != nil {
 			return err
 		}
 		c.groups = append(c.groups, g)
-		limits[name] = lateConnections
+		limits[name] = c.connections
 		routes = append(routes, hosted.Route{Database: name, Type: "primary", Service: name, Timeout: statementTimeout})
 	}
 	c.d.store.Configure(7, routes, limits, txIdle)
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -28,6 +28,8 @@
 	"shed-set":      playShedSet,
 	"sync-replica":  playSyncReplica,
 	"late-delete":   playLateDelete,
+	"silent-stop":   playSilentStop,
+	"freeze":        playFreeze,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab/syncgroup.go
+++ b/review/lab/syncgroup.go
@@ -91,7 +91,7 @@
 	}
 	d.group.store.Put("servers", d.id, map[string]any{
 		"service": service, "address": d.address, "zone": "z" + strings.TrimPrefix(d.id, "db-"), "version": "v1", "capacity": syncSlots,
-		"state": "ready", "cold_remaining_ms": 0, "db_role": role, "sequence": 1, "born": d.group.rec.start.UnixMilli(),
+		"state": "ready", fieldCold: 0, fieldRole: role, "sequence": 1, "born": d.group.rec.start.UnixMilli(),
 	})
 }
 
@@ -164,7 +164,7 @@
 	r, s := bufio.NewReader(c), &syncSession{d: d, out: bufio.NewWriter(c)}
 	line, err := r.ReadString('\n')
 	if f := strings.Fields(line); err != nil || len(f) < 3 || f[1] != service || (len(f) > 3 && f[3] != d.id) {
-		_, _ = fmt.Fprintf(c, "ERROR WRONGNODE %s\r\n", d.id)
+		_, _ = fmt.Fprintf(c, "ERROR %s %s\r\n", codeWrongTarget, d.id)
 		return
 	}
 	d.group.mu.Lock()
@@ -189,7 +189,7 @@
 
 func (s *syncSession) reply(rows []string, code string) {
 	for _, row := range rows {
-		_, _ = fmt.Fprintf(s.out, "DATAROW %s\r\n", row)
+		_, _ = fmt.Fprintf(s.out, "%s %s\r\n", wordRow, row)
 	}
 	if code == "" {
 		_, _ = fmt.Fprintf(s.out, "COMPLETE sig.%s\r\n", s.d.id)
@@ -212,16 +212,16 @@
 // query runs one request. answered is false if the database has crashed meanwhile.
 func (s *syncSession) query(id, text string) (rows []string, code string, answered bool) {
 	d := s.d
-	if rest, ok := strings.CutPrefix(text, "WAITFOR "); ok {
+	if rest, ok := strings.CutPrefix(text, wordWaitFor+" "); ok {
 		position, stripped, _ := strings.Cut(rest, " ")
 		if !d.hasReached(position) {
-			return nil, "LAGGING", true
+			return nil, codeBehind, true
 		}
 		text = stripped
 	}
 	verb, rest, _ := strings.Cut(text, " ")
 	switch verb {
-	case "SET", "PREPARE", "DEALLOC", "RESET":
+	case "SET", "PREPARE", verbDeallocate, "RESET":
 		return nil, "", true
 	case "BEGIN":
 		d.group.mu.Lock()
@@ -236,12 +236,12 @@
 		return nil, "", true
 	case "STATUS", "PAUSE", "RESUME", "DEMOTE":
 		if !d.work(syncControlWork) {
-			return nil, "THROTTLED", true
+			return nil, codeOverloaded, true
 		}
 		return []string{d.control(verb, rest)}, "", !d.hasCrashed()
 	}
 	if !d.work(syncWork) {
-		return nil, "THROTTLED", true
+		return nil, codeOverloaded, true
 	}
 	switch {
 	case verb == "READ":
@@ -401,7 +401,7 @@
 		for _, d := range g.databases {
 			if d.id == body.ID && !d.hasCrashed() {
 				g.rec.add("platform", "accepts the promotion of %s by %s with token %s", d.id,
-					r.Header.Get("X-Geraniumbeam-Lease-Holder"), r.Header.Get("X-Geraniumbeam-Fencing-Token"))
+					r.Header.Get(headerHolder), r.Header.Get(headerToken))
 				time.AfterFunc(syncPromoteDelay, func() { g.promote(d) })
 				return
 			}
