Send no statement before the answers that it relies on

Cause: a database runs each command of a packet whatever became of the one before. Lease.Run sent session values, BEGIN and statement together and read the answers afterwards, so a refused BEGIN let the statement run outside its transaction, and the repetition ran it again. RunCommands did the same for other instances. A SET counted as done before it was answered.

Ruled out: a repetition alone (nothing repeats without a refused BEGIN); a packet sent twice (the record of the case shows one packet, with the write in no transaction after the refusal).

Owners do the same and say so in the handshake; to an owner without that, commands go one after the other. A connection that is lost before the statement was sent means "not run" now: in the table of lost answers a commit that was not sent is told as rolled back, run: no, instead of unknown.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
 )
 
@@ -49,35 +50,49 @@
 // few hundred bytes in the instance and in the database.
 const maxPrepared = 256
 
-// pooledConn is a connection with the state of its session at the database.
+// Sequencer is a connection whose peer runs the commands of one exchange one after the
+// other and none after one that fails.
+type Sequencer interface {
+	// Sequential reports whether the peer does so.
+	Sequential() bool
+}
+
+// pooledConn is a connection with the state of its session at the database, as the
+// database has confirmed it.
 type pooledConn struct {
 	Conn
 	variables map[string]string
 	prepared  map[PreparedStatement]string // names at the database
+	// lastName is the number of the latest name given to a prepared statement. A name
+	// is never given again on a connection: then an Execute that is sent together with
+	// its Prepare runs nothing if the Prepare is refused.
+	lastName  int
 	idleSince time.Duration
+	// unknown is set if the database may have carried out a command that changes the
+	// variables and has not confirmed it. The connection is then used no more.
+	unknown bool
 }
 
 func newPooledConn(c Conn) *pooledConn {
 	return &pooledConn{Conn: c, variables: map[string]string{}, prepared: map[PreparedStatement]string{}}
 }
 
-// syncVariables returns the commands that give the connection exactly the given
+// variableCommands returns the commands that give the connection exactly the given
 // session variables. The database can reset variables only all at once, which
 // also drops the prepared statements.
-func (c *pooledConn) syncVariables(variables map[string]string) []statement.Command {
+func (c *pooledConn) variableCommands(variables map[string]string) []statement.Command {
 	var commands []statement.Command
+	current := c.variables
 	if !c.variablesSubsetOf(variables) || len(c.prepared) >= maxPrepared {
 		commands = append(commands, statement.Command{Op: statement.OpReset})
-		clear(c.variables)
-		clear(c.prepared)
+		current = nil
 	}
 	for _, name := range slices.Sorted(maps.Keys(variables)) {
 		value := variables[name]
-		if old, ok := c.variables[name]; ok && old == value {
+		if old, ok := current[name]; ok && old == value {
 			continue
 		}
 		commands = append(commands, statement.Command{Op: statement.OpSet, Name: name, Value: value})
-		c.variables[name] = value
 	}
 	return commands
 }
@@ -91,13 +106,35 @@
 	return true
 }
 
-// prepare returns the name of a statement at the database, and the command that
+// name returns the name of a statement at the database, and the command that
 // prepares it if the connection has not prepared it yet.
-func (c *pooledConn) prepare(s PreparedStatement) (string, []statement.Command) {
+func (c *pooledConn) name(s PreparedStatement) (string, []statement.Command) {
 	if name, ok := c.prepared[s]; ok {
 		return name, nil
 	}
-	name := "g" + strconv.Itoa(len(c.prepared))
-	c.prepared[s] = name
+	c.lastName++
+	name := "g" + strconv.Itoa(c.lastName)
 	return name, []statement.Command{{Op: statement.OpPrepare, Name: name, Value: s.Text, Writes: s.Writes}}
 }
+
+// observe updates the known state of the session from the answer to a command.
+func (c *pooledConn) observe(cmd statement.Command, a statement.Answer) {
+	if a.Err != nil {
+		switch {
+		case (cmd.Op == statement.OpSet || cmd.Op == statement.OpReset) && a.Err.Ran != result.RanNo:
+			c.unknown = true
+		case cmd.Name != "" && a.Err.Code == result.UnknownStatement:
+			maps.DeleteFunc(c.prepared, func(_ PreparedStatement, name string) bool { return name == cmd.Name })
+		}
+		return
+	}
+	switch cmd.Op {
+	case statement.OpReset:
+		clear(c.variables)
+		clear(c.prepared)
+	case statement.OpSet:
+		c.variables[cmd.Name] = cmd.Value
+	case statement.OpPrepare:
+		c.prepared[PreparedStatement{Text: cmd.Value, Writes: cmd.Writes}] = cmd.Name
+	}
+}
--- a/internal/dbpool/metrics.go
+++ b/internal/dbpool/metrics.go
@@ -19,7 +19,8 @@
 const (
 	phaseQueue    = "queue"    // waiting in the instance's queue
 	phaseConnect  = "connect"  // opening a connection
-	phaseExchange = "exchange" // a round trip to the database
+	phaseSession  = "session"  // a round trip without a statement: session variables, Begin, rollback
+	phaseExchange = "exchange" // a round trip with a statement
 )
 
 func (p *Pool) observePhase(phase string, took time.Duration) {
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -34,6 +34,7 @@
 	dec      *gob.Decoder
 	priority admission.Request // of the next requests
 	progress func()            // called for each report of progress; may be nil
+	inOrder  bool              // the owner sends no command before the answers of those that it relies on
 }
 
 // Dial connects to the owner at address for requests to the database with the id.
@@ -79,6 +80,7 @@
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		return fmt.Errorf("owner at %s refused the handshake: status %d", address, resp.StatusCode)
 	}
+	c.inOrder = resp.Header.Get(inOrderHeader) != ""
 	c.enc, c.dec = gob.NewEncoder(c.w), gob.NewDecoder(c.r)
 	return nil
 }
@@ -90,7 +92,7 @@
 func (c *ownerConn) Do(deadline time.Time, commands []statement.Command) ([]statement.Answer, error) {
 	rep, err := c.exchange(deadline, deadline.Add(refusalGrace), commands)
 	if err != nil {
-		return nil, err
+		return localAnswers(commands, rep.Answers), err
 	}
 	if rep.Lost != "" {
 		return rep.Answers, errors.New(rep.Lost)
@@ -101,6 +103,19 @@
 	return rep.Answers, nil
 }
 
+// localAnswers returns the answers to the leading commands that the owner has carried
+// out itself, although it has sent none to the database.
+func localAnswers(commands []statement.Command, answers []statement.Answer) []statement.Answer {
+	n := 0
+	for n < min(len(commands), len(answers)) && changesSession(commands[n].Op) {
+		n++
+	}
+	return answers[:n]
+}
+
+// Sequential implements dbpool.Sequencer.
+func (c *ownerConn) Sequential() bool { return c.inOrder }
+
 // Status implements dbpool.Conn.
 func (c *ownerConn) Status(deadline time.Time, cmd statement.Command) (statement.Status, error) {
 	rep, err := c.exchange(deadline, deadline, []statement.Command{cmd})
@@ -175,4 +190,5 @@
 var (
 	_ dbpool.Prioritizer      = (*ownerConn)(nil)
 	_ dbpool.ProgressReporter = (*ownerConn)(nil)
+	_ dbpool.Sequencer        = (*ownerConn)(nil)
 )
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -29,6 +29,8 @@
 	conns []*fakeConn
 	fail  error         // returned by all exchanges while set
 	block chan struct{} // if set, each exchange waits to receive from it
+	// refuse returns the error with which a command is refused, or nil. It may be nil.
+	refuse func(statement.Command) *result.Error
 
 	status        chan struct{} // if set, a status query receives from it before and after it is sent
 	statusQueries atomic.Int64
@@ -63,6 +65,12 @@
 	}
 	var answers []statement.Answer
 	for _, cmd := range commands {
+		if c.db.refuse != nil {
+			if e := c.db.refuse(cmd); e != nil {
+				answers = append(answers, statement.Answer{State: c.state, Err: e})
+				continue
+			}
+		}
 		c.received = append(c.received, cmd)
 		switch {
 		case cmd.Op == statement.OpRollback || cmd.Statement.Kind == statement.Commit:
@@ -185,6 +193,125 @@
 	}
 }
 
+// Guards against a write that runs outside its transaction because the database refused
+// Begin to the owner.
+func TestOwnerSendsNoStatementAfterRefusedBegin(t *testing.T) {
+	o := newOwner(t, 1)
+	refused := true
+	o.db.refuse = func(c statement.Command) *result.Error {
+		if refused && c.Statement.Kind == statement.Begin {
+			return result.Errorf(result.Overloaded, "busy")
+		}
+		return nil
+	}
+	l := acquire(t, o.clientPool())
+	begin := statement.Statement{Kind: statement.Begin, Text: "BEGIN"}
+	x := dbpool.Exchange{
+		Begin: &begin, Statement: statement.Statement{Kind: statement.Write, Text: "WRITE"},
+		Variables: map[string]string{"zone": "x"}, Deadline: testDeadline(),
+	}
+	a, err := l.Run(x)
+	if err != nil || !result.Is(a.Err, result.Overloaded) || a.State != statement.TxIdle {
+		t.Errorf("answer %+v, %v", a, err)
+	}
+	for _, c := range o.db.conns[0].received {
+		if c.Op == statement.OpStatement {
+			t.Errorf("%q was sent", c.Statement.Text)
+		}
+	}
+	refused = false
+	if a, err := l.Run(x); err != nil || a.Err != nil || a.State != statement.TxOpen {
+		t.Errorf("answer of the repetition %+v, %v", a, err)
+	}
+	l.Discard()
+}
+
+// Guards against a statement that reaches an owner of an earlier release together with
+// its Begin: such an owner passes both on at once.
+func TestOwnerThatRunsOutOfOrderGetsBeginFirst(t *testing.T) {
+	requests := make(chan request, 4)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Errorf("take over the connection: %v", err)
+			return
+		}
+		defer func() { _ = conn.Close() }() // the client may have closed it
+		_, _ = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgrade + "\r\n\r\n")
+		_ = buffered.Flush() // the client reports a failure
+		enc, dec := gob.NewEncoder(buffered.Writer), gob.NewDecoder(buffered.Reader)
+		for {
+			var r request
+			if dec.Decode(&r) != nil {
+				return
+			}
+			requests <- r
+			refusals := make([]statement.Answer, len(r.Commands))
+			for i := range refusals {
+				refusals[i].Err = &result.Error{Code: result.Overloaded, Message: "busy"}
+			}
+			if enc.Encode(reply{Answers: refusals}) != nil || buffered.Flush() != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(srv.Close)
+	o := &owner{address: strings.TrimPrefix(srv.URL, "http://")}
+	l := acquire(t, o.clientPool())
+	begin := statement.Statement{Kind: statement.Begin, Text: "BEGIN"}
+	a, err := l.Run(dbpool.Exchange{Begin: &begin, Statement: statement.Statement{Kind: statement.Write}, Deadline: testDeadline()})
+	if err != nil || !result.Is(a.Err, result.Overloaded) {
+		t.Errorf("answer %+v, %v", a, err)
+	}
+	if r := <-requests; len(r.Commands) != 1 || r.Commands[0].Statement.Kind != statement.Begin {
+		t.Errorf("the first request has the commands %+v, want Begin alone", r.Commands)
+	}
+	if len(requests) > 0 {
+		t.Error("the statement was sent although Begin was refused")
+	}
+	l.Discard()
+}
+
+// Guards against a session that runs with variables of an earlier one, because the
+// client and the owner disagree about which variables a refused request has set.
+func TestRefusedRequestKeepsVariablesInAgreement(t *testing.T) {
+	o := newOwner(t, 1)
+	p := o.clientPool()
+	run := func(value string, deadline time.Time) error {
+		l := acquire(t, p)
+		_, err := l.Run(dbpool.Exchange{Variables: map[string]string{"zone": value}, Statement: readStatement("for " + value), Deadline: deadline})
+		var notSent *dbpool.NotSentError
+		if errors.As(err, &notSent) {
+			l.ReleaseNotSent(notSent)
+		} else {
+			l.Release()
+		}
+		return err
+	}
+	if err := run("x", testDeadline()); err != nil {
+		t.Fatal(err)
+	}
+	held := acquire(t, o.pool)
+	if err := run("y", time.Now().Add(200*time.Millisecond)); err == nil {
+		t.Fatal("the request ran although the owner had no connection")
+	}
+	held.Release()
+	if err := run("x", testDeadline()); err != nil {
+		t.Fatal(err)
+	}
+	zone := ""
+	for _, c := range o.db.conns[0].received {
+		switch c.Op {
+		case statement.OpSet:
+			zone = c.Value
+		case statement.OpStatement:
+			if c.Statement.Text != "for "+zone {
+				t.Errorf("%q ran with zone = %q", c.Statement.Text, zone)
+			}
+		}
+	}
+}
+
 // Guards against a transaction that moves to another connection, and against one
 // that stays open after its client has failed.
 func TestTransactionKeepsItsConnection(t *testing.T) {
--- a/internal/hop/protocol.go
+++ b/internal/hop/protocol.go
@@ -4,7 +4,8 @@
 //
 // Invariants: the owner runs the commands of one request on one connection, and
 // a transaction stays on its connection. A request that the owner could not
-// start is answered with NotSent; none of its commands was run. If the client or
+// start is answered with NotSent; none of its statements was run. The owner sends no
+// command to the database before the answers of those that it relies on. If the client or
 // the owner fails during a transaction, the database rolls it back. The owner
 // does not check which database is the primary of a service: the client does so
 // before it sends a request and again when the reply arrives.
@@ -24,6 +25,11 @@
 // progressParam is the query parameter of clients that understand reply.Waiting.
 const progressParam = "progress"
 
+// inOrderHeader is the header with which an owner says in the handshake that it sends
+// no command to the database before the answers of those that it relies on. To an owner
+// without it the client sends such commands one after the other.
+const inOrderHeader = "Geraniumbeam-In-Order"
+
 // upgrade names the protocol in the Upgrade header of the handshake.
 const upgrade = "geraniumbeam-hop"
 
@@ -45,9 +51,11 @@
 	// Waiting is set in replies that precede the final one. They say that the
 	// request waits or runs and that the database answers the owner.
 	Waiting bool
+	// Answers has one answer for each command. Together with NotSent, only the answers
+	// to the commands that the owner carries out itself are valid.
 	Answers []statement.Answer
 	Status  *statement.Status // set if the request is a single OpStatus
-	// NotSent is set if no command was sent to the database, and says why.
+	// NotSent is set if nothing was run, and says why.
 	NotSent *result.Error
 	// Lost is set if the database did not answer, and says why. The owner has
 	// closed its connection to the database.
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/gob"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -84,7 +85,7 @@
 	s.track(c, true)
 	defer s.track(c, false)
 	_ = c.SetDeadline(time.Now().Add(handshakeTimeout)) // if this fails, so does the write below
-	_, err = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgrade + "\r\n\r\n")
+	_, err = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgrade + "\r\n" + inOrderHeader + ": 1\r\n\r\n")
 	if err == nil {
 		err = buffered.Flush()
 	}
@@ -266,7 +267,7 @@
 			ID: r.ID, Class: r.Class, Caller: r.Caller, Rank: r.Rank, Deadline: acquireDeadline, Target: targetOf(r),
 		})
 		if err != nil {
-			return reply{NotSent: withoutCause(result.From(err))}
+			return reply{NotSent: withoutCause(result.From(err)), Answers: answers}
 		}
 		p.lease = lease
 	}
@@ -280,6 +281,9 @@
 	if err != nil {
 		p.lease.Discard()
 		p.lease = nil
+		if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
+			return reply{NotSent: withoutCause(result.From(notSent.Cause)), Answers: answers}
+		}
 		return reply{Lost: err.Error()}
 	}
 	if results[len(results)-1].State == statement.TxIdle {
@@ -304,6 +308,12 @@
 	return statement.TxIdle
 }
 
+// changesSession reports whether an operation only changes the state of the session.
+// The owner carries it out itself.
+func changesSession(op statement.Op) bool {
+	return op == statement.OpSet || op == statement.OpPrepare || op == statement.OpDeallocate || op == statement.OpReset
+}
+
 // applyLocally carries out a command that only changes the state of the session. The
 // state is applied to a connection to the database together with the next
 // statement. It reports false for other commands.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -399,7 +399,7 @@
 		detail = refused.Message
 	}
 	switch {
-	case !commit:
+	case !commit || dbpool.IsNotSent(err):
 		return failure(result.Errorf(result.RolledBack, "%s; the transaction was rolled back", detail), "the connection failed", t)
 	case s.tx.wrote:
 		return failure(result.Errorf(result.OutcomeUnknown, "the commit was sent and not answered"), "commit sent and not answered", t)
