dbpool: prefer the connection that has the session's variables

Acquire now takes an idle connection whose variables equal the session's, and the most recently used one if there is none.

TestConnectionWithTheSessionsVariablesIsTaken fails if takeIdle takes the most recently used connection.

--- a/internal/dbpool/exchange_test.go
+++ b/internal/dbpool/exchange_test.go
@@ -228,7 +228,7 @@
 				x.Begin = &testBegin
 			}
 			p.dialAfter, p.dialBackoff = 0, 0
-			l, err := p.Acquire(context.Background(), newRequest())
+			l, err := p.Acquire(context.Background(), newRequest(), x.Variables)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/dbpool/fake_test.go
+++ b/internal/dbpool/fake_test.go
@@ -118,7 +118,7 @@
 
 func acquire(t *testing.T, p *Pool) *Lease {
 	t.Helper()
-	l, err := p.Acquire(context.Background(), newRequest())
+	l, err := p.Acquire(context.Background(), newRequest(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -104,7 +104,7 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	began := p.now()
-	if conn := p.takeIdle(); conn != nil && conn.Alive() {
+	if conn := p.takeIdle(nil); conn != nil && conn.Alive() {
 		return p.controlOn(conn, deadline, c, began)
 	} else if conn != nil {
 		p.discard(conn)
--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -52,7 +52,7 @@
 	if !ok {
 		t.Fatal("no pool")
 	}
-	l, err := p.Acquire(t.Context(), newRequest())
+	l, err := p.Acquire(t.Context(), newRequest(), nil)
 	if err != nil {
 		return p.Owner(), err
 	}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -169,15 +171,16 @@
 	serviceTime time.Duration // sum of the lease's exchanges
 }
 
-// Acquire waits for a connection. If it fails, nothing was sent to the database.
-func (p *Pool) Acquire(ctx context.Context, r admission.Request) (*Lease, error) {
+// Acquire waits for a connection for a session with the given variables. If it fails,
+// nothing was sent to the database.
+func (p *Pool) Acquire(ctx context.Context, r admission.Request, variables map[string]string) (*Lease, error) {
 	began := p.now()
 	ticket, err := p.queue.Acquire(ctx, r)
 	p.observePhase(phaseQueue, p.now()-began)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := p.takeConn(ctx)
+	conn, err := p.takeConn(ctx, variables)
 	if err != nil {
 		ticket.Release(0)
 		return nil, err
@@ -189,9 +192,9 @@
 }
 
 // takeConn returns an idle connection or opens one.
-func (p *Pool) takeConn(ctx context.Context) (*pooledConn, error) {
+func (p *Pool) takeConn(ctx context.Context, variables map[string]string) (*pooledConn, error) {
 	for {
-		conn := p.takeIdle()
+		conn := p.takeIdle(variables)
 		if conn == nil {
 			return p.connect(ctx)
 		}
@@ -202,15 +205,24 @@
 	}
 }
 
-func (p *Pool) takeIdle() *pooledConn {
+// takeIdle takes an idle connection that has exactly the given variables or, if there is
+// none, the most recently used one. Setting variables costs a round trip.
+func (p *Pool) takeIdle(variables map[string]string) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
 	if n == 0 {
 		return nil
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
+	at := n - 1
+	for i := n - 1; i >= 0; i-- {
+		if maps.Equal(p.idle[i].variables, variables) {
+			at = i
+			break
+		}
+	}
+	c := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
 	return c
 }
 
--- a/internal/dbpool/pool_test.go
+++ b/internal/dbpool/pool_test.go
@@ -40,6 +40,39 @@
 	}
 }
 
+// Guards against a round trip that sets variables while another idle connection has
+// them already.
+func TestConnectionWithTheSessionsVariablesIsTaken(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, ampleSizing)
+	sessions := []map[string]string{{"a": "1"}, {}}
+	use := func(leases ...*Lease) {
+		for i, l := range leases {
+			if _, err := l.Run(Exchange{Variables: sessions[i], Deadline: time.Now().Add(10 * time.Second)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, l := range leases {
+			l.Release()
+		}
+	}
+	use(acquire(t, p), acquire(t, p))
+	db.received = nil
+	for i := range sessions {
+		l, err := p.Acquire(context.Background(), newRequest(), sessions[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := l.Run(Exchange{Variables: sessions[i], Deadline: time.Now().Add(10 * time.Second)}); err != nil {
+			t.Fatal(err)
+		}
+		l.Release()
+	}
+	if got := ops(slices.Concat(db.received...)); slices.ContainsFunc(got, func(o statement.Op) bool { return o != statement.OpStatement }) {
+		t.Errorf("sent %v, want statements only", got)
+	}
+}
+
 // Guards against confusion of two sessions' prepared statements that have the same
 // name and different content.
 func TestPreparedStatementsAreNamedByContent(t *testing.T) {
@@ -133,7 +166,7 @@
 	for range 30 {
 		wg.Go(func() {
 			for range 20 {
-				l, err := p.Acquire(context.Background(), newRequest())
+				l, err := p.Acquire(context.Background(), newRequest(), nil)
 				if err != nil {
 					continue
 				}
@@ -159,7 +192,7 @@
 func TestDatabaseAtItsLimitIsAvoidedTemporarily(t *testing.T) {
 	db := &fakeDatabase{dialErr: result.Errorf(result.ConnectionsBusy, "full")}
 	p, clk := newPool(db, ampleSizing)
-	if _, err := p.Acquire(context.Background(), newRequest()); err == nil {
+	if _, err := p.Acquire(context.Background(), newRequest(), nil); err == nil {
 		t.Fatal("no refusal")
 	}
 	if !p.Load().AtLimit {
@@ -176,7 +209,7 @@
 func TestDatabaseAtItsLimitIsNotDown(t *testing.T) {
 	db := &fakeDatabase{dialErr: result.Errorf(result.ConnectionsBusy, "full")}
 	p, _ := newPool(db, ampleSizing)
-	if _, err := p.Acquire(context.Background(), newRequest()); !result.Is(err, result.ConnectionsBusy) {
+	if _, err := p.Acquire(context.Background(), newRequest(), nil); !result.Is(err, result.ConnectionsBusy) {
 		t.Fatalf("error %v", err)
 	}
 	if _, unresponsive := p.UnresponsiveSince(); unresponsive || p.Load().Down {
@@ -184,7 +217,7 @@
 	}
 	db.dialErr = errBroken
 	p2, _ := newPool(db, ampleSizing)
-	if _, err := p2.Acquire(context.Background(), newRequest()); !result.Is(err, result.DatabaseDown) {
+	if _, err := p2.Acquire(context.Background(), newRequest(), nil); !result.Is(err, result.DatabaseDown) {
 		t.Fatalf("error %v", err)
 	}
 	if _, unresponsive := p2.UnresponsiveSince(); !unresponsive {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -145,7 +145,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	l, err := p.Acquire(ctx, admission.Request{Class: "c"})
+	l, err := p.Acquire(ctx, admission.Request{Class: "c"}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -265,7 +265,7 @@
 		defer cancel()
 		lease, err := pool.Acquire(ctx, admission.Request{
 			ID: r.ID, Class: r.Class, Caller: r.Caller, Rank: r.Rank, Deadline: acquireDeadline, Target: targetOf(r),
-		})
+		}, p.variables)
 		if err != nil {
 			return reply{NotSent: withoutCause(result.From(err)), Answers: answers}
 		}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -165,7 +165,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), req.deadline)
 	lease, err := t.pool.Acquire(ctx, admission.Request{
 		ID: req.st.ID, Class: req.class(), Caller: s.fairnessKey(), Rank: req.rank(), Deadline: req.deadline, Target: req.target,
-	})
+	}, s.variables)
 	cancel()
 	if err != nil {
 		return s.handleAcquireError(req, t, result.From(err))
