proxy: begin a transaction at a remote primary before its first statement

The safe order of "Send no statement before the answers that it relies on" costs a round trip of 8 to 10 ms between data centres where session values or BEGIN precede a statement.

Change: the caller's BEGIN goes to a primary in another data centre at once, if a connection is idle and no request waits for one; the first statement goes on there, or begins anew if the primary has changed or refused. A connection without variables is kept for sessions that set none. The choice of a replica counts the time to set variables.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -65,6 +65,26 @@
 	return q.wait(ctx, it, r.Deadline.Sub(q.start)-now)
 }
 
+// TryAcquire returns a ticket if the request may run now, ahead of none that waits.
+func (q *Queue) TryAcquire(r Request) (*Ticket, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.core.queued > 0 {
+		return nil, false
+	}
+	now := q.now()
+	it, _ := q.core.enqueue(now, r, q.start)
+	if it == nil {
+		return nil, false
+	}
+	q.dispatch(now)
+	if it.state != stateRunning {
+		q.core.remove(it)
+		return nil, false
+	}
+	return &Ticket{q: q, it: it}, true
+}
+
 func (q *Queue) wait(ctx context.Context, it *item, left time.Duration) (*Ticket, error) {
 	var expired <-chan time.Time
 	if it.deadline != noDeadline {
--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -44,6 +44,24 @@
 	return answers[len(answers)-1], nil
 }
 
+// Begin starts a transaction of a session with the given variables, and reports whether
+// it is open. Otherwise the lease has ended.
+func (l *Lease) Begin(deadline time.Time, variables map[string]string, begin statement.Statement) bool {
+	answers, err := l.runSteps(deadline, variables, []step{{command: statement.Command{Op: statement.OpStatement, Statement: begin}}})
+	switch {
+	case err != nil:
+		l.Discard()
+		return false
+	case answers[0].Err == nil && answers[0].State == statement.TxOpen:
+		return true
+	case answers[0].State == statement.TxIdle:
+		l.Release()
+		return false
+	}
+	l.Rollback(deadline)
+	return false
+}
+
 // RunCommands runs commands of another instance's session with its session
 // variables, and returns one answer for each. The commands name prepared statements by
 // the keys of prepared. No command is sent after one that it relies on has failed; its
@@ -210,8 +228,12 @@
 	p.observePhase(phase, ended-began)
 	p.mu.Lock()
 	p.health.end(began, ended, err == nil || ownerRefused(err))
-	if err == nil && withStatement { // a database answers other commands without waiting for a slot
+	switch {
+	case err != nil:
+	case withStatement:
 		p.latency.add(ended-began, ended)
+	default: // needs no slot of the database
+		p.setupLatency.add(ended-began, ended)
 	}
 	if n := len(answers); n > 0 && !answers[n-1].Position.IsZero() {
 		p.lastPosition = answers[n-1].Position
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -70,7 +70,8 @@
 	health       health
 	lastPosition statement.Position // end of the database's log in its latest answer
 	laggedAt     time.Duration      // when the database last lacked a required position
-	latency      decayingMean
+	latency      decayingMean       // of exchanges with a statement
+	setupLatency decayingMean       // of exchanges that only bring the session into the right state
 	statuses     statusQueries
 }
 
@@ -191,6 +192,25 @@
 	return &Lease{pool: p, conn: conn, ticket: ticket}, nil
 }
 
+// TryAcquire returns an idle connection for a session with the given variables, if
+// there is one and no request waits.
+func (p *Pool) TryAcquire(r admission.Request, variables map[string]string) (*Lease, bool) {
+	ticket, ok := p.queue.TryAcquire(r)
+	if !ok {
+		return nil, false
+	}
+	conn := p.takeIdle(variables)
+	if conn != nil && !conn.Alive() {
+		p.discard(conn)
+		conn = nil
+	}
+	if conn == nil {
+		ticket.Release(0)
+		return nil, false
+	}
+	return &Lease{pool: p, conn: conn, ticket: ticket}, true
+}
+
 // takeConn returns an idle connection or opens one.
 func (p *Pool) takeConn(ctx context.Context, variables map[string]string) (*pooledConn, error) {
 	for {
@@ -206,7 +226,8 @@
 }
 
 // takeIdle takes an idle connection that has exactly the given variables or, if there is
-// none, the most recently used one. Setting variables costs a round trip.
+// none, the most recently used one, preferably with variables: those without suit all
+// sessions that set none. Setting variables costs a round trip.
 func (p *Pool) takeIdle(variables map[string]string) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -214,11 +235,14 @@
 	if n == 0 {
 		return nil
 	}
-	at := n - 1
-	for i := n - 1; i >= 0; i-- {
-		if maps.Equal(p.idle[i].variables, variables) {
-			at = i
-			break
+	at := p.indexIdle(variables)
+	if at < 0 {
+		at = n - 1
+		for at > 0 && len(p.idle[at].variables) == 0 {
+			at--
+		}
+		if len(p.idle[at].variables) == 0 {
+			at = n - 1
 		}
 	}
 	c := p.idle[at]
@@ -226,6 +250,32 @@
 	return c
 }
 
+// indexIdle returns the index of the most recently used idle connection that has exactly
+// the given variables, or -1. p.mu is held.
+func (p *Pool) indexIdle(variables map[string]string) int {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if maps.Equal(p.idle[i].variables, variables) {
+			return i
+		}
+	}
+	return -1
+}
+
+// SetupTime returns the expected time that setting a session's variables adds to its
+// next statement.
+func (p *Pool) SetupTime(variables map[string]string) time.Duration {
+	if p.owner != "" {
+		return 0 // the owner is close to the database
+	}
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.indexIdle(variables) >= 0 {
+		return 0
+	}
+	return p.setupLatency.at(now)
+}
+
 func (p *Pool) connect(ctx context.Context) (*pooledConn, error) {
 	p.mu.Lock()
 	now := p.now()
--- a/internal/dbpool/pool_test.go
+++ b/internal/dbpool/pool_test.go
@@ -73,6 +73,52 @@
 	}
 }
 
+// Guards against the loss of the connection that suits all sessions without variables:
+// it was given to one that must set some anyway.
+func TestConnectionWithoutVariablesIsKept(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, ampleSizing)
+	a, b := acquire(t, p), acquire(t, p)
+	if _, err := a.Run(Exchange{Variables: map[string]string{"a": "1"}, Deadline: time.Now().Add(10 * time.Second)}); err != nil {
+		t.Fatal(err)
+	}
+	a.Release()
+	b.Release() // without variables, and most recently used
+	other := map[string]string{"a": "2"}
+	if got := p.SetupTime(nil); got != 0 {
+		t.Errorf("setup takes %v for a session without variables, want 0", got)
+	}
+	l, err := p.Acquire(context.Background(), newRequest(), other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.conn.variables["a"] != "1" {
+		t.Errorf("a session with variables got the connection with %v", l.conn.variables)
+	}
+	l.Release()
+}
+
+// Guards against a request that waits, or that passes others which wait, to begin its
+// transaction early.
+func TestTryAcquireNeverWaits(t *testing.T) {
+	db := &fakeDatabase{}
+	p, _ := newPool(db, Sizing{MaxOpen: 1, IdleTimeout: idleTimeoutDefault})
+	if _, ok := p.TryAcquire(newRequest(), nil); ok || db.dialed != 0 {
+		t.Error("a connection was opened")
+	}
+	l := acquire(t, p)
+	if _, ok := p.TryAcquire(newRequest(), nil); ok {
+		t.Error("the only connection was given out twice")
+	}
+	l.Release()
+	l, ok := p.TryAcquire(newRequest(), nil)
+	if !ok {
+		t.Fatal("an idle connection was not given out")
+	}
+	l.Release()
+	acquire(t, p).Release() // no ticket was lost
+}
+
 // Guards against confusion of two sessions' prepared statements that have the same
 // name and different content.
 func TestPreparedStatementsAreNamedByContent(t *testing.T) {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -67,7 +67,7 @@
 		if isPrimary {
 			t = target{pool: pool, primary: primary}
 		}
-		c := cost(load, d.DataCentre != srv.cfg.DataCentre, isPrimary, required) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty
+		c := cost(load, d.DataCentre != srv.cfg.DataCentre, isPrimary, required) + pool.SetupTime(s.variables) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty
 		if bestCost < 0 || c < bestCost {
 			best, bestCost = t, c
 		}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -162,16 +162,25 @@
 // may be made.
 func (s *session) attempt(req *request, t target) (outcome, bool) {
 	id := t.pool.Database().ID
-	ctx, cancel := context.WithDeadline(context.Background(), req.deadline)
-	lease, err := t.pool.Acquire(ctx, admission.Request{
-		ID: req.st.ID, Class: req.class(), Caller: s.fairnessKey(), Rank: req.rank(), Deadline: req.deadline, Target: req.target,
-	}, s.variables)
-	cancel()
-	if err != nil {
-		return s.handleAcquireError(req, t, result.From(err))
+	begin := req.begin
+	lease, begun := s.takeEarly(t)
+	if begun {
+		begin = nil
+	} else {
+		var err error
+		ctx, cancel := context.WithDeadline(context.Background(), req.deadline)
+		lease, err = t.pool.Acquire(ctx, s.admissionRequest(req), s.variables)
+		cancel()
+		if err != nil {
+			return s.handleAcquireError(req, t, result.From(err))
+		}
 	}
 	if t.usesPrimary() && !s.srv.cfg.Records.IsCurrent(req.route.Service, t.primary) {
-		lease.Release()
+		if begun {
+			s.srv.rollBack(lease)
+		} else {
+			lease.Release()
+		}
 		return failure(result.Errorf(result.NoPrimary, "the primary of service %s is being replaced", req.route.Service), "", t), true
 	}
 	req.attemptsByDatabase[id]++
@@ -182,7 +191,7 @@
 	}
 	sentAt := s.srv.cfg.Now()
 	a, err := lease.Run(dbpool.Exchange{
-		Variables: s.variables, Prepared: req.preparedStmt, Begin: req.begin, Statement: req.st, WaitFor: t.waitFor, Deadline: deadline,
+		Variables: s.variables, Prepared: req.preparedStmt, Begin: begin, Statement: req.st, WaitFor: t.waitFor, Deadline: deadline,
 	})
 	if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
 		lease.ReleaseNotSent(notSent)
@@ -196,6 +205,13 @@
 	return s.handleAnswer(req, t, lease, a)
 }
 
+// admissionRequest describes a request to the queue of a database.
+func (s *session) admissionRequest(req *request) admission.Request {
+	return admission.Request{
+		ID: req.st.ID, Class: req.class(), Caller: s.fairnessKey(), Rank: req.rank(), Deadline: req.deadline, Target: req.target,
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -42,6 +42,7 @@
 type transaction struct {
 	begin  statement.Statement
 	route  topology.Route
+	early  *earlyBegin   // set while the transaction begins before its first statement; may be nil
 	lease  *dbpool.Lease // nil until the first statement has been sent
 	target target
 	wrote  bool
@@ -82,6 +83,7 @@
 
 // discardTransaction rolls back the open transaction, if any, and forgets it.
 func (s *session) discardTransaction() {
+	s.endEarly()
 	if s.tx != nil && s.tx.lease != nil {
 		s.srv.rollBack(s.tx.lease)
 	}
@@ -203,6 +205,7 @@
 // failTransaction rolls the transaction back, which frees its connection, and marks
 // it as failed: the caller can only end it.
 func (s *session) failTransaction() {
+	s.endEarly()
 	if s.tx.lease != nil {
 		s.srv.rollBack(s.tx.lease)
 		s.tx.lease = nil
@@ -294,6 +297,7 @@
 		return s.refuse(st, result.Errorf(result.UnknownService, "no route for database %s", s.database))
 	}
 	s.tx = &transaction{begin: st, route: route}
+	s.beginEarly()
 	return s.localAnswer()
 }
 
@@ -323,6 +327,7 @@
 			s.discardTransaction()
 		}
 	}
+	s.endEarly()
 	s.tx = nil
 	o.answer.State = statement.TxIdle
 	return o.answer
