primacy: remove a registration only at the revision that was written

Cause: an instance that stops removes its registration with a DELETE that names no revision. Its response lost, the store executes it when the process has started and registered again. A promoter waits only for registered instances, and the instance never looked whether it was one.

Ruled out: the cut alone (the rule holds with it); an overwritten registration (PUT and POST are conditional); a wait that is too short (the promoter names no missing instance).

Change: the DELETE names the revision; on a conflict the process removes the registration only if it wrote it. It is sent after the loop that registers has ended; it ran beside it before. An instance that misses its registration in a list that is not older uses no primary until it has registered again.

TestNoInstanceUsesAReplacedPrimary now restarts instances and executes removals late.

--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -209,6 +209,9 @@
 	cancel()
 	i.hop.Close()
 	wg.Wait()
+	uctx, ucancel := context.WithTimeout(context.Background(), unregisterTimeout)
+	defer ucancel()
+	i.primacy.Unregister(uctx)
 	log.Info().Msg("The instance has stopped.")
 	return nil
 }
@@ -254,7 +257,4 @@
 	})
 	_ = callers.Close() // the shutdown may end before closeIdle
 	<-retired
-	wctx, wcancel := context.WithTimeout(context.Background(), unregisterTimeout)
-	defer wcancel()
-	i.primacy.Unregister(wctx)
 }
--- a/internal/primacy/fake_store_test.go
+++ b/internal/primacy/fake_store_test.go
@@ -23,8 +23,12 @@
 	regs        map[string]Registration
 	changed     chan struct{}
 	unavailable bool
-	before      func(Record) error
-	after       func(Record) error
+	// loseRemoval makes the store answer no removal of a registration and carry it out
+	// when carryOutLate is called.
+	loseRemoval  bool
+	lateRemovals []removal
+	before       func(Record) error
+	after        func(Record) error
 }
 
 var errStoreDown = errors.New("the store is down")
@@ -164,10 +168,11 @@
 	return all, nil
 }
 
-func (f *fakeStore) StaleRegistrations(context.Context) ([]Registration, error) {
+func (f *fakeStore) StaleRegistrations(context.Context) ([]Registration, revision.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.registrations()
+	all, err := f.registrations()
+	return all, revision.Revision{Era: f.era, Number: f.revision}, err
 }
 
 func (f *fakeStore) Register(_ context.Context, r Registration) (Registration, error) {
@@ -176,16 +181,59 @@
 	if f.unavailable {
 		return r, errStoreDown
 	}
+	f.revision++
 	r.Revision = revision.Revision{Era: f.era, Number: f.revision}
 	f.regs[r.Instance] = r
 	return r, nil
 }
 
-func (f *fakeStore) Unregister(_ context.Context, instance string) error {
+func (f *fakeStore) Unregister(_ context.Context, instance string, at revision.Revision) (Registration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	switch reg, ok := f.regs[instance]; {
+	case !ok:
+	case f.loseRemoval:
+		f.lateRemovals = append(f.lateRemovals, removal{instance, at})
+		return Registration{}, errStoreDown
+	case reg.Revision != at:
+		return reg, ErrConflict
+	}
 	delete(f.regs, instance)
-	return nil
+	return Registration{}, nil
+}
+
+// removal is a removal of a registration that the store carries out later.
+type removal struct {
+	instance string
+	at       revision.Revision
+}
+
+// carryOutLate carries out the removals whose response was lost, if their condition
+// still holds.
+func (f *fakeStore) carryOutLate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, late := range f.lateRemovals {
+		if f.regs[late.instance].Revision == late.at {
+			delete(f.regs, late.instance)
+		}
+	}
+	f.lateRemovals = nil
+}
+
+// lose removes a registration, as something else than its instance may.
+func (f *fakeStore) lose(instance string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.regs, instance)
+	f.revision++
+}
+
+func (f *fakeStore) registration(instance string) (Registration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reg, ok := f.regs[instance]
+	return reg, ok
 }
 
 func (f *fakeStore) record() Record {
@@ -229,9 +277,9 @@
 	return v.fakeStore.Registrations(ctx)
 }
 
-func (v storeView) StaleRegistrations(ctx context.Context) ([]Registration, error) {
+func (v storeView) StaleRegistrations(ctx context.Context) ([]Registration, revision.Revision, error) {
 	if v.refuses.Load() {
-		return nil, errStoreDown
+		return nil, revision.Revision{}, errStoreDown
 	}
 	return v.fakeStore.StaleRegistrations(ctx)
 }
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -247,23 +247,7 @@
 	all := make(map[string]*instance)
 	peers := &network{runners: make(map[string]*Runner)}
 	for _, name := range names {
-		refused := &atomic.Bool{}
-		cache := NewRecordCache(name, InitialValidity, clock.SinceBoot)
-		r := NewRunner(Config{
-			Instance: name, Address: name, Peers: peers, Incarnation: name, Store: storeView{store, refused},
-			Databases: databaseView{g, name}, Promotions: g, Cache: cache,
-			Services: func() []string { return []string{"ledger"} }, Now: clock.SinceBoot, Log: zerolog.Nop(),
-			OnStoreUnavailable: func() {}, Listings: &fakeListings{},
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = r.Run(ctx) }()
-		peers.mu.Lock()
-		peers.runners[name] = r
-		peers.mu.Unlock()
-		x := &instance{r, cache, func() { cancel(); <-done }, refused, peers}
-		t.Cleanup(x.stop)
-		all[name] = x
+		all[name] = startInstance(t, store, g, peers, name, name)
 	}
 	for name, x := range all {
 		eventually(t, name+" knows the primary", func() bool { _, ok := x.cache.Primary("ledger"); return ok })
@@ -271,6 +255,27 @@
 	return all
 }
 
+// startInstance runs a process of an instance until the test ends or stops it.
+func startInstance(t *testing.T, store *fakeStore, g *fakeGroup, peers *network, name, incarnation string) *instance {
+	refused := &atomic.Bool{}
+	cache := NewRecordCache(incarnation, InitialValidity, clock.SinceBoot)
+	r := NewRunner(Config{
+		Instance: name, Address: name, Peers: peers, Incarnation: incarnation, Store: storeView{store, refused},
+		Databases: databaseView{g, name}, Promotions: g, Cache: cache,
+		Services: func() []string { return []string{"ledger"} }, Now: clock.SinceBoot, Log: zerolog.Nop(),
+		OnStoreUnavailable: func() {}, Listings: &fakeListings{},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.Run(ctx) }()
+	peers.mu.Lock()
+	peers.runners[name] = r
+	peers.mu.Unlock()
+	x := &instance{r, cache, func() { cancel(); <-done }, refused, peers}
+	t.Cleanup(x.stop)
+	return x
+}
+
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
--- a/internal/primacy/model_test.go
+++ b/internal/primacy/model_test.go
@@ -22,6 +22,8 @@
 	record    Record
 	regs      map[string]*Registration
 	copies    []modelCopy
+	revision  uint64         // of the latest write of a registration
+	removals  []modelRemoval // of registrations, sent and not carried out yet
 	instances []*modelInstance
 	heldTerms [3]uint64 // terms at which databases are fenced
 	terms     [3]uint64
@@ -32,6 +34,8 @@
 
 type modelInstance struct {
 	name         string
+	starts       int  // of its process
+	registering  bool // the process has not registered yet
 	cache        *RecordCache
 	pending      []modelAnswer
 	frozen       bool
@@ -40,6 +44,14 @@
 	lastAnswer   modelAnswer // of the store itself
 }
 
+// modelRemoval is a removal of a registration that the store carries out if the
+// registration still has the revision.
+type modelRemoval struct {
+	name     string
+	era      uint64
+	revision uint64
+}
+
 // modelAnswer is a response of the store that has not arrived yet.
 type modelAnswer struct {
 	asked  time.Duration
@@ -75,9 +87,9 @@
 	for i := range rapid.IntRange(2, 4).Draw(t, "instances") {
 		name := fmt.Sprintf("i-%d", i)
 		x := &modelInstance{name: name, reachesStore: true}
-		x.cache = NewRecordCache(name, validity, func() time.Duration { return m.now })
-		x.cache.SetIncarnation(name)
-		m.regs[name] = &Registration{Instance: name, Incarnation: name, Validity: validity, Stopped: map[string]uint64{}}
+		x.cache = NewRecordCache(x.incarnation(), validity, func() time.Duration { return m.now })
+		x.cache.SetIncarnation(x.incarnation())
+		m.register(x, &Registration{Instance: name, Incarnation: x.incarnation(), Validity: validity, Stopped: map[string]uint64{}})
 		m.instances = append(m.instances, x)
 	}
 	return m
@@ -92,6 +104,40 @@
 	m.record = r
 }
 
+// register writes the registration of an instance.
+func (m *model) register(x *modelInstance, reg *Registration) {
+	m.revision++
+	reg.Revision = revision.Revision{Era: m.era, Number: m.revision}
+	m.regs[x.name] = reg
+}
+
+// remove makes the store carry out a removal if its condition holds.
+func (m *model) remove(i int) {
+	late := m.removals[i]
+	m.removals = slices.Delete(m.removals, i, i+1)
+	if reg, ok := m.regs[late.name]; ok && late.era == m.era && reg.Revision.Number == late.revision {
+		delete(m.regs, late.name)
+	}
+}
+
+// registerAgain makes an instance that reaches the store write its registration.
+func (m *model) registerAgain(x *modelInstance) {
+	reg := &Registration{Instance: x.name, Incarnation: x.incarnation(), Validity: validity, Stopped: map[string]uint64{}}
+	if r, _, ok := x.cache.Record("ledger"); ok && r.Phase == Replacing {
+		reg.Stopped["ledger"] = r.Token
+	}
+	m.register(x, reg)
+	if x.registering {
+		x.registering = false
+		x.cache.SetIncarnation(x.incarnation())
+	}
+	x.cache.SetEra(m.era)
+	x.knownEra = m.era
+}
+
+// incarnation returns the incarnation of the present process of an instance.
+func (x *modelInstance) incarnation() string { return fmt.Sprintf("%s#%d", x.name, x.starts) }
+
 // deliver passes a response to a running instance. If the record is being
 // replaced, the instance confirms in its registration that it stopped.
 func (m *model) deliver(x *modelInstance, a modelAnswer) {
@@ -108,7 +154,7 @@
 // stopped notes in the registration of an instance, if the store has it, that it
 // stopped for a token.
 func (m *model) stopped(x *modelInstance, token uint64) {
-	if reg, ok := m.regs[x.name]; ok {
+	if reg, ok := m.regs[x.name]; ok && reg.Incarnation == x.incarnation() {
 		reg.Stopped["ledger"] = max(reg.Stopped["ledger"], token)
 	}
 }
@@ -303,21 +349,38 @@
 			}
 		},
 		"register": func(*rapid.T) {
+			if x := m.pickInstance(); !x.frozen && x.reachesStore {
+				m.registerAgain(x)
+			}
+		},
+		// A process ends and removes its registration; the next one starts without
+		// knowledge. The removal may be carried out much later.
+		"restart": func(*rapid.T) {
 			x := m.pickInstance()
-			if x.frozen || !x.reachesStore {
-				return
+			if reg, ok := m.regs[x.name]; ok && x.reachesStore {
+				m.removals = append(m.removals, modelRemoval{x.name, m.era, reg.Revision.Number})
 			}
-			reg := &Registration{Instance: x.name, Incarnation: x.name, Validity: validity, Stopped: map[string]uint64{}}
-			if r, _, ok := x.cache.Record("ledger"); ok && r.Phase == Replacing {
-				reg.Stopped["ledger"] = r.Token
+			x.starts++
+			x.cache = NewRecordCache(x.incarnation(), validity, func() time.Duration { return m.now })
+			x.cache.Unregistered()
+			x.pending, x.lastAnswer, x.knownEra, x.registering, x.frozen = nil, modelAnswer{}, 0, true, false
+			if x.reachesStore && m.delivered("starts at once") {
+				m.registerAgain(x)
+				m.deliver(x, modelAnswer{m.now, m.era, m.record})
+			}
+			if n := len(m.removals); n > 0 && m.delivered("removal") {
+				m.remove(n - 1)
+			}
+		},
+		"remove": func(t *rapid.T) {
+			if len(m.removals) == 0 {
+				return
 			}
-			m.regs[x.name] = reg
-			x.cache.SetEra(m.era)
-			x.knownEra = m.era
+			m.remove(rapid.IntRange(0, len(m.removals)-1).Draw(t, "removal"))
 		},
 		"establish": func(t *rapid.T) {
 			x := m.pickInstance()
-			if x.frozen || !x.reachesStore || m.record.Revision.Era == m.era {
+			if x.frozen || x.registering || !x.reachesStore || m.record.Revision.Era == m.era {
 				return
 			}
 			m.deliver(x, modelAnswer{m.now, m.era, m.record})
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -105,12 +105,17 @@
 	// and with ErrRestored if the store is in a later era than the given one.
 	UpdateRecord(ctx context.Context, era uint64, r Record) (Record, error)
 	Registrations(ctx context.Context) ([]Registration, error)
-	// StaleRegistrations returns registrations that may be seconds old.
-	StaleRegistrations(ctx context.Context) ([]Registration, error)
+	// StaleRegistrations returns registrations that may be seconds old, and the
+	// revision of the whole store that they are from.
+	StaleRegistrations(ctx context.Context) ([]Registration, revision.Revision, error)
 	// Register creates or replaces a registration and returns it with its
 	// revision.
 	Register(ctx context.Context, r Registration) (Registration, error)
-	Unregister(ctx context.Context, instance string) error
+	// Unregister removes the registration of an instance if it has the revision. The
+	// removal may take effect seconds later if no response arrives. If the
+	// registration has another revision, Unregister fails with ErrConflict and
+	// returns it.
+	Unregister(ctx context.Context, instance string, at revision.Revision) (Registration, error)
 }
 
 // Databases sends control commands to databases.
--- a/internal/primacy/record_cache.go
+++ b/internal/primacy/record_cache.go
@@ -1,6 +1,7 @@
 package primacy
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -201,6 +202,18 @@
 	c.notify()
 }
 
+// Unregistered notes that the store has lost the registration of the instance. No
+// primary may be used until SetIncarnation is called.
+func (c *RecordCache) Unregistered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registeredAt = math.MaxInt64
+	for _, s := range c.entries {
+		s.confirmedAt = 0
+	}
+	c.notify()
+}
+
 // SetEra notes that the instance is now registered in the given era. Lists that were
 // requested before confirm nothing. What was confirmed in an earlier era stays usable
 // for its validity.
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"time"
+
+	"geraniumbeam/internal/revision"
 )
 
 // publishLoop writes this instance's registration whenever it has changed.
@@ -70,6 +74,61 @@
 	}
 }
 
+// Unregister removes the registration of this instance, which must no longer use any
+// primary. Run must have ended: otherwise it may register again.
+//
+// The call names the revision of the registration. If its response is lost it may be
+// executed seconds later, when the process has been started again and has registered:
+// a removal without the revision then leaves a running instance without registration,
+// and promoters don't wait for it.
+func (r *Runner) Unregister(ctx context.Context) {
+	r.mu.Lock()
+	at, era := r.reg.Revision, r.era.number
+	r.mu.Unlock()
+	for {
+		if at.IsZero() || at.Era != era {
+			return // not registered in this era; the next process takes over what a late write may leave
+		}
+		found, err := r.cfg.Store.Unregister(ctx, r.cfg.Instance, at)
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, ErrConflict) && r.isOwn(found) && found.Revision != at:
+			at, era = found.Revision, found.Revision.Era // of a write whose response was lost
+		default:
+			r.log.Warn().Err(err).Stringer("revision", at).Str("found", found.Incarnation).Msg("Removing the registration failed.")
+			return
+		}
+	}
+}
+
+// isOwn reports whether this process wrote a registration, under its first incarnation
+// or one that followed an exclusion.
+func (r *Runner) isOwn(reg Registration) bool {
+	return reg.Incarnation == r.cfg.Incarnation || strings.HasPrefix(reg.Incarnation, r.cfg.Incarnation+incarnationSeparator)
+}
+
+// incarnationSeparator separates the incarnation of the process from the number of its
+// registration after an exclusion.
+const incarnationSeparator = "+"
+
+// checkRegistration compares a list of the registrations, which the store had at a
+// revision, with this instance's own. If the store has lost it, no primary may be used
+// until the instance has registered again: promoters don't wait for it.
+func (r *Runner) checkRegistration(registered []Registration, at revision.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.reg.Revision
+	if r.published.incarnation == "" || known.Era != at.Era || at.Before(known) || slices.ContainsFunc(registered, r.isOwn) {
+		return
+	}
+	r.log.Error().Stringer("revision", known).Stringer("list", at).
+		Msg("The store has lost the registration of this instance. It uses no primary until it has registered again.")
+	r.published = publishedState{}
+	r.cfg.Cache.Unregistered()
+	r.markDirty()
+}
+
 func (r *Runner) isRegistered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,7 +153,7 @@
 	waits := []time.Duration{0, secondListDelay}
 	for wait := time.Duration(0); r.awaitListTime(ctx, wait) == nil; {
 		cctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		registered, err := r.cfg.Store.StaleRegistrations(cctx)
+		registered, at, err := r.cfg.Store.StaleRegistrations(cctx)
 		cancel()
 		wait = instancesInterval
 		if len(waits) > 1 {
@@ -105,12 +164,13 @@
 			wait = maxBackoff
 			continue
 		}
+		r.checkRegistration(registered, at)
 		if len(registered) == 0 {
 			wait = emptyListDelay // the upstreams are not known yet
 			continue
 		}
-		if era := registered[0].Revision.Era; r.isRegistered() && era > r.StoreEra() {
-			r.observeEra(era) // the next list is due when all have registered again
+		if r.isRegistered() && at.Era > r.StoreEra() {
+			r.observeEra(at.Era) // the next list is due when all have registered again
 			continue
 		}
 		r.setInstances(ctx, registered)
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -301,7 +301,7 @@
 	}
 	if slices.Contains(rec.Excluded, r.reg.Incarnation) {
 		r.reregistrations++
-		r.reg.Incarnation = r.cfg.Incarnation + "+" + strconv.Itoa(r.reregistrations)
+		r.reg.Incarnation = r.cfg.Incarnation + incarnationSeparator + strconv.Itoa(r.reregistrations)
 		r.markDirty()
 	}
 }
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -119,14 +119,6 @@
 	return r.instanceCount
 }
 
-// Unregister removes the registration of this instance, which must no longer use
-// any primary.
-func (r *Runner) Unregister(ctx context.Context) {
-	if err := r.cfg.Store.Unregister(ctx, r.cfg.Instance); err != nil {
-		r.log.Warn().Err(err).Msg("Removing the registration failed.")
-	}
-}
-
 func (r *Runner) incarnation() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -180,12 +180,30 @@
 	case r.Method == http.MethodPut:
 		s.writeObject(w, kind, name, o, false)
 	case r.Method == http.MethodDelete:
-		s.Remove(kind, name)
+		s.deleteObject(w, kind, name, r.URL.Query().Get("revision"))
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// deleteObject removes an object. With a revision it fails if the object has another
+// one.
+func (s *Store) deleteObject(w http.ResponseWriter, kind, name, revision string) {
+	s.mu.Lock()
+	old, exists := s.objects[kind][name]
+	status, answer := http.StatusOK, any(nil)
+	switch {
+	case !exists:
+		status = http.StatusNotFound
+	case revision != "" && revision != strconv.FormatUint(old.Meta.Revision, 10):
+		status, answer = http.StatusConflict, old
+	default:
+		s.remove(kind, name)
+	}
+	s.mu.Unlock()
+	reply(w, status, answer)
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
