primacy: promote only when the logs include every acknowledged commit

Cause: a promoter fenced the replicas once and chose among those that answered within 0.4 s. The slow replica that alone had the commits was left out: the absence of its answer counted as if it had nothing to add. sync_replicas of the configuration was not read.

Ruled out: the order of the candidates (the furthest log that answered is taken); a missing confirmation of an instance (all had confirmed); a replica that goes on receiving (it is fenced).

Without sync_replicas one answer suffices as before. internal/failover already needs a majority of the databases.

--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -305,3 +305,11 @@
 	}
 	return members
 }
+
+// Lapsed implements primacy.Databases.
+func (s *Set) Lapsed(service string) []string { return s.cfg.Topology.Lapsed(service) }
+
+// SyncReplicas implements primacy.Databases.
+func (s *Set) SyncReplicas(service string) int {
+	return s.cfg.Topology.Snapshot().Services[service].SyncReplicas
+}
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -105,12 +105,15 @@
 	tokens          []uint64
 	promotionFails  bool // promotions fail without an effect
 	promotionStalls bool // promotions are accepted without an effect
+	syncReplicas    int
+	lapsed          []string       // members whose registrations have lapsed
+	unanswered      map[string]int // further PAUSE commands that a database does not answer
 }
 
 func newFakeGroup() *fakeGroup {
 	g := &fakeGroup{
 		status: map[string]statement.Status{}, stopped: map[string]bool{}, unreachableFrom: map[string]bool{},
-		cut: map[[2]string]bool{}, notRunning: map[string]bool{},
+		cut: map[[2]string]bool{}, notRunning: map[string]bool{}, unanswered: map[string]int{},
 	}
 	for i, id := range []string{"db-1", "db-2", "db-3"} {
 		g.members = append(g.members, Member{ID: id, Primary: i == 0})
@@ -201,6 +204,10 @@
 	if !v.reaches(id) {
 		return statement.Status{}, errNetwork
 	}
+	if c.Op == statement.OpPause && v.unanswered[id] > 0 {
+		v.unanswered[id]--
+		return statement.Status{}, errNetwork
+	}
 	s := v.status[id]
 	switch c.Op {
 	case statement.OpPause:
@@ -231,6 +238,18 @@
 	return slices.Clone(v.members)
 }
 
+func (v databaseView) Lapsed(string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.lapsed)
+}
+
+func (v databaseView) SyncReplicas(string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.syncReplicas
+}
+
 // instance is a runner with its record cache.
 type instance struct {
 	runner       *Runner
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -116,12 +116,19 @@
 	if err != nil {
 		return err
 	}
-	observed := r.fenceReplicas(ctx, rec)
-	if done, ok := r.findLeader(ctx, rec); ok {
-		return r.completeReplacement(ctx, rec, done, excluded)
+	logs, err := r.gatherLogs(ctx, rec)
+	if err != nil {
+		return err
+	}
+	if logs.leader != nil {
+		return r.completeReplacement(ctx, rec, *logs.leader, excluded)
 	}
-	for _, c := range OrderCandidates(observed, len(excluded) > len(rec.Excluded)) {
-		rec.Candidate = c.ID
+	candidates := OrderCandidates(logs.answered, len(excluded) > len(rec.Excluded))
+	if r.cfg.Databases.SyncReplicas(rec.Service) > 0 {
+		candidates = withLongestLog(candidates)
+	}
+	for _, c := range candidates {
+		rec.Candidate, rec.Attempted = c.ID, true
 		if rec, err = r.writeRecord(ctx, rec.Revision.Era, rec); err != nil {
 			return err
 		}
@@ -186,7 +193,7 @@
 // the latter counts. It returns the incarnations that have not confirmed.
 func (r *Runner) fenceUntilQuorum(ctx context.Context, rec Record, direct *stopTracker) ([]string, error) {
 	for {
-		fenced := r.fenceReplicas(ctx, rec)
+		fenced := r.fenceReplicas(ctx, rec, controlTimeout, nil)
 		missing, err := r.awaitStopped(ctx, rec, direct, func(time.Duration) time.Duration { return fenceRetryDelay })
 		if err != nil || (len(missing) == 0 && !rec.Unsettled) || len(fenced) >= fenceQuorumSize(r.countOthers(rec)) {
 			return missing, err
@@ -257,18 +264,24 @@
 	}
 }
 
-// fenceReplicas pauses all replicas at the next term, so that they stop receiving
-// from the former primary, and returns their status. A fenced replica keeps an
-// instance that asks it from extending the use of the former primary.
-func (r *Runner) fenceReplicas(ctx context.Context, rec Record) []MemberStatus {
-	return r.broadcast(ctx, rec, func(m Member) (statement.Command, bool) {
-		return statement.Command{Op: statement.OpPause, Term: rec.Term + 1}, m.ID != rec.Primary
+// fenceReplicas pauses the replicas, except those in done, at the next term, so that they
+// stop receiving from the former primary, and returns their status. A fenced replica keeps
+// an instance that asks it from extending the use of the former primary.
+func (r *Runner) fenceReplicas(ctx context.Context, rec Record, timeout time.Duration, done map[string]MemberStatus) []MemberStatus {
+	return r.broadcastWithin(ctx, rec, timeout, func(m Member) (statement.Command, bool) {
+		_, skip := done[m.ID]
+		return statement.Command{Op: statement.OpPause, Term: rec.Term + 1}, m.ID != rec.Primary && !skip
 	})
 }
 
 // broadcast sends a control command to the databases that command selects, in
 // parallel, and returns the status of those that answered.
 func (r *Runner) broadcast(ctx context.Context, rec Record, command func(Member) (statement.Command, bool)) []MemberStatus {
+	return r.broadcastWithin(ctx, rec, controlTimeout, command)
+}
+
+// broadcastWithin is broadcast with a time-out for each command.
+func (r *Runner) broadcastWithin(ctx context.Context, rec Record, timeout time.Duration, command func(Member) (statement.Command, bool)) []MemberStatus {
 	var (
 		mu       sync.Mutex
 		wg       sync.WaitGroup
@@ -280,7 +293,7 @@
 			continue
 		}
 		wg.Go(func() {
-			s, err := r.cfg.Databases.Control(ctx, rec.Service, m.ID, c, controlTimeout)
+			s, err := r.cfg.Databases.Control(ctx, rec.Service, m.ID, c, timeout)
 			if err != nil {
 				r.log.Warn().Str("service", rec.Service).Str("database", m.ID).Err(err).Msg("A database did not answer a control command.")
 				return
@@ -372,7 +385,7 @@
 // the other replicas receive again.
 func (r *Runner) completeReplacement(ctx context.Context, rec Record, l leader, excluded []string) error {
 	former := rec.Primary
-	rec.Phase, rec.Primary, rec.Term, rec.Candidate, rec.Excluded = Serving, l.id, l.term, "", excluded
+	rec.Phase, rec.Primary, rec.Term, rec.Candidate, rec.Attempted, rec.Excluded = Serving, l.id, l.term, "", false, excluded
 	rec.Unsettled = false // no instance that the store does not know of uses an earlier record
 	rec, err := r.writeRecord(ctx, rec.Revision.Era, rec)
 	if err != nil {
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -49,6 +49,9 @@
 	Promoter string
 	// Candidate is the database that the promoter is about to promote.
 	Candidate string
+	// Attempted means that a promotion may have been requested since the primary was
+	// last in use, by this promoter or an earlier one. It may still take effect.
+	Attempted bool
 	// Planned means that this is a switchover: the former primary works and is
 	// leaving.
 	Planned bool
@@ -129,6 +132,12 @@
 	UnresponsiveSince(service, id string) (time.Duration, bool)
 	// Members returns the known databases of a service.
 	Members(service string) []Member
+	// Lapsed returns the ids of databases that were members lately, did not leave, and
+	// may still have commits that no member has.
+	Lapsed(service string) []string
+	// SyncReplicas returns how many replicas have received a commit when the primary
+	// of the service acknowledges it.
+	SyncReplicas(service string) int
 }
 
 // Member is a database that may become primary.
--- a/internal/primacy/restore.go
+++ b/internal/primacy/restore.go
@@ -187,7 +187,7 @@
 // write fails, the next check finds out whether it took effect.
 func (r *Runner) writeEstablished(ctx context.Context, era uint64, rec Record) {
 	rec.Token, rec.Phase, rec.Promoter = nextToken(era, rec.Token), Serving, r.incarnation()
-	rec.Candidate, rec.Planned, rec.Unsettled = "", false, true
+	rec.Candidate, rec.Attempted, rec.Planned, rec.Unsettled = "", false, false, true
 	done, err := r.storeRecord(ctx, era, rec)
 	if err != nil {
 		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Err(err).Msg("Writing the record of a service again failed.")
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -39,6 +39,9 @@
 type Service struct {
 	Name           string
 	MaxConnections int // to one database, over all instances
+	// SyncReplicas is the number of replicas that have received a commit when the
+	// primary acknowledges it.
+	SyncReplicas int
 }
 
 // Configuration is what the operators set.
@@ -100,11 +103,23 @@
 	removedAt    time.Duration
 }
 
+// lapsedRetention is how long a database counts as a member of its service after its
+// registration disappeared although it was not leaving. One that crashed is back within
+// seconds, with its log; one that is gone for good must not block its service for ever.
+const lapsedRetention = 30 * time.Second
+
+// lapse describes a database whose registration disappeared although it was not leaving.
+type lapse struct {
+	service   string
+	removedAt time.Duration
+}
+
 // Topology is the state of one instance. It is safe for concurrent use.
 type Topology struct {
 	mu       sync.Mutex
 	entries  map[string]entry
 	departed map[string]departure // by id; databases that were removed while leaving
+	lapsed   map[string]lapse     // by id; databases that were removed while they were not leaving
 	listed   bool                 // whether the registrations were listed at least once
 	changed  chan struct{}        // closed at each change
 
@@ -119,7 +134,7 @@
 
 // New returns an empty topology.
 func New() *Topology {
-	t := &Topology{entries: make(map[string]entry), departed: make(map[string]departure), changed: make(chan struct{})}
+	t := &Topology{entries: make(map[string]entry), departed: make(map[string]departure), lapsed: make(map[string]lapse), changed: make(chan struct{})}
 	t.current.Store(&Snapshot{})
 	return t
 }
@@ -168,6 +183,7 @@
 		d.Leaving, d.leavingSince = true, since
 	}
 	t.entries[d.ID] = entry{Database: d}
+	delete(t.lapsed, d.ID)
 }
 
 // leavingSince returns since when a database is known to leave, and whether it is,
@@ -235,9 +251,12 @@
 			delete(t.entries, id)
 			if e.Leaving {
 				t.departed[id] = departure{e.StartMillis, e.leavingSince, now}
+			} else {
+				t.lapsed[id] = lapse{e.Service, now}
 			}
 		}
 	}
+	maps.DeleteFunc(t.lapsed, func(_ string, l lapse) bool { return now-l.removedAt > lapsedRetention })
 	for id, gone := range t.departed {
 		if now-gone.removedAt > departedRetention {
 			delete(t.departed, id)
@@ -249,6 +268,20 @@
 	return removed
 }
 
+// Lapsed returns the ids of the databases of a service whose registrations disappeared
+// within lapsedRetention although they were not leaving.
+func (t *Topology) Lapsed(service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for id, l := range t.lapsed {
+		if l.service == service {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // StoreUnavailable restarts the RemovalDelay of all missing registrations,
 // because they can't reappear while the store is unavailable.
 func (t *Topology) StoreUnavailable(now time.Duration) {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -95,3 +96,32 @@
 		t.Errorf("departures are remembered for ever: %v", tp.departed)
 	}
 }
+
+// Guards against a database that no longer counts as a member of its service because it
+// crashed: it comes back with its log. One that left has handed its log over.
+func TestLapsedDatabaseIsRemembered(t *testing.T) {
+	topo := New()
+	crashed, left := Database{ID: "db-1", Service: "ledger"}, Database{ID: "db-2", Service: "ledger", Leaving: true}
+	topo.Replace([]Database{crashed, left}, time.Second)
+	topo.Replace(nil, 2*time.Second)
+	at := 2*time.Second + RemovalDelay
+	topo.Expire(at)
+	if got := topo.Lapsed("ledger"); !slices.Equal(got, []string{"db-1"}) {
+		t.Errorf("lapsed: %v, want db-1", got)
+	}
+	topo.Expire(at + lapsedRetention)
+	if got := topo.Lapsed("ledger"); len(got) != 1 {
+		t.Errorf("lapsed at the end of the retention: %v", got)
+	}
+	topo.Expire(at + lapsedRetention + 1)
+	if got := topo.Lapsed("ledger"); len(got) != 0 {
+		t.Errorf("lapsed after the retention: %v", got)
+	}
+	topo.Replace([]Database{crashed}, at)
+	topo.Replace(nil, at)
+	topo.Expire(at + RemovalDelay)
+	topo.Register(crashed, at+RemovalDelay)
+	if got := topo.Lapsed("ledger"); len(got) != 0 {
+		t.Errorf("lapsed after its return: %v", got)
+	}
+}
