--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -50,6 +50,7 @@
 	log.Info().Str("part", "main").Str("version", version.String()).Interface("settings", s).Msg("Starting.")
 
 	store := platform.NewStore(s.Store)
+	store.Log = log.With().Str("part", "store").Logger()
 	promoter := platform.NewPromotionClient(s.Promotions)
 	go watchSettings(stop, path, raw, log, hangups, store, promoter)
 
--- a/internal/primacy/logs_test.go
+++ b/internal/primacy/logs_test.go
@@ -186,8 +186,14 @@
 		others, sync int
 		want         bool
 	}{
-		{two, 2, 1, true}, {two[:1], 2, 1, false}, {two, 3, 1, false}, {two, 3, 2, true}, {two[:1], 2, 2, true},
-		{two[:1], 2, 0, true}, {nil, 2, 0, false}, {nil, 0, 1, false},
+		{two, 2, 1, true},
+		{two[:1], 2, 1, false},
+		{two, 3, 1, false},
+		{two, 3, 2, true},
+		{two[:1], 2, 2, true},
+		{two[:1], 2, 0, true},
+		{nil, 2, 0, false},
+		{nil, 0, 1, false},
 	} {
 		if got := LogsSuffice(rec, c.answered, c.others, c.sync); got != c.want {
 			t.Errorf("%d answers of %d, %d synchronous: %v, want %v", len(c.answered), c.others, c.sync, got, c.want)
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -24,7 +24,7 @@
 func HasQuorum(registered []Registration, excluded []string, service string, token uint64) bool {
 	suspects, all := 0, 0
 	for _, r := range registered {
-		if slices.Contains(excluded, r.Incarnation) {
+		if r.Unreadable || slices.Contains(excluded, r.Incarnation) {
 			continue
 		}
 		all++
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -79,6 +79,9 @@
 	// Suspects holds, by service, the token under which the instance can't
 	// reach the primary.
 	Suspects map[string]uint64
+	// Unreadable means that the store has a registration which can't be decoded.
+	// Promoters wait for its validity; it counts in no quorum.
+	Unreadable bool
 }
 
 // Errors of a Store. After any other error the change may or may not have been
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -165,6 +165,7 @@
 			continue
 		}
 		r.checkRegistration(registered, at)
+		registered = slices.DeleteFunc(registered, func(reg Registration) bool { return reg.Unreadable })
 		if len(registered) == 0 {
 			wait = emptyListDelay // the upstreams are not known yet
 			continue
--- a/internal/topology/listing.go
+++ b/internal/topology/listing.go
@@ -99,8 +99,9 @@
 // apply puts a listing in use that was current at the given time. s.mu is held.
 func (s *Syncer) apply(l *Listing, currentAt time.Duration) {
 	s.applyConfiguration(l.Configuration)
-	s.reportChanges(l.Databases, l.DatabasesRevision)
-	s.Topology.Replace(l.Databases, s.Now())
+	databases := usable(l.Databases)
+	s.reportChanges(databases, l.DatabasesRevision)
+	s.Topology.Replace(databases, s.Now())
 	s.listing, s.currentAt = l, max(s.currentAt, currentAt)
 	s.needed, s.ignoring = false, false
 	s.signal()
--- a/internal/topology/listing_test.go
+++ b/internal/topology/listing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,21 +18,52 @@
 	revision revision.Revision
 	leaving  bool
 	version  uint64 // of the configuration
+	invalid  bool   // the configuration can't be decoded
 	err      error
 }
 
 func (f *fakeSource) Databases(context.Context) ([]Database, revision.Revision, []error, error) {
 	f.lists++
-	return []Database{{ID: "db-1", Service: "ledger", Leaving: f.leaving}}, f.revision, nil, f.err
+	d := db("db-1")
+	d.Leaving = f.leaving
+	return []Database{d}, f.revision, nil, f.err
 }
 
 func (f *fakeSource) Configuration(context.Context) (Configuration, revision.Revision, error) {
+	if f.invalid {
+		return Configuration{}, f.revision, fmt.Errorf("%w: odd", ErrInvalidConfiguration)
+	}
 	return Configuration{Version: f.version}, f.revision, f.err
 }
 
 // rev returns a revision of the first era.
 func rev(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
 
+// Guards against databases that are no longer followed, and a configuration that is
+// withdrawn, because the stored one can't be decoded.
+func TestInvalidConfigurationCostsNoDatabase(t *testing.T) {
+	s := newTestSyncer()
+	s.source.version, s.source.revision = 4, rev(10)
+	s.listed(t)
+	s.source.invalid, s.source.leaving, s.source.revision = true, true, rev(11)
+	l := s.listed(t)
+	if l.Configuration.Version != 4 || !l.Databases[0].Leaving || l.DatabasesRevision != rev(11) {
+		t.Errorf("listing %+v, want configuration 4 and a leaving database", l)
+	}
+}
+
+// Guards against a database without usable address that an instance of another release
+// passes on, and that counts in the quorums of its service.
+func TestUnusableDatabaseIsNotAdopted(t *testing.T) {
+	s := newTestSyncer()
+	odd, noService := db("db-2"), db("db-3")
+	odd.Address, noService.Service = "10.0.0.1:70000", ""
+	s.Adopt(&Listing{Databases: []Database{odd, db("db-1"), noService}, DatabasesRevision: rev(3), Content: 5}, s.Now())
+	if got := s.Topology.Snapshot().Databases["ledger"]; len(got) != 1 || got[0].ID != "db-1" {
+		t.Errorf("databases %+v, want db-1", got)
+	}
+}
+
 // testSyncer is a syncer whose clock the test sets.
 type testSyncer struct {
 	*Syncer
--- a/internal/topology/syncer.go
+++ b/internal/topology/syncer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -33,9 +34,13 @@
 	expireInterval = 250 * time.Millisecond
 )
 
+// ErrInvalidConfiguration means that the stored configuration can't be used.
+var ErrInvalidConfiguration = errors.New("invalid configuration")
+
 // Source returns the registrations and the configuration, each with the store's
 // revision at that time. Registrations that can't be decoded are reported in
-// damaged and left out of all.
+// damaged and left out of all. Configuration fails with ErrInvalidConfiguration if the
+// store answers and its configuration can't be used.
 type Source interface {
 	Databases(ctx context.Context) (all []Database, at revision.Revision, damaged []error, err error)
 	Configuration(ctx context.Context) (Configuration, revision.Revision, error)
@@ -162,6 +167,10 @@
 	defer cancel()
 	asked := s.Now()
 	c, configured, err := s.Source.Configuration(ctx)
+	if errors.Is(err, ErrInvalidConfiguration) {
+		s.reportDamaged([]error{err}) // the one in force stays, and the databases are listed all the same
+		c, err = Configuration{}, nil
+	}
 	if err != nil {
 		return err
 	}
@@ -203,13 +212,19 @@
 	}
 }
 
-// reportDamaged logs each registration that can't be decoded, once per error
-// text.
+// maxReportedDamage bounds the remembered errors.
+const maxReportedDamage = 256
+
+// reportDamaged logs each registration or configuration that can't be decoded, once
+// per error text.
 func (s *Syncer) reportDamaged(damaged []error) {
 	for _, err := range damaged {
 		if text := err.Error(); !s.reportedDamage[text] {
+			if len(s.reportedDamage) >= maxReportedDamage {
+				clear(s.reportedDamage) // another writer may change its entry again and again
+			}
 			s.reportedDamage[text] = true
-			s.Log.Warn().Err(err).Msg("A registration can't be decoded and is ignored.")
+			s.Log.Warn().Err(err).Msg("An entry of the store can't be decoded and is ignored.")
 		}
 	}
 }
