primacy: promote no database that missed the last term

Cause: a promoter takes the furthest log among those that answer; nothing compared the term that a database follows with the record's. A former primary that was cut off during a term led the next one with its old log.

Ruled out: a late promotion call (one promotion for each term); reads at the revived database before its promotion.

Only a database that followed the term may be promoted, for 7 s; the former primary stays in place if it returns. A waiting promoter writes the record each second, so that no other takes over.

TestDatabaseThatMissedATermIsNotPromoted and TestPromotableDatabasesFollowedTheTerm need the rule.

--- a/internal/primacy/logs.go
+++ b/internal/primacy/logs.go
@@ -20,6 +20,12 @@
 // counts as shorter, so the longest has them all. All others count: also those whose
 // registration has lapsed, because a database that crashed comes back with its log. One
 // that holds nothing may have lost its log and proves nothing.
+//
+// A database that has not followed the term of the former primary missed a whole change of
+// primary. What it has beyond the start of that term was rolled back there, and readers
+// were shown that it does not exist; a promotion would bring it back, and lose all commits
+// of the term. So it is promoted only if no other database, nor the former primary,
+// answers within missedTermTimeout.
 
 const (
 	// slowControlTimeout bounds the repetition of a control command to a database that
@@ -30,11 +36,42 @@
 	// a former primary in place that answers it. A replica that is five times slower
 	// than usual answers within it in nine of ten cases.
 	reinstateDelay = 1 * time.Second
-	// waitReportInterval is the interval between two log lines of a promoter that waits
-	// for logs.
+	// missedTermTimeout is how long a promoter waits for a database that followed the
+	// former primary's term before it promotes one that did not. Primaries that crashed
+	// are back with their logs within 7 s.
+	missedTermTimeout = 7 * time.Second
+	// waitReportInterval is the interval at which a promoter that waits for logs logs
+	// that, and shows in the record that it is at work.
 	waitReportInterval = 1 * time.Second
 )
 
+// Reasons for which a promoter waits.
+const (
+	tooFewLogs = "too few databases have answered to promote one without losing commits"
+	missedTerm = "the databases that answered missed the last change of primary"
+)
+
+// Promotable returns the databases that may be promoted, given those that answered out of a
+// number of databases other than the primary of rec, and how long the promoter has waited.
+// If there is none yet, it says why.
+func Promotable(rec Record, answered []MemberStatus, others, syncReplicas int, waited time.Duration) (candidates []MemberStatus, reason string) {
+	if !LogsSuffice(rec, answered, others, syncReplicas) {
+		return nil, tooFewLogs
+	}
+	candidates = answered
+	if syncReplicas > 0 {
+		candidates = withLongestLog(answered)
+	}
+	current := slices.DeleteFunc(slices.Clone(candidates), func(o MemberStatus) bool { return o.Status.Term < rec.Term })
+	switch {
+	case len(current) > 0:
+		return current, ""
+	case waited < missedTermTimeout:
+		return nil, missedTerm
+	}
+	return candidates, ""
+}
+
 // LogsSuffice reports whether the logs of the databases that answered, out of a number of
 // databases other than the primary, include every commit that the primary of rec has
 // acknowledged to a service with the given number of synchronous replicas. Without
@@ -69,54 +106,59 @@
 
 // gatheredLogs is what a promoter found out about the databases of a service.
 type gatheredLogs struct {
-	leader   *leader // a database that leads already; nil if there is none
-	answered []MemberStatus
+	rec        Record         // as written last
+	leader     *leader        // a database that leads already; nil if there is none
+	candidates []MemberStatus // databases that may be promoted
 }
 
-// gatherLogs fences the replicas until their logs suffice for a promotion, or until a
-// database leads. The former primary, which no instance uses any more, has every commit: if
-// it answers, a log that is as long suffices. If there is none and no promotion was
+// gatherLogs fences the replicas until one may be promoted, or until a database leads. The
+// former primary, which no instance uses any more, has every commit: if it answers, a
+// replica whose log is as long may be promoted. If there is none and no promotion was
 // requested, it stays in place.
 func (r *Runner) gatherLogs(ctx context.Context, rec Record) (gatheredLogs, error) {
 	answered := make(map[string]MemberStatus)
 	timeout := controlTimeout
-	began, reported := r.cfg.Now(), time.Duration(0)
+	began := r.cfg.Now()
+	reported := began
 	for {
 		for _, o := range r.fenceReplicas(ctx, rec, timeout, answered) {
 			answered[o.ID] = o
 		}
-		g := gatheredLogs{answered: slices.Collect(maps.Values(answered))}
+		all := slices.Collect(maps.Values(answered))
 		if l, ok := r.findLeader(ctx, rec); ok {
-			g.leader = &l
-			return g, nil
-		}
-		others, syncReplicas := r.countMayHaveCommits(rec), r.cfg.Databases.SyncReplicas(rec.Service)
-		if LogsSuffice(rec, g.answered, others, syncReplicas) {
-			return g, nil
+			return gatheredLogs{rec: rec, leader: &l}, nil
 		}
-		if syncReplicas > 0 {
-			timeout = slowControlTimeout
+		others, syncReplicas, waited := r.countMayHaveCommits(rec), r.cfg.Databases.SyncReplicas(rec.Service), r.cfg.Now()-began
+		candidates, reason := Promotable(rec, all, others, syncReplicas, waited)
+		if reason == "" {
+			return gatheredLogs{rec: rec, candidates: candidates}, nil
 		}
 		if former, ok := r.statusOfLeader(ctx, rec); ok {
-			if reach := withLongestLog(g.answered); len(reach) > 0 && !reach[0].Status.Received.Before(former.Received) {
-				return g, nil
+			if reach := withLongestLog(all); len(reach) > 0 && !reach[0].Status.Received.Before(former.Received) {
+				return gatheredLogs{rec: rec, candidates: reach}, nil
 			}
-			if !rec.Attempted && r.cfg.Now()-began >= reinstateDelay {
-				g.leader = &leader{rec.Primary, rec.Term}
-				return g, nil
+			if !rec.Attempted && waited >= reinstateDelay {
+				return gatheredLogs{rec: rec, leader: &leader{rec.Primary, rec.Term}}, nil
 			}
 		}
-		if now := r.cfg.Now(); reported == 0 || now-reported >= waitReportInterval {
-			reported = now
-			r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Int("answered", len(answered)).Int("databases", others).
-				Int("sync_replicas", syncReplicas).Dur("waited_ms", now-began).
-				Msg("Too few databases have answered to promote one without losing commits.")
+		if r.cfg.Now()-reported >= waitReportInterval {
+			reported = r.cfg.Now()
+			r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Str("reason", reason).Int("answered", len(answered)).
+				Int("databases", others).Int("sync_replicas", syncReplicas).Dur("waited_ms", waited).Msg("No database may be promoted yet.")
+			rec.Progress++
+			var err error
+			if rec, err = r.writeRecord(ctx, rec.Revision.Era, rec); err != nil {
+				return gatheredLogs{}, err
+			}
 		}
 		if err := sleep(ctx, fenceRetryDelay); err != nil {
-			return g, err
+			return gatheredLogs{}, err
 		}
 		if !r.holds(rec) {
-			return g, errRecordTaken
+			return gatheredLogs{}, errRecordTaken
+		}
+		if syncReplicas > 0 {
+			timeout = slowControlTimeout
 		}
 	}
 }
--- a/internal/primacy/logs_test.go
+++ b/internal/primacy/logs_test.go
@@ -74,6 +74,76 @@
 	}
 }
 
+// newRevivedGroup returns a group whose primary, db-1, leads term 2, which the others have
+// missed.
+func newRevivedGroup() *fakeGroup {
+	g := newFakeGroup()
+	g.set("db-1", func(s *statement.Status) { s.Term, s.Received = 2, statement.Position{Term: 2, Number: 8} })
+	return g
+}
+
+// Guards against the promotion of a database that missed the term of the primary which
+// crashed: it loses the commits of that term and brings rolled back ones to life
+// (review/4).
+func TestDatabaseThatMissedATermIsNotPromoted(t *testing.T) {
+	store, g := newFakeStore(), newRevivedGroup()
+	all := startInstances(t, store, g, "a", "b")
+	g.stop("db-1")
+	eventually(t, "the replacement begins", func() bool { return store.record().Phase == Replacing })
+	token := store.record().Token
+	time.Sleep(takeoverTimeout)
+	g.start("db-1")
+	eventually(t, "db-1 leads", func() bool { return store.record().Phase == Serving && allUse(all, "db-1")() })
+	if promoted, _ := g.promotions(); len(promoted) != 0 {
+		t.Errorf("promoted %v", promoted)
+	}
+	if r := store.record(); r.Token != token {
+		t.Errorf("token %d became %d: another instance took over while the promoter was at work", token, r.Token)
+	}
+}
+
+// Guards against a service that stays without primary for ever because the one that
+// followed the last term is gone for good.
+func TestDatabaseThatMissedATermIsPromotedAtLast(t *testing.T) {
+	store, g := newFakeStore(), newRevivedGroup()
+	all := startInstances(t, store, g, "a", "b")
+	g.stop("db-1")
+	eventually(t, "db-2 leads", allUse(all, "db-2"))
+}
+
+// Guards against a promotion by the length of the log alone, and against a wait although
+// a database has followed the term.
+func TestPromotableDatabasesFollowedTheTerm(t *testing.T) {
+	rec := Record{Primary: "db-1", Term: 5}
+	status := func(id string, term, number uint64) MemberStatus {
+		return MemberStatus{Member{ID: id}, statement.Status{Term: term, HeldTerm: 6, Received: statement.Position{Term: term, Number: number}}}
+	}
+	missed, follows, ahead := status("db-2", 4, 90), status("db-3", 5, 70), status("db-4", 5, 80)
+	for name, c := range map[string]struct {
+		answered []MemberStatus
+		sync     int
+		waited   time.Duration
+		want     []string
+		reason   string
+	}{
+		"one follows":                 {[]MemberStatus{missed, follows}, 0, 0, []string{"db-3"}, ""},
+		"none follows":                {[]MemberStatus{missed}, 0, missedTermTimeout - 1, nil, missedTerm},
+		"none follows for long":       {[]MemberStatus{missed}, 0, missedTermTimeout, []string{"db-2"}, ""},
+		"none answers":                {nil, 0, missedTermTimeout, nil, tooFewLogs},
+		"synchronous, one is missing": {[]MemberStatus{missed, ahead}, 1, missedTermTimeout, nil, tooFewLogs},
+		"synchronous, all answer":     {[]MemberStatus{missed, follows, ahead}, 1, 0, []string{"db-4"}, ""},
+	} {
+		got, reason := Promotable(rec, c.answered, 3, c.sync, c.waited)
+		var ids []string
+		for _, o := range got {
+			ids = append(ids, o.ID)
+		}
+		if !slices.Equal(ids, c.want) || reason != c.reason {
+			t.Errorf("%s: %v (%s), want %v (%s)", name, ids, reason, c.want, c.reason)
+		}
+	}
+}
+
 // logModel is a service in one term, with a primary and replicas that receive its log.
 type logModel struct {
 	rec      Record
@@ -118,10 +188,8 @@
 			answered = append(answered, MemberStatus{Member{ID: dbName(i + 1)}, *x.answered})
 		}
 	}
-	if !LogsSuffice(m.rec, answered, len(m.replicas), m.sync) {
-		return nil
-	}
-	return withLongestLog(OrderCandidates(answered, false))
+	candidates, _ := Promotable(m.rec, answered, len(m.replicas), m.sync, missedTermTimeout)
+	return candidates
 }
 
 // Guards against a promotion that loses an acknowledged commit of a service with
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -120,14 +120,12 @@
 	if err != nil {
 		return err
 	}
+	avoidNew := len(excluded) > len(rec.Excluded)
+	rec = logs.rec
 	if logs.leader != nil {
 		return r.completeReplacement(ctx, rec, *logs.leader, excluded)
 	}
-	candidates := OrderCandidates(logs.answered, len(excluded) > len(rec.Excluded))
-	if r.cfg.Databases.SyncReplicas(rec.Service) > 0 {
-		candidates = withLongestLog(candidates)
-	}
-	for _, c := range candidates {
+	for _, c := range OrderCandidates(logs.candidates, avoidNew) {
 		rec.Candidate, rec.Attempted = c.ID, true
 		if rec, err = r.writeRecord(ctx, rec.Revision.Era, rec); err != nil {
 			return err
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -52,6 +52,8 @@
 	// Attempted means that a promotion may have been requested since the primary was
 	// last in use, by this promoter or an earlier one. It may still take effect.
 	Attempted bool
+	// Progress grows while the promoter waits, so that others see that it is at work.
+	Progress uint64
 	// Planned means that this is a switchover: the former primary works and is
 	// leaving.
 	Planned bool
