dbpool: refuse control commands when the pools are closed

Cause: the pools of a closed set stayed in its map without their direct pool, and a renewal that was still asking databases used it, in a goroutine that nothing contained.

Change: a closed set has no pools, so that control commands fail; the goroutines of a broadcast contain a panic.

--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -281,3 +281,19 @@
 		t.Error("an instance that reaches the database offers no detour")
 	}
 }
+
+// Guards against a process that ends with a panic at the end of its shutdown, because a
+// renewal of the records still asks databases when the pools are closed.
+func TestClosedSetRefusesControlCommands(t *testing.T) {
+	x := newOversubscribedSet(t)
+	x.set.close()
+	for _, op := range []statement.Op{statement.OpStatus, statement.OpPause} {
+		_, err := x.set.Control(t.Context(), "ledger", "db-1", statement.Command{Op: op}, time.Second)
+		if !result.Is(err, result.DatabaseDown) {
+			t.Errorf("%s: error %v, want a database that is down", op, err)
+		}
+	}
+	if _, ok := x.set.Pool("db-1"); ok {
+		t.Error("the closed pool is still given out")
+	}
+}
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -235,6 +235,7 @@
 	for _, p := range s.pools {
 		p.close()
 	}
+	clear(s.pools) // control commands may still come, and now fail
 }
 
 // Status implements primacy.Databases.
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/statement"
 )
 
@@ -291,23 +292,34 @@
 			continue
 		}
 		wg.Go(func() {
-			s, err := r.cfg.Databases.Control(ctx, rec.Service, m.ID, c, timeout)
-			if err != nil {
-				r.log.Warn().Str("service", rec.Service).Str("database", m.ID).Err(err).Msg("A database did not answer a control command.")
-				return
-			}
-			r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Str("database", m.ID).Stringer("command", c.Op).
-				Uint64("command_term", c.Term).Bool("primary", s.Primary).Uint64("term", s.Term).Stringer("received", s.Received).
-				Uint64("held_term", s.HeldTerm).Uint64("lag_ms", s.LagMillis).Msg("A database answered a control command.")
-			mu.Lock()
-			defer mu.Unlock()
-			answered = append(answered, MemberStatus{m, s})
+			contain.Run(r.log, "control command", func() {
+				s, err := r.control(ctx, rec, m, c, timeout)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				answered = append(answered, MemberStatus{m, s})
+			})
 		})
 	}
 	wg.Wait()
 	return answered
 }
 
+// control sends a control command to a database and logs the outcome.
+func (r *Runner) control(ctx context.Context, rec Record, m Member, c statement.Command, timeout time.Duration) (statement.Status, error) {
+	s, err := r.cfg.Databases.Control(ctx, rec.Service, m.ID, c, timeout)
+	if err != nil {
+		r.log.Warn().Str("service", rec.Service).Str("database", m.ID).Err(err).Msg("A database did not answer a control command.")
+		return s, err
+	}
+	r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Str("database", m.ID).Stringer("command", c.Op).
+		Uint64("command_term", c.Term).Bool("primary", s.Primary).Uint64("term", s.Term).Stringer("received", s.Received).
+		Uint64("held_term", s.HeldTerm).Uint64("lag_ms", s.LagMillis).Msg("A database answered a control command.")
+	return s, nil
+}
+
 // findLeader returns a database that is already primary: one that an earlier
 // promoter promoted, or one that took over the former primary's log and term
 // under another id.
