standin: count a statement once it has read its service time

Cause, of the test: it set the service time to 0 once the slot was in use, which is before the write reads the service time.

Change: the test waits until the statement counts, and the stand-in counts it after it has read the service time. What the test demands is the same: the second write ends although the first one stays in its slot for an hour.

--- a/internal/standin/database/group_test.go
+++ b/internal/standin/database/group_test.go
@@ -224,8 +224,10 @@
 	mustExec(t, fast, `SELECT standin_set('service_time_us', 3600000000)`)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
+	before := db.statements.Load()
 	go func() { _, err := slow.Exec(ctx, `INSERT INTO track VALUES (1)`, pgx.QueryExecModeExec); done <- err }()
-	eventually(t, "the first write is in its slot", func() bool { db.slots.mu.Lock(); defer db.slots.mu.Unlock(); return db.slots.used == 1 })
+	// A statement counts once it has read its service time; a slot is in use before that.
+	eventually(t, "the first write is in its service time", func() bool { return db.statements.Load() > before })
 	mustExec(t, fast, `SELECT standin_set('service_time_us', 0)`)
 	mustExec(t, fast, `INSERT INTO track VALUES (2)`)
 	cancel()
--- a/internal/standin/database/statement.go
+++ b/internal/standin/database/statement.go
@@ -118,8 +118,9 @@
 		return err
 	}
 	defer s.slots.release()
+	service := loadDuration(&s.serviceTime)
 	s.statements.Add(1)
-	return sleep(ctx, loadDuration(&s.serviceTime)+extra)
+	return sleep(ctx, service+extra)
 }
 
 // runOnEngine executes a statement in the open write transaction, or else on the
