primacy: tell replicas again to receive after a replacement

RESUME was sent once when a replacement had ended.

Change: in the background, each 500 ms for 30 s, databases that have not answered are asked for their status, and those that are fenced are told again, as long as the record of the replacement is the latest one.

Ruled out: to tell them without a look at the record, which would lift the fence of a later promoter. Between the look and the command a new replacement may still begin; this window existed before.

Measured: TestReplicaThatMissedTheResumptionIsResumed passes; the fence stays without resumeOthers.

--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -108,6 +108,7 @@
 	syncReplicas    int
 	lapsed          []string       // members whose registrations have lapsed
 	unanswered      map[string]int // further PAUSE commands that a database does not answer
+	unresumed       int            // further RESUME commands that no database answers
 }
 
 func newFakeGroup() *fakeGroup {
@@ -208,6 +209,10 @@
 		v.unanswered[id]--
 		return statement.Status{}, errNetwork
 	}
+	if c.Op == statement.OpResume && v.unresumed > 0 {
+		v.unresumed--
+		return statement.Status{}, errNetwork
+	}
 	s := v.status[id]
 	switch c.Op {
 	case statement.OpPause:
--- a/internal/primacy/logs_test.go
+++ b/internal/primacy/logs_test.go
@@ -144,6 +144,19 @@
 	}
 }
 
+// Guards against a replica that stays fenced, and receives nothing until it is restarted,
+// because it did not answer the one command that makes it receive again.
+func TestReplicaThatMissedTheResumptionIsResumed(t *testing.T) {
+	store, g := newFakeStore(), newFakeGroup()
+	all := startInstances(t, store, g, "a", "b")
+	g.mu.Lock()
+	g.unresumed = 2
+	g.mu.Unlock()
+	g.stop("db-1")
+	eventually(t, "db-2 leads", allUse(all, "db-2"))
+	eventually(t, "db-3 is no longer fenced", func() bool { return g.get("db-3").HeldTerm == 0 })
+}
+
 // logModel is a service in one term, with a primary and replicas that receive its log.
 type logModel struct {
 	rec      Record
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -401,8 +402,12 @@
 	if err != nil {
 		return err
 	}
-	r.log.Info().Str("service", rec.Service).Str("database", l.id).Uint64("term", l.term).Uint64("token", rec.Token).Msg("A database was promoted.")
-	r.broadcast(ctx, rec, func(m Member) (statement.Command, bool) {
+	if l.id == former {
+		r.log.Warn().Str("service", rec.Service).Str("database", l.id).Uint64("term", l.term).Uint64("token", rec.Token).Msg("The former primary stays in place.")
+	} else {
+		r.log.Info().Str("service", rec.Service).Str("database", l.id).Uint64("term", l.term).Uint64("token", rec.Token).Msg("A database was promoted.")
+	}
+	answered := r.broadcast(ctx, rec, func(m Member) (statement.Command, bool) {
 		switch m.ID {
 		case l.id:
 			return statement.Command{}, false
@@ -411,9 +416,48 @@
 		}
 		return statement.Command{Op: statement.OpResume}, true
 	})
+	go contain.Run(r.log, "resumption of replicas", func() { r.resumeOthers(rec, answered) })
 	return nil
 }
 
+const (
+	// resumeInterval is the interval at which replicas are told to receive again that did
+	// not answer.
+	resumeInterval = 500 * time.Millisecond
+	// resumeTimeout is how long they are told. A replica that is out of reach for longer
+	// has been restarted in most cases, which also makes it receive again.
+	resumeTimeout = 30 * time.Second
+)
+
+// resumeOthers makes the replicas receive again that have not answered yet, as long as the
+// record is the latest one: a later promoter needs its own fences. A replica that stays
+// fenced receives nothing until it is restarted or promoted.
+func (r *Runner) resumeOthers(rec Record, answered []MemberStatus) {
+	ctx, cancel := context.WithTimeout(context.Background(), resumeTimeout)
+	defer cancel()
+	done := map[string]bool{rec.Primary: true}
+	for _, o := range answered {
+		done[o.ID] = true
+	}
+	for sleep(ctx, resumeInterval) == nil && r.holds(rec) && !r.retirement.started() {
+		fenced := r.broadcast(ctx, rec, func(m Member) (statement.Command, bool) {
+			return statement.Command{Op: statement.OpStatus}, !done[m.ID]
+		})
+		for _, o := range fenced {
+			done[o.ID] = true
+			if o.Status.HeldTerm == 0 || o.Status.Primary || !r.holds(rec) {
+				continue
+			}
+			if _, err := r.control(ctx, rec, o.Member, statement.Command{Op: statement.OpResume}, controlTimeout); err != nil {
+				done[o.ID] = false
+			}
+		}
+		if !slices.ContainsFunc(r.cfg.Databases.Members(rec.Service), func(m Member) bool { return !done[m.ID] }) {
+			return
+		}
+	}
+}
+
 // sleep waits for d or until ctx ends, and then returns the context's error.
 func sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
