--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -226,10 +226,10 @@
 	l.Discard()
 }
 
-// Guards against a statement that reaches an owner of an earlier release together with
-// its Begin: such an owner passes both on at once.
-func TestOwnerThatRunsOutOfOrderGetsBeginFirst(t *testing.T) {
-	requests := make(chan request, 4)
+// listenAsOwner starts an owner of an earlier release, which answers each request as answer
+// returns, and returns its address.
+func listenAsOwner(t *testing.T, answer func(request) reply) string {
+	t.Helper()
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		conn, buffered, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -242,21 +242,27 @@
 		enc, dec := gob.NewEncoder(buffered.Writer), gob.NewDecoder(buffered.Reader)
 		for {
 			var r request
-			if dec.Decode(&r) != nil {
-				return
-			}
-			requests <- r
-			refusals := make([]statement.Answer, len(r.Commands))
-			for i := range refusals {
-				refusals[i].Err = &result.Error{Code: result.Overloaded, Message: "busy"}
-			}
-			if enc.Encode(reply{Answers: refusals}) != nil || buffered.Flush() != nil {
-				return
+			if dec.Decode(&r) != nil || enc.Encode(answer(r)) != nil || buffered.Flush() != nil {
+				return // the client has disconnected
 			}
 		}
 	}))
 	t.Cleanup(srv.Close)
-	o := &owner{address: strings.TrimPrefix(srv.URL, "http://")}
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// Guards against a statement that reaches an owner of an earlier release together with
+// its Begin: such an owner passes both on at once.
+func TestOwnerThatRunsOutOfOrderGetsBeginFirst(t *testing.T) {
+	requests := make(chan request, 4)
+	o := &owner{address: listenAsOwner(t, func(r request) reply {
+		requests <- r
+		refusals := make([]statement.Answer, len(r.Commands))
+		for i := range refusals {
+			refusals[i].Err = &result.Error{Code: result.Overloaded, Message: "busy"}
+		}
+		return reply{Answers: refusals}
+	})}
 	l := acquire(t, o.clientPool())
 	begin := statement.Statement{Kind: statement.Begin, Text: "BEGIN"}
 	a, err := l.Run(dbpool.Exchange{Begin: &begin, Statement: statement.Statement{Kind: statement.Write}, Deadline: testDeadline()})
@@ -520,28 +526,11 @@
 // machine delays it by more.
 func TestRefusalJustAfterTheDeadlineIsKnown(t *testing.T) {
 	const late = 50 * time.Millisecond
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, buffered, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Errorf("take over the connection: %v", err)
-			return
-		}
-		defer func() { _ = conn.Close() }() // the client may have closed it
-		_, _ = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgrade + "\r\n\r\n")
-		_ = buffered.Flush() // the client reports a failure
-		var r request
-		if err := gob.NewDecoder(buffered.Reader).Decode(&r); err != nil {
-			t.Errorf("read the request: %v", err)
-			return
-		}
+	address := listenAsOwner(t, func(r request) reply {
 		time.Sleep(r.Remaining + late)
-		if err := gob.NewEncoder(buffered.Writer).Encode(reply{NotSent: errNotOwner}); err != nil {
-			t.Errorf("send the refusal: %v", err)
-		}
-		_ = buffered.Flush()
-	}))
-	t.Cleanup(srv.Close)
-	c, err := Dial(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "db-1")
+		return reply{NotSent: errNotOwner}
+	})
+	c, err := Dial(t.Context(), address, "db-1")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/earlybegin.go
+++ b/internal/proxy/earlybegin.go
@@ -25,7 +25,7 @@
 const earlyBeginTimeout = 300 * time.Millisecond
 
 // beginEarly begins the transaction at the primary in the background, if the primary is
-// in another data centre and an idle connection can be spared.
+// in another data centre, a connection is idle and no request waits for one.
 func (s *session) beginEarly() {
 	srv, tx := s.srv, s.tx
 	req := s.newRequest(tx.begin, tx.route)
