organisation, topology, proxy: types for organisations and their limits

Callers of two further deployments belong to organisations with keys and limits, or use data centres of several regions. Nothing uses them yet.

UNAUTH joins the codes of the line protocol that report invalid input: they say that nothing was run, but are not among those after which a caller retries.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -54,11 +54,14 @@
 
 // Request describes a request to be admitted.
 type Request struct {
-	ID       string
-	Class    string // service and class name
-	Caller   string // fairness key within the class
-	Rank     catalog.Rank
-	Deadline time.Time // zero means none
+	ID     string
+	Class  string // service and class name
+	Caller string // fairness key within the class
+	// Organisation is the organisation that sends the request, empty if the deployment
+	// has none. The request runs only on a connection of this organisation.
+	Organisation string
+	Rank         catalog.Rank
+	Deadline     time.Time // zero means none
 	// Target is when the request should be answered; zero means none. Under
 	// PolicyTargets, a request that can no longer meet its target waits for those of
 	// its rank that can.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -53,6 +53,7 @@
 	AnswerTooLarge     Code = 1008
 	ProtocolViolation  Code = 1009
 	UnknownStatement   Code = 1010
+	UnknownKey         Code = 1011
 	NotOwner           Code = 2001
 	NotPrimary         Code = 2002
 	InstanceDown       Code = 2003
@@ -65,6 +66,7 @@
 	DeadlineBeforeRun  Code = 3002
 	RetryBudgetSpent   Code = 3003
 	ConnectionsBusy    Code = 3004
+	OrganisationLimit  Code = 3005
 	OutcomeUnknown     Code = 4001
 	RolledBack         Code = 4002
 	UnknownTransaction Code = 4003
@@ -82,6 +84,7 @@
 	PlatformDown       Code = 6003
 	NotFound           Code = 6004
 	RateLimited        Code = 6005
+	NotConfigured      Code = 6006
 	Internal           Code = 9001
 )
 
@@ -106,6 +109,7 @@
 	{AnswerTooLarge, "answer_too_large", "54000", RanUnknown, false, "the answer exceeds max_answer and was not sent"},
 	{ProtocolViolation, "protocol_violation", "08P01", RanNo, false, "a message is not allowed at this point"},
 	{UnknownStatement, "unknown_statement", "26000", RanNo, false, "the prepared statement does not exist in this session"},
+	{UnknownKey, "unknown_key", "28000", RanNo, false, "no organisation has the caller's key"},
 	{NotOwner, "not_owner", "57P03", RanNo, true, "the instance does not own the database's connections"},
 	{NotPrimary, "not_primary", "57P03", RanNo, true, "the database is not the primary of its group"},
 	{InstanceDown, "instance_down", "57P03", RanNo, true, "the owning instance is unreachable"},
@@ -118,6 +122,7 @@
 	{DeadlineBeforeRun, "deadline_before_run", "57014", RanNo, true, "the deadline passed before the request was sent to a database"},
 	{RetryBudgetSpent, "retry_budget_spent", "53300", RanNo, true, "the retry budget of the class is exhausted"},
 	{ConnectionsBusy, "connections_busy", "53300", RanNo, true, "no connection to the database became free in time"},
+	{OrganisationLimit, "organisation_limit", "53300", RanNo, true, "the organisation has reached its limit of operations"},
 	{OutcomeUnknown, "outcome_unknown", "08007", RanUnknown, false, "the request was sent and its outcome is unknown"},
 	{RolledBack, "rolled_back", "40000", RanNo, true, "the transaction was rolled back"},
 	{UnknownTransaction, "unknown_transaction", "25P01", RanNo, false, "the transaction is not open on the instance"},
@@ -135,6 +140,7 @@
 	{PlatformDown, "platform_down", "57P03", RanUnknown, true, "the platform did not answer"},
 	{NotFound, "not_found", "42704", RanNo, false, "the object does not exist"},
 	{RateLimited, "rate_limited", "53300", RanNo, true, "the rate limit for calls to the platform is exceeded"},
+	{NotConfigured, "not_configured", "57P03", RanNo, true, "the instance has no configuration yet; try again or another instance"},
 	{Internal, "internal", "XX000", RanUnknown, false, "an internal error; see the instance's log"},
 }
 
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"geraniumbeam/internal/organisation"
 )
 
 // Consistency is the guarantee that a route gives about the age of its reads.
@@ -33,6 +35,8 @@
 	Timeout       time.Duration // of one statement
 	LatencyTarget time.Duration // latency objective of an operation
 	Priority      int           // 0 is the most urgent
+	// Public is set if callers without the key of an organisation may use the route.
+	Public bool
 }
 
 // Service is a group of databases with one primary.
@@ -50,6 +54,9 @@
 	Routes        map[string]Route // by Route.Database
 	Services      map[string]Service
 	TxIdleTimeout time.Duration // after which an idle transaction may be ended; 0 means no limit
+	// Organisations is nil if the deployment has none: then keys are not checked and a
+	// connection to a database serves all callers.
+	Organisations []organisation.Organisation
 }
 
 // Database is the registration of a backend server.
