platform, topology: organisations and public routes of the configuration

The member tenants of the configuration becomes Configuration.Organisations, which is nil if there is no list. Each entry is decoded on its own, as another writer's odd entry must cost no other organisation and no route; it is reported once, without its keys.

When a configuration comes into force, keys that two organisations hold, organisations without keys, repeated names and limits of zero are logged by name, at most 20 of them.

--- a/internal/topology/listing_test.go
+++ b/internal/topology/listing_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/revision"
 )
 
@@ -20,6 +21,9 @@
 	version  uint64 // of the configuration
 	invalid  bool   // the configuration can't be decoded
 	err      error
+
+	organisations []organisation.Organisation
+	damaged       []error // organisations that can't be decoded
 }
 
 func (f *fakeSource) Databases(context.Context) ([]Database, revision.Revision, []error, error) {
@@ -29,11 +33,11 @@
 	return []Database{d}, f.revision, nil, f.err
 }
 
-func (f *fakeSource) Configuration(context.Context) (Configuration, revision.Revision, error) {
+func (f *fakeSource) Configuration(context.Context) (Configuration, revision.Revision, []error, error) {
 	if f.invalid {
-		return Configuration{}, f.revision, fmt.Errorf("%w: odd", ErrInvalidConfiguration)
+		return Configuration{}, f.revision, nil, fmt.Errorf("%w: odd", ErrInvalidConfiguration)
 	}
-	return Configuration{Version: f.version}, f.revision, f.err
+	return Configuration{Version: f.version, Organisations: f.organisations}, f.revision, f.damaged, f.err
 }
 
 // rev returns a revision of the first era.
--- a/internal/topology/syncer.go
+++ b/internal/topology/syncer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/revision"
 )
 
@@ -38,12 +39,12 @@
 var ErrInvalidConfiguration = errors.New("invalid configuration")
 
 // Source returns the registrations and the configuration, each with the store's
-// revision at that time. Registrations that can't be decoded are reported in
-// damaged and left out of all. Configuration fails with ErrInvalidConfiguration if the
+// revision at that time. Registrations and organisations that can't be decoded are
+// reported in damaged and left out of the result. Configuration fails with ErrInvalidConfiguration if the
 // store answers and its configuration can't be used.
 type Source interface {
 	Databases(ctx context.Context) (all []Database, at revision.Revision, damaged []error, err error)
-	Configuration(ctx context.Context) (Configuration, revision.Revision, error)
+	Configuration(ctx context.Context) (c Configuration, at revision.Revision, damaged []error, err error)
 }
 
 // Syncer keeps a Topology up to date. It lists the registrations and the
@@ -166,14 +167,15 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	asked := s.Now()
-	c, configured, err := s.Source.Configuration(ctx)
+	c, configured, damaged, err := s.Source.Configuration(ctx)
 	if errors.Is(err, ErrInvalidConfiguration) {
-		s.reportDamaged([]error{err}) // the one in force stays, and the databases are listed all the same
+		damaged = []error{err} // the one in force stays, and the databases are listed all the same
 		c, err = Configuration{}, nil
 	}
 	if err != nil {
 		return err
 	}
+	s.reportDamaged(damaged)
 	s.applyConfiguration(c)
 	all, at, damaged, err := s.Source.Databases(ctx)
 	if err != nil {
@@ -215,7 +217,7 @@
 // maxReportedDamage bounds the remembered errors.
 const maxReportedDamage = 256
 
-// reportDamaged logs each registration or configuration that can't be decoded, once
+// reportDamaged logs each registration, organisation or configuration that can't be decoded, once
 // per error text.
 func (s *Syncer) reportDamaged(damaged []error) {
 	for _, err := range damaged {
@@ -237,8 +239,33 @@
 	return c
 }
 
+// applyConfiguration puts a configuration in force if it is newer than the current one.
 func (s *Syncer) applyConfiguration(c Configuration) {
-	if c.Version != 0 && s.Topology.Apply(c) {
-		s.Log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Msg("A new configuration is in force.")
+	if c.Version == 0 || !s.Topology.Apply(c) {
+		return
+	}
+	e := s.Log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services))
+	if c.Organisations != nil {
+		e = e.Int("organisations", len(c.Organisations))
+	}
+	e.Msg("A new configuration is in force.")
+	s.reportFindings(c)
+}
+
+// maxReportedFindings bounds the lines about organisations of one configuration.
+const maxReportedFindings = 20
+
+// reportFindings logs what is probably not intended about the organisations.
+func (s *Syncer) reportFindings(c Configuration) {
+	findings := organisation.Check(c.Organisations)
+	for _, f := range findings[:min(len(findings), maxReportedFindings)] {
+		e := s.Log.Warn().Uint64("version", c.Version).Str("organisation", f.Organisation)
+		if f.Other != "" {
+			e = e.Str("other_organisation", f.Other)
+		}
+		e.Str("reason", f.Text).Msg("The configuration has an organisation that may not be intended so.")
+	}
+	if rest := len(findings) - maxReportedFindings; rest > 0 {
+		s.Log.Warn().Uint64("version", c.Version).Int("count", rest).Msg("The configuration has further organisations that may not be intended so.")
 	}
 }
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -137,6 +137,9 @@
 type Snapshot struct {
 	Configuration
 	Databases map[string][]Database // by service; includes leaving ones
+	// Directory finds the organisations of the configuration. It is nil if the deployment
+	// has none.
+	Directory *organisation.Directory
 }
 
 // New returns an empty topology.
@@ -159,12 +162,19 @@
 // Apply puts a configuration in force if it is newer than the current one, and
 // reports whether it was.
 func (t *Topology) Apply(c Configuration) bool {
+	if c.Version <= t.Snapshot().Version {
+		return false
+	}
+	var directory *organisation.Directory
+	if c.Organisations != nil {
+		directory = organisation.NewDirectory(c.Organisations)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.Version <= t.current.Load().Version {
 		return false
 	}
-	t.publish(c)
+	t.publish(c, directory)
 	return true
 }
 
@@ -173,7 +183,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.register(d, now)
-	t.publish(t.current.Load().Configuration)
+	t.publishDatabases()
 }
 
 // register is Register without publishing a snapshot. t.mu is held.
@@ -242,7 +252,7 @@
 		}
 	}
 	t.listed = true
-	t.publish(t.current.Load().Configuration)
+	t.publishDatabases()
 }
 
 // Expire removes databases whose registrations have been missing for RemovalDelay
@@ -270,7 +280,7 @@
 		}
 	}
 	if removed != nil {
-		t.publish(t.current.Load().Configuration)
+		t.publishDatabases()
 	}
 	return removed
 }
@@ -302,9 +312,16 @@
 	}
 }
 
-// publish stores a new snapshot and wakes the waiters. t.mu is held.
-func (t *Topology) publish(c Configuration) {
-	s := &Snapshot{Configuration: c, Databases: make(map[string][]Database)}
+// publishDatabases publishes the databases under the current configuration. t.mu is held.
+func (t *Topology) publishDatabases() {
+	s := t.current.Load()
+	t.publish(s.Configuration, s.Directory)
+}
+
+// publish stores a new snapshot and wakes the waiters. directory is that of c. t.mu is
+// held.
+func (t *Topology) publish(c Configuration, directory *organisation.Directory) {
+	s := &Snapshot{Configuration: c, Databases: make(map[string][]Database), Directory: directory}
 	for e := range maps.Values(t.entries) {
 		s.Databases[e.Service] = append(s.Databases[e.Service], e.Database)
 	}
