proxy: keys, limits and disconnected callers of organisations

A caller's startup message gives the database and the digest of its key; the key itself is not kept, and an error about the message no longer quotes its first word, which may be a key. The route is checked before the key. Idle sessions of revoked keys are closed without an answer, unless a request has arrived. That wakes sessions by their read deadline, so an open transaction is now rolled back only if its idle timeout has passed since its last answer, and a deadline is set again if a configuration came into force meanwhile.

An instance without a configuration refuses with GB6006 instead of GB1002 after its wait, in every deployment: missing information is no proof that a database does not exist.

Config.Limiter is asked once for each operation of a limited organisation, at BEGIN or at a single statement. The operation is given back if nothing was sent. A refusal by an owner counts as nothing sent; a lost connection or an early BEGIN counts as sent.

Requests carry their organisation, which is also the fairness key of the queue. Where organisations are in force, the caller's connection is looked at without blocking every 25 ms while its request has waited for 25 ms, and the wait is cancelled if it was closed.

Operations are counted for each organisation as requested, served and refused by code; the 20 largest and the sum of the others are written. Refusals are logged with the organisation.

Tests of internal/proxy and internal/sockets pass with the race detector, the tests of platform that concern callers too.

--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -187,7 +187,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.closeIdleWhileIsolated} {
+	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.proxy.Run, i.closeIdleWhileIsolated} {
 		wg.Go(func() {
 			contain.Loop(ctx, log, "background task", func(ctx context.Context) {
 				if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/platformd/metrics.go
+++ b/internal/platformd/metrics.go
@@ -29,6 +29,9 @@
 	if err := i.metrics.WriteText(w); err != nil {
 		return err
 	}
+	if err := i.proxy.WriteMetrics(w); err != nil {
+		return err
+	}
 	if err := i.writeRecords(w); err != nil {
 		return err
 	}
--- a/internal/proxy/earlybegin.go
+++ b/internal/proxy/earlybegin.go
@@ -47,6 +47,7 @@
 	}
 	e := &earlyBegin{target: target{pool: pool, primary: primary}, done: make(chan struct{})}
 	tx.early = e
+	tx.charge.setSent(true)
 	variables := maps.Clone(s.variables)
 	go func() {
 		defer close(e.done)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,9 +15,11 @@
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/measure"
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/revision"
+	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -181,7 +184,7 @@
 // its handle method.
 func (h *harness) session(database string) *session {
 	return &session{
-		srv: h.server, number: 1, database: database,
+		srv: h.server, number: 1, caller: caller{database: database},
 		variables: make(map[string]string), prepared: make(map[string]dbpool.PreparedStatement),
 	}
 }
@@ -207,7 +210,8 @@
 
 // scriptedCaller is a CallerConn whose statements the test supplies.
 type scriptedCaller struct {
-	start      string
+	start, key string
+	state      atomic.Int32 // sockets.State
 	statements chan statement.Statement
 	answers    chan statement.Answer
 	wake       chan struct{}
@@ -234,7 +238,11 @@
 
 var _ net.Error = timeoutError{}
 
-func (c *scriptedCaller) ReadStartup() (string, error) { return c.start, nil }
+func (c *scriptedCaller) ReadStartup() (string, organisation.Digest, error) {
+	return c.start, organisation.DigestOf(c.key), nil
+}
+
+func (c *scriptedCaller) Peek() sockets.State { return sockets.State(c.state.Load()) }
 func (c *scriptedCaller) ReadStatement() (statement.Statement, error) {
 	for {
 		c.mu.Lock()
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -31,6 +31,9 @@
 	e = e.Str("id", req.st.ID).Uint64("session", s.number).Str("kind", req.st.Kind.String()).Str("route", req.route.Database).
 		Str("service", req.route.Service).Int("attempts", req.attempts).Int("timeouts", req.timeouts).Dur("took_ms", took).
 		Uint64("version", s.srv.cfg.Topology.Snapshot().Version)
+	if req.organisation != "" {
+		e = e.Str("organisation", req.organisation)
+	}
 	if o.reason != "" {
 		e = e.Str("reason", o.reason)
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"geraniumbeam/internal/catalog"
@@ -20,6 +21,10 @@
 	arrivedAt    time.Duration
 	deadline     time.Time // for the answer, over all attempts
 	target       time.Time // by which the caller should have the answer; zero if the route has no target
+	organisation string    // on whose behalf the request runs; empty if the deployment has none
+	charge       *charge   // of the operation; may be nil
+	ctx          context.Context
+	cancel       context.CancelFunc // of ctx; nil if it does not end
 
 	attemptsByDatabase map[string]int
 	attempts           int
@@ -48,7 +53,11 @@
 	}
 	req := &request{
 		st: st, route: route, writes: st.Kind == statement.Write,
-		arrivedAt: s.srv.cfg.Now(), deadline: time.Now().Add(timeout),
+		arrivedAt: s.srv.cfg.Now(), deadline: time.Now().Add(timeout), organisation: s.identity.name,
+	}
+	req.ctx, req.cancel = s.newContext()
+	if s.tx != nil {
+		req.charge = s.tx.charge
 	}
 	if route.LatencyTarget > 0 {
 		req.target = time.Now().Add(route.LatencyTarget)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -52,6 +52,7 @@
 // statement of a transaction pins the transaction to the connection it used.
 func (s *session) runUnpinned(req *request) outcome {
 	o := s.runAttempts(req)
+	s.endWait()
 	if e := o.answer.Err; e != nil && req.timeouts > 0 && req.isRepeatable() && e.Ran == result.RanNo {
 		// An earlier attempt was sent and not answered, so it may have been run.
 		o.answer.Err = result.Errorf(result.StatementFailed, "an attempt was not answered in time; the last attempt failed: %s", e.Message)
@@ -66,7 +67,11 @@
 	req.attemptsByDatabase = make(map[string]int)
 	var last *result.Error
 	for {
+		s.startWait(req.cancel)
 		changed := s.srv.cfg.Records.Changed()
+		if req.ctx.Err() != nil {
+			return callerGone(target{})
+		}
 		if !time.Now().Before(req.deadline) {
 			return s.finalRefusal(req, last)
 		}
@@ -168,33 +173,40 @@
 		begin = nil
 	} else {
 		var err error
-		ctx, cancel := context.WithDeadline(context.Background(), req.deadline)
+		ctx, cancel := context.WithDeadline(req.ctx, req.deadline)
 		lease, err = t.pool.Acquire(ctx, s.admissionRequest(req), s.variables)
 		cancel()
+		if req.ctx.Err() != nil {
+			return s.giveUp(t, lease, false)
+		}
 		if err != nil {
 			return s.handleAcquireError(req, t, result.From(err))
 		}
 	}
 	if t.usesPrimary() && !s.srv.cfg.Records.IsCurrent(req.route.Service, t.primary) {
-		if begun {
-			s.srv.rollBack(lease)
-		} else {
-			lease.Release()
-		}
+		s.endUnused(lease, begun)
 		return failure(result.Errorf(result.NoPrimary, "the primary of service %s is being replaced", req.route.Service), "", t), true
 	}
+	s.endWait()
+	if req.ctx.Err() != nil {
+		return s.giveUp(t, lease, begun)
+	}
 	req.attemptsByDatabase[id]++
 	req.attempts++
 	deadline := req.deadline
 	if req.isRepeatable() && !s.isFinalAttempt(req) {
 		deadline = earlier(deadline, time.Now().Add(attemptTimeout))
 	}
+	sentBefore := req.charge.setSent(true)
 	sentAt := s.srv.cfg.Now()
 	a, err := lease.Run(dbpool.Exchange{
 		Variables: s.variables, Prepared: req.preparedStmt, Begin: begin, Statement: req.st, WaitFor: t.waitFor, Deadline: deadline,
 	})
 	if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
 		lease.ReleaseNotSent(notSent)
+		if result.From(notSent.Cause).Code != result.DatabaseDown {
+			req.charge.setSent(sentBefore) // the owner refused the request before it had a connection
+		}
 		return s.handleNotSent(req, t, notSent)
 	}
 	if err != nil {
@@ -205,10 +217,30 @@
 	return s.handleAnswer(req, t, lease, a)
 }
 
+// endUnused ends the use of a connection on which nothing but the begin of a transaction,
+// if begun is set, was sent.
+func (s *session) endUnused(lease *dbpool.Lease, begun bool) {
+	if begun {
+		s.srv.rollBack(lease)
+		return
+	}
+	lease.Release()
+}
+
+// giveUp ends an attempt before its statement is sent, because the caller has
+// disconnected. lease may be nil.
+func (s *session) giveUp(t target, lease *dbpool.Lease, begun bool) (outcome, bool) {
+	if lease != nil {
+		s.endUnused(lease, begun)
+	}
+	return callerGone(t), false
+}
+
 // admissionRequest describes a request to the queue of a database.
 func (s *session) admissionRequest(req *request) admission.Request {
 	return admission.Request{
-		ID: req.st.ID, Class: req.class(), Caller: s.fairnessKey(), Rank: req.rank(), Deadline: req.deadline, Target: req.target,
+		ID: req.st.ID, Class: req.class(), Caller: s.fairnessKey(), Organisation: req.organisation, Rank: req.rank(),
+		Deadline: req.deadline, Target: req.target,
 	}
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -24,9 +24,11 @@
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/freshness"
 	"geraniumbeam/internal/measure"
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/retry"
+	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -34,13 +36,16 @@
 // CallerConn is a connection from a caller. It implements the wire protocol.
 type CallerConn interface {
 	// ReadStartup reads the startup message and returns the name of the requested
-	// database.
-	ReadStartup() (string, error)
+	// database and the digest of the caller's key.
+	ReadStartup() (database string, key organisation.Digest, err error)
 	// ReadStatement reads the next statement. It returns io.EOF if the caller has
 	// ended the session.
 	ReadStatement() (statement.Statement, error)
 	// Pending reports whether part of a message has arrived.
 	Pending() bool
+	// Peek looks at the connection without blocking and without reading from it. It may
+	// be called while another method runs.
+	Peek() sockets.State
 	// SetReadDeadline bounds the wait of ReadStartup and ReadStatement.
 	SetReadDeadline(t time.Time) error
 	// SendReady tells the caller that the session is open.
@@ -51,7 +56,7 @@
 	Close() error
 }
 
-// Config holds what a Server needs. All fields are required.
+// Config holds what a Server needs. All fields but Limiter are required.
 type Config struct {
 	DataCentre    string
 	Topology      *topology.Topology
@@ -66,6 +71,8 @@
 	// LeavingPrimaryTimeout is how long a primary that is leaving may still get
 	// work while no other database has been promoted.
 	LeavingPrimaryTimeout time.Duration
+	// Limiter enforces the limits of organisations; nil means that there are none.
+	Limiter Limiter
 }
 
 // stage is the progress of a shutdown.
@@ -89,6 +96,7 @@
 	// limitWarnings limits the rate of warnings about connections beyond
 	// MaxSessions.
 	limitWarnings rate.Sometimes
+	organisations organisationCounts
 
 	mu        sync.Mutex
 	sessions  map[*session]struct{}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -25,12 +27,19 @@
 	rollbackTimeout = 500 * time.Millisecond
 )
 
-// session is the session of one caller. Only one goroutine uses it.
+// session is the session of one caller. Only one goroutine uses it, except for the fields
+// that the server reads.
 type session struct {
 	srv      *Server
 	conn     CallerConn
 	number   uint64
-	database string // requested by the caller
+	caller   caller
+	identity identity // of the operation in progress, or of the latest one
+
+	// established is the caller once the session is open; the server reads it.
+	established atomic.Pointer[caller]
+	// waiting is set while a request waits; the server reads it.
+	waiting atomic.Pointer[waiting]
 
 	variables map[string]string
 	prepared  map[string]dbpool.PreparedStatement
@@ -52,6 +61,8 @@
 	rollbackUnreported bool
 	// lastAnswered is when the transaction's latest statement was answered.
 	lastAnswered time.Time
+	charge       *charge     // of the operation; may be nil
+	failure      result.Code // of the first error that the caller got; 0 if none
 }
 
 func (s *session) run() {
@@ -87,61 +98,29 @@
 	if s.tx != nil && s.tx.lease != nil {
 		s.srv.rollBack(s.tx.lease)
 	}
-	s.tx = nil
+	s.clearTransaction()
 }
 
-// startup reads and answers the caller's startup message. It reports whether the
-// session is open.
-func (s *session) startup() bool {
-	if err := s.conn.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
-		return false
-	}
-	database, err := s.conn.ReadStartup()
-	if err != nil {
-		s.logEnd(err)
-		return false
-	}
-	s.database = database
-	if _, ok := s.awaitRoute(); !ok {
-		e := result.Errorf(result.UnknownService, "no route for database %s", database)
-		s.srv.cfg.Log.Info().Str("database", database).Uint64("version", s.srv.cfg.Topology.Snapshot().Version).
-			Str("code", e.Code.String()).Uint64("session", s.number).Msg("A session was refused.")
-		_ = s.conn.SendRefusal(e) // the session ends even if this fails
-		return false
-	}
-	return s.conn.SendReady() == nil
-}
-
-// awaitRoute returns the session's route. If the instance has no configuration
-// yet, it waits for one.
-func (s *session) awaitRoute() (topology.Route, bool) {
-	deadline := time.Now().Add(configurationTimeout)
-	for {
-		changed := s.srv.cfg.Topology.Changed()
-		snap := s.srv.cfg.Topology.Snapshot()
-		route, ok := snap.Routes[s.database]
-		if ok || snap.Version != 0 {
-			return route, ok
-		}
-		t := time.NewTimer(time.Until(deadline))
-		select {
-		case <-changed:
-			t.Stop()
-		case <-t.C:
-			return route, false
-		}
+// clearTransaction forgets the transaction, if any, of which nothing is open any more.
+func (s *session) clearTransaction() {
+	if s.tx != nil {
+		s.tx.charge.settle()
+		s.tx = nil
 	}
 }
 
 // errClosingIdle ends an idle session while the server closes idle sessions.
 var errClosingIdle = errors.New("idle session closed by the instance")
 
+// errRevoked ends an idle session whose key was revoked.
+var errRevoked = errors.New("idle session closed because its key was revoked")
+
 // nextStatement reads the next statement. Meanwhile it rolls back a transaction
 // whose idle timeout has passed. It returns errClosingIdle if the session is idle
-// and idle sessions are being closed.
+// and idle sessions are being closed, and errRevoked if its key was revoked.
 func (s *session) nextStatement() (statement.Statement, error) {
 	for {
-		if err := s.conn.SetReadDeadline(s.readDeadline()); err != nil {
+		if err := s.setReadDeadline(); err != nil {
 			return statement.Statement{}, err
 		}
 		st, err := s.conn.ReadStatement()
@@ -159,6 +138,24 @@
 		if s.srv.closesIdle() {
 			return st, errClosingIdle
 		}
+		if s.isRevoked() && s.conn.Peek() != sockets.Readable {
+			return st, errRevoked
+		}
+	}
+}
+
+// setReadDeadline sets the deadline for reading the next statement. It does so again if a
+// configuration came into force meanwhile: that wakes sessions by setting the deadline,
+// which is lost if the session sets it afterwards.
+func (s *session) setReadDeadline() error {
+	for {
+		version := s.srv.cfg.Topology.Snapshot().Version
+		if err := s.conn.SetReadDeadline(s.readDeadline()); err != nil {
+			return err
+		}
+		if s.srv.cfg.Topology.Snapshot().Version == version {
+			return nil
+		}
 	}
 }
 
@@ -170,10 +167,7 @@
 		return time.Now().Add(messageTimeout)
 	}
 	if s.tx == nil {
-		if s.srv.closesIdle() {
-			return expiredDeadline
-		}
-		return time.Time{}
+		return s.idleDeadline()
 	}
 	if s.tx.failed {
 		return time.Time{}
@@ -182,16 +176,31 @@
 		return expiredDeadline
 	}
 	if idle := s.srv.cfg.Topology.Snapshot().TxIdleTimeout; idle > 0 {
-		return time.Now().Add(idle)
+		return s.tx.lastAnswered.Add(idle)
 	}
 	return time.Time{}
 }
 
+// idleDeadline returns the deadline for reading the next statement outside a transaction.
+// If the key was revoked, a request that has arrived is still read, because its caller
+// must get an answer.
+func (s *session) idleDeadline() time.Time {
+	switch {
+	case s.srv.closesIdle():
+		return expiredDeadline
+	case !s.isRevoked():
+		return time.Time{}
+	case s.conn.Peek() == sockets.Readable:
+		return time.Now().Add(messageTimeout)
+	}
+	return expiredDeadline
+}
+
 // expireTransaction rolls back the open transaction if its idle timeout has passed
 // or the shutdown requires it. The caller is told with its next statement.
 func (s *session) expireTransaction() {
 	idle := s.srv.cfg.Topology.Snapshot().TxIdleTimeout
-	if s.srv.closesIdle() && stage(s.srv.stage.Load()) < rollingBackOpen && (idle == 0 || time.Since(s.tx.lastAnswered) < idle) {
+	if stage(s.srv.stage.Load()) < rollingBackOpen && (idle == 0 || time.Since(s.tx.lastAnswered) < idle) {
 		return // woken before the idle timeout; the transaction may go on
 	}
 	if s.tx.failed {
@@ -216,7 +225,7 @@
 // logEnd logs a session that ended early and sends the caller the error, if it has
 // a result code.
 func (s *session) logEnd(err error) {
-	if errors.Is(err, io.EOF) && s.tx == nil || errors.Is(err, errClosingIdle) {
+	if errors.Is(err, io.EOF) && s.tx == nil || errors.Is(err, errClosingIdle) || errors.Is(err, errRevoked) {
 		return
 	}
 	e := s.srv.cfg.Log.Info().Uint64("session", s.number).Err(err)
@@ -232,6 +241,14 @@
 
 // handle runs one statement and returns its answer.
 func (s *session) handle(st statement.Statement) statement.Answer {
+	before := s.tx
+	a := s.dispatch(st)
+	s.countOperation(st, before, a)
+	return a
+}
+
+// dispatch is handle without the metrics of organisations.
+func (s *session) dispatch(st statement.Statement) statement.Answer {
 	if s.tx != nil && s.tx.rollbackUnreported && st.Kind != statement.Rollback && st.Kind != statement.Commit {
 		s.tx.rollbackUnreported = false
 		return s.refuse(st, result.Errorf(result.RolledBack, "the instance rolled back the transaction"))
@@ -239,6 +256,9 @@
 	if s.tx != nil && s.tx.failed && st.Kind != statement.Rollback && st.Kind != statement.Commit {
 		return s.refuse(st, result.Errorf(result.ProtocolViolation, "the transaction has failed and must be rolled back"))
 	}
+	if e := s.checkKey(st); e != nil {
+		return s.refuse(st, e)
+	}
 	switch st.Kind {
 	case statement.Begin:
 		return s.begin(st)
@@ -283,8 +303,12 @@
 		}
 		a.State = statement.TxFailed
 	}
-	s.srv.cfg.Log.Info().Str("id", st.ID).Uint64("session", s.number).Str("kind", st.Kind.String()).
-		Str("code", e.Code.String()).Str("reason", e.Message).Msg("A statement was refused.")
+	event := s.srv.cfg.Log.Info().Str("id", st.ID).Uint64("session", s.number).Str("kind", st.Kind.String()).
+		Str("code", e.Code.String()).Str("reason", e.Message)
+	if s.identity.name != "" {
+		event = event.Str("organisation", s.identity.name)
+	}
+	event.Msg("A statement was refused.")
 	return a
 }
 
@@ -292,11 +316,15 @@
 	if s.tx != nil {
 		return s.refuse(st, result.Errorf(result.ProtocolViolation, "a transaction is open"))
 	}
-	route, ok := s.srv.cfg.Topology.Snapshot().Routes[s.database]
-	if !ok {
-		return s.refuse(st, result.Errorf(result.UnknownService, "no route for database %s", s.database))
+	route, e := s.startOperation()
+	if e != nil {
+		return s.refuse(st, e)
+	}
+	taken, err := s.takeCharge(s.newRequest(st, route))
+	if err != nil {
+		return s.refuse(st, result.From(err))
 	}
-	s.tx = &transaction{begin: st, route: route}
+	s.tx = &transaction{begin: st, route: route, charge: taken}
 	s.beginEarly()
 	return s.localAnswer()
 }
@@ -322,13 +350,13 @@
 	if s.tx != nil && s.tx.lease != nil {
 		if o.answer.Err == nil && o.answer.State == statement.TxIdle {
 			s.tx.lease.Release()
-			s.tx = nil
+			s.clearTransaction()
 		} else {
 			s.discardTransaction()
 		}
 	}
 	s.endEarly()
-	s.tx = nil
+	s.clearTransaction()
 	o.answer.State = statement.TxIdle
 	return o.answer
 }
@@ -336,18 +364,7 @@
 // runStatement runs a Read, Write or Execute statement.
 func (s *session) runStatement(st statement.Statement) statement.Answer {
 	if s.tx == nil {
-		route, ok := s.srv.cfg.Topology.Snapshot().Routes[s.database]
-		if !ok {
-			return s.refuse(st, result.Errorf(result.UnknownService, "no route for database %s", s.database))
-		}
-		req := s.newRequest(st, route)
-		if e := s.resolvePrepared(req); e != nil {
-			return s.refuse(st, e)
-		}
-		o := s.runUnpinned(req)
-		s.reportRequest(req, o)
-		o.answer.State = statement.TxIdle
-		return o.answer
+		return s.runSingle(st)
 	}
 	req := s.newRequest(st, s.tx.route)
 	if e := s.resolvePrepared(req); e != nil {
@@ -364,6 +381,27 @@
 	return o.answer
 }
 
+// runSingle runs a Read, Write or Execute statement outside a transaction.
+func (s *session) runSingle(st statement.Statement) statement.Answer {
+	route, e := s.startOperation()
+	if e != nil {
+		return s.refuse(st, e)
+	}
+	req := s.newRequest(st, route)
+	if e := s.resolvePrepared(req); e != nil {
+		return s.refuse(st, e)
+	}
+	var err error
+	if req.charge, err = s.takeCharge(req); err != nil {
+		return s.refuse(st, result.From(err))
+	}
+	o := s.runUnpinned(req)
+	req.charge.settle()
+	s.reportRequest(req, o)
+	o.answer.State = statement.TxIdle
+	return o.answer
+}
+
 // resolvePrepared looks up the prepared statement that an Execute statement names.
 func (s *session) resolvePrepared(req *request) *result.Error {
 	if req.st.Kind != statement.Execute {
@@ -377,9 +415,14 @@
 	return nil
 }
 
-// fairnessKey identifies the session in the admission queue, which serves sessions
-// fairly.
-func (s *session) fairnessKey() string { return strconv.FormatUint(s.number, 36) }
+// fairnessKey identifies the organisation in the admission queue, which serves
+// organisations fairly, or the session if there are none.
+func (s *session) fairnessKey() string {
+	if s.identity.name != "" {
+		return s.identity.name
+	}
+	return strconv.FormatUint(s.number, 36)
+}
 
 // runInTransaction runs and reports a statement of the open transaction. The first
 // statement pins the transaction to a connection.
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -22,6 +22,37 @@
 	return reusable && err == nil
 }
 
+// State is what a look at a connection shows.
+type State uint8
+
+// States of a connection.
+const (
+	Quiet    State = iota // open, without unread data
+	Readable              // data has arrived that was not read
+	Closed                // the peer has closed its side, or the connection has failed
+)
+
+// Peek looks at a connection without blocking and without reading from it. A peer that
+// has closed its side after sending data is Readable until the data is read.
+func Peek(raw syscall.RawConn) State {
+	state := Quiet
+	err := raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			state = Readable
+		case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+		default:
+			state = Closed
+		}
+	})
+	if err != nil {
+		return Closed
+	}
+	return state
+}
+
 // Reset closes a connection and discards data that the peer has not acknowledged.
 // Otherwise the data could still reach the peer after a network partition, although
 // the sender already treats the request as failed.
