--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -60,8 +60,8 @@
 	}
 	instance := platformd.New(platformd.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.ListenInner, Source: store, Store: store, Promotions: promoter,
-		Dial: func(ctx context.Context, address, service, id string) (dbpool.Conn, error) {
-			return platform.DialDatabase(ctx, address, service, id, s.Instance)
+		Dial: func(ctx context.Context, address, service, id, organisation string) (dbpool.Conn, error) {
+			return platform.DialDatabase(ctx, address, service, id, organisation, s.Instance)
 		},
 		NewCallerConn: func(c net.Conn) proxy.CallerConn { return platform.NewCallerConn(c) },
 		Log:           log,
--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -35,9 +35,10 @@
 }
 
 // Dial opens a connection to the database with the given id, which serves the
-// service. It fails with result.WrongDatabase or result.ConnectionsBusy if the
-// database refuses the connection.
-type Dial func(ctx context.Context, address, service, id string) (Conn, error)
+// service, under the name of the organisation, or of the instance if organisation is
+// empty. It fails with result.WrongDatabase or result.ConnectionsBusy if the database
+// refuses the connection.
+type Dial func(ctx context.Context, address, service, id, organisation string) (Conn, error)
 
 // PreparedStatement identifies a prepared statement by its content. Sessions may
 // use one name for different statements, and connections are shared.
@@ -61,20 +62,22 @@
 // database has confirmed it.
 type pooledConn struct {
 	Conn
-	variables map[string]string
-	prepared  map[PreparedStatement]string // names at the database
+	organisation string // under whose name it was opened; empty if it serves none
+	variables    map[string]string
+	prepared     map[PreparedStatement]string // names at the database
 	// lastName is the number of the latest name given to a prepared statement. A name
 	// is never given again on a connection: then an Execute that is sent together with
 	// its Prepare runs nothing if the Prepare is refused.
 	lastName  int
 	idleSince time.Duration
+	takenAt   time.Duration // when the current request got the connection
 	// unknown is set if the database may have carried out a command that changes the
 	// variables and has not confirmed it. The connection is then used no more.
 	unknown bool
 }
 
-func newPooledConn(c Conn) *pooledConn {
-	return &pooledConn{Conn: c, variables: map[string]string{}, prepared: map[PreparedStatement]string{}}
+func newPooledConn(c Conn, organisation string) *pooledConn {
+	return &pooledConn{Conn: c, organisation: organisation, variables: map[string]string{}, prepared: map[PreparedStatement]string{}}
 }
 
 // variableCommands returns the commands that give the connection exactly the given
--- a/internal/dbpool/exchange_test.go
+++ b/internal/dbpool/exchange_test.go
@@ -207,7 +207,7 @@
 		var conns []*modelDatabase
 		db := &fakeDatabase{}
 		p, _ := newPool(db, Sizing{MaxOpen: 2, IdleTimeout: idleTimeoutDefault})
-		p.dial = func(context.Context, string, string, string) (Conn, error) {
+		p.dial = func(context.Context, string, string, string, string) (Conn, error) {
 			c := &modelDatabase{
 				t: t, variables: map[string]string{}, prepared: map[string]PreparedStatement{}, sequential: sequential,
 				faults: func() string { return faults.Draw(t, "fault") },
--- a/internal/dbpool/fake_test.go
+++ b/internal/dbpool/fake_test.go
@@ -34,7 +34,7 @@
 	once sync.Once
 }
 
-func (d *fakeDatabase) dial(context.Context, string, string, string) (Conn, error) {
+func (d *fakeDatabase) dial(context.Context, string, string, string, string) (Conn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.dialErr != nil {
--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -14,35 +14,32 @@
 // failed.
 func (p *Pool) Maintain(ctx context.Context) {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
 	now := p.now()
 	sizing := p.sizing
 	ownerFailed := p.owner != "" && p.health.failingSince != 0
-	p.mu.Unlock()
-	var keep []*pooledConn
-	for i, c := range idle {
-		last := i == len(idle)-1 && sizing.KeepWarm
+	organisations := p.servesOrganisations()
+	var keep, unneeded []*pooledConn
+	for i, c := range p.idle {
+		last := i == len(p.idle)-1 && sizing.KeepWarm
 		expired := now-c.idleSince > sizing.IdleTimeout && !last
-		if expired || ownerFailed || !c.Alive() {
-			p.discard(c)
+		unassigned := organisations && c.organisation == ""
+		if expired || unassigned || ownerFailed || !c.Alive() {
+			unneeded = append(unneeded, c)
 			continue
 		}
 		keep = append(keep, c)
 	}
-	p.mu.Lock()
-	closed := p.closed
-	if !closed {
-		p.idle = append(keep, p.idle...)
-	}
-	warmUp := sizing.KeepWarm && p.open == 0 && !closed && now >= max(p.dialAfter, p.warmUpAfter)
-	retryOwner := ownerFailed && !closed && now >= p.dialAfter
+	p.idle = keep
+	p.restoreBound(now)
+	p.forgetUses(now)
 	p.mu.Unlock()
-	if closed {
-		for _, c := range keep {
-			p.discard(c)
-		}
+	for _, c := range unneeded {
+		p.discard(c)
 	}
+	p.mu.Lock()
+	warmUp := sizing.KeepWarm && p.open == 0 && !p.closed && now >= max(p.dialAfter, p.warmUpAfter)
+	retryOwner := ownerFailed && !p.closed && now >= p.dialAfter
+	p.mu.Unlock()
 	if warmUp || retryOwner {
 		p.openIdle(ctx)
 	}
@@ -54,7 +51,7 @@
 func (p *Pool) needsMaintenance() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0 || (p.sizing.KeepWarm && p.open == 0) || (p.owner != "" && p.health.failingSince != 0)
+	return len(p.idle) > 0 || p.assigned.lowered > 0 || (p.sizing.KeepWarm && p.open == 0) || (p.owner != "" && p.health.failingSince != 0)
 }
 
 // startMaintain runs Maintain in the background unless it is already running.
@@ -69,7 +66,7 @@
 
 // openIdle opens a connection and adds it to the idle list.
 func (p *Pool) openIdle(ctx context.Context) {
-	c, err := p.connect(ctx)
+	c, err := p.connect(ctx, "")
 	if err != nil {
 		return // recorded by connect; retried after the back-off
 	}
@@ -98,13 +95,13 @@
 }
 
 // Control runs a control command without waiting in the queue. It uses an idle
-// connection if there is one, and otherwise opens one outside the pool.
+// connection of any organisation if there is one, and otherwise opens one outside the pool.
 func (p *Pool) Control(ctx context.Context, c statement.Command, timeout time.Duration) (statement.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	began := p.now()
-	if conn := p.takeIdle(nil); conn != nil && conn.Alive() {
+	if conn := p.takeAnyIdle(); conn != nil && conn.Alive() {
 		return p.controlOn(conn, deadline, c, began)
 	} else if conn != nil {
 		p.discard(conn)
@@ -112,13 +109,13 @@
 	if p.owner != "" {
 		// Connections to an owner don't count against the database's limit, so this
 		// one is kept for others.
-		conn, err := p.connect(ctx)
+		conn, err := p.connect(ctx, "")
 		if err != nil {
 			return statement.Status{}, err
 		}
 		return p.controlOn(conn, deadline, c, began)
 	}
-	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID)
+	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID, "")
 	if err != nil {
 		return statement.Status{}, dialError(p.db.ID, err)
 	}
@@ -134,21 +131,25 @@
 	s, err := conn.Status(deadline, c)
 	p.recordControl(began, err)
 	if err == nil {
-		p.putIdle(conn)
+		p.putBack(conn)
 	} else {
 		p.discard(conn)
 	}
 	return s, err
 }
 
-// putIdle adds a connection to the idle list, or closes it if the pool has too many.
+// putIdle adds a connection to the idle list or gives it to a request that waits for
+// it, or closes it if the pool has too many.
 // The connection must not be in a transaction.
 func (p *Pool) putIdle(c *pooledConn) {
 	p.mu.Lock()
-	keep := !p.closed && p.open <= p.sizing.MaxOpen
+	keep := !p.closed && p.open <= p.bound()
 	if keep {
 		c.idleSince = p.now()
-		p.idle = append(p.idle, c)
+		p.returned(c, c.idleSince)
+		if !p.handOver(c, c.idleSince) {
+			p.idle = append(p.idle, c)
+		}
 	}
 	p.mu.Unlock()
 	if !keep {
--- a/internal/dbpool/metrics.go
+++ b/internal/dbpool/metrics.go
@@ -13,6 +13,8 @@
 	metricPhase       = "geraniumbeam_database_microseconds"
 	metricConnections = "geraniumbeam_connections_total"
 	metricExchanges   = "geraniumbeam_exchanges_total"
+
+	metricOrganisationConnections = "geraniumbeam_organisation_connections_total"
 )
 
 // Phases of a request, as values of the label "phase" of metricPhase.
@@ -52,6 +54,9 @@
 	}
 }
 
+// countOrganisation counts an event of the connections of organisations.
+func (p *Pool) countOrganisation(outcome string) { p.count(metricOrganisationConnections, outcome) }
+
 func (p *Pool) countExchange(err error) {
 	var notSent *NotSentError
 	switch {
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -1,21 +1,33 @@
 package dbpool
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
+
+	"geraniumbeam/internal/ownership"
 )
 
 // ownerSizing is the size of a pool of connections to an owner, which do not count
 // against the database's limit.
 var ownerSizing = Sizing{MaxOpen: maxOpenPerInstance, IdleTimeout: idleTimeoutDefault, ViaOwner: true}
 
+// ownerIdleTimeoutPerOrganisation applies to connections to owners in a deployment with
+// organisations. There an instance uses all owners of a database instead of one: with 79
+// instances, 24 databases and 7 owners, it sends one request to an owner every 14 s.
+const ownerIdleTimeoutPerOrganisation = 60 * time.Second
+
 // paths holds the pools through which an instance reaches one database: one for
 // each owner or, while the direct connections fail, for each instance that may still
 // reach the database, in order of preference, and one of direct connections. Set.mu
 // protects all fields except lastAnsweredControl.
 type paths struct {
 	owners              []*Pool
+	peers               []*Pool // of the other owners, if this instance is one and organisations are in force
+	detours             bool    // the owners are instances that may still reach the database
 	direct              *Pool
+	database            string
+	instance            string        // this one
 	isOwner             bool          // this instance is an owner of the database's connections
 	detourAt            time.Duration // when a detour was last needed; 0: never
 	detourSince         time.Duration // since when owners are detours, because the direct connections fail; 0: they are not
@@ -23,6 +35,36 @@
 	lastAnsweredControl atomic.Int64  // sending time of the last control command that the database answered
 }
 
+// pickFor returns the pool for the requests of an organisation. The owners of a database,
+// of which this instance may be one, share the organisations by rendezvous hashing: the
+// requests of an organisation meet at one owner and find its connections there.
+func (p *paths) pickFor(organisation string) *Pool {
+	candidates := p.owners
+	if p.isOwner {
+		candidates = p.peers
+	}
+	if organisation == "" || len(candidates) == 0 || (p.detours && !p.isOwner) {
+		return p.pick()
+	}
+	key := p.database + " " + organisation
+	var (
+		pools []*Pool
+		names []string
+	)
+	if p.isOwner && p.direct.usable() {
+		pools, names = append(pools, p.direct), append(names, p.instance)
+	}
+	for _, pool := range candidates {
+		if pool.usable() {
+			pools, names = append(pools, pool), append(names, pool.owner)
+		}
+	}
+	if at := ownership.Pick(key, names); at >= 0 {
+		return pools[at]
+	}
+	return p.pick()
+}
+
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
 // is usable and this instance may not connect itself, it returns the first owner's.
 func (p *paths) pick() *Pool {
@@ -84,13 +126,13 @@
 }
 
 func (p *paths) close() {
-	for _, pool := range p.owners {
+	for _, pool := range slices.Concat(p.owners, p.peers) {
 		pool.Close()
 	}
 	if p.direct != nil {
 		p.direct.Close()
 	}
-	p.owners, p.direct = nil, nil
+	p.owners, p.peers, p.direct = nil, nil, nil
 }
 
 // usable reports whether the pool's last exchange did not fail and none is stalled.
--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
@@ -31,8 +34,8 @@
 		Owners: func(topology.Database, int) ([]ownership.Instance, bool) {
 			return []ownership.Instance{{Name: "o1", Address: "o1:1"}, {Name: "o2", Address: "o2:1"}}, x.self
 		},
-		DialOwner: func(ctx context.Context, address, id string) (Conn, error) {
-			return x.owners[address].dial(ctx, address, "", id)
+		DialOwner: func(ctx context.Context, address, id string, _ bool) (Conn, error) {
+			return x.owners[address].dial(ctx, address, "", id, "")
 		},
 	})
 	x.reconcile()
@@ -48,7 +51,7 @@
 // use performs one exchange and returns the name of the owner that it went through.
 func (x *oversubscribedSet) use(t *testing.T) (string, error) {
 	t.Helper()
-	p, ok := x.set.Pool("db-1")
+	p, ok := x.set.Pool("db-1", "")
 	if !ok {
 		t.Fatal("no pool")
 	}
@@ -177,7 +180,7 @@
 	if owner, _ := x.use(t); owner != "o1" {
 		t.Errorf("request after a refusal for load: through owner %q, want o1", owner)
 	}
-	p, _ := x.set.Pool("db-1")
+	p, _ := x.set.Pool("db-1", "")
 	before := x.owners["o1:1"].dialed
 	for range 5 {
 		l := acquire(t, p)
@@ -293,7 +296,89 @@
 			t.Errorf("%s: error %v, want a database that is down", op, err)
 		}
 	}
-	if _, ok := x.set.Pool("db-1"); ok {
+	if _, ok := x.set.Pool("db-1", ""); ok {
 		t.Error("the closed pool is still given out")
 	}
 }
+
+func (x *oversubscribedSet) ownersOf(t *testing.T, organisations int) map[string]string {
+	t.Helper()
+	owners := make(map[string]string)
+	for i := range organisations {
+		name := fmt.Sprint("organisation-", i)
+		p, ok := x.set.Pool("db-1", name)
+		if !ok {
+			t.Fatal("no pool")
+		}
+		owners[name] = p.Owner()
+	}
+	return owners
+}
+
+// Guards against organisations whose requests are spread over all owners, of which each
+// then needs a connection for each organisation; against the loss of the organisations of
+// a failed owner; and against a move of those of the other owners.
+func TestOrganisationsShareTheOwners(t *testing.T) {
+	x := newOversubscribedSet(t)
+	before := x.ownersOf(t, 40)
+	share := map[string]int{}
+	for _, owner := range before {
+		share[owner]++
+	}
+	if share["o1"] < 8 || share["o2"] < 8 || share["o1"]+share["o2"] != 40 {
+		t.Errorf("the owners have %v organisations, want both about 20", share)
+	}
+	if !maps.Equal(before, x.ownersOf(t, 40)) {
+		t.Error("an organisation has changed its owner")
+	}
+	setError(x.owners["o1:1"], errBroken)
+	if owner, err := x.use(t); owner != "o1" || err == nil {
+		t.Fatalf("request through owner %q, %v, want a failure of o1", owner, err)
+	}
+	for name, owner := range x.ownersOf(t, 40) {
+		if owner != "o2" {
+			t.Errorf("%s has the owner %q, want the remaining one", name, owner)
+		}
+	}
+}
+
+// Guards against an owner that serves every organisation itself, so that each owner needs
+// connections for all; against one that sends on a request which another instance has
+// sent to it; and against a change in deployments without organisations.
+func TestOwnerSendsOrganisationsOfOthersToThem(t *testing.T) {
+	x := newOversubscribedSet(t)
+	x.set.cfg.Instance, x.self = "o1", true
+	x.set.cfg.Topology.Apply(topology.Configuration{Version: 1, Organisations: []organisation.Organisation{{Name: "any"}}})
+	x.reconcile()
+	other := newOversubscribedSet(t)
+	theirs := other.ownersOf(t, 40)
+	for name, owner := range x.ownersOf(t, 40) {
+		want := theirs[name]
+		if want == "o1" {
+			want = "" // its own connections
+		}
+		if owner != want {
+			t.Errorf("the owner sends %s to %q, other instances to %q", name, owner, theirs[name])
+		}
+	}
+	if p, ok := x.set.Owned("db-1"); !ok || p.Owner() != "" {
+		t.Error("requests that other instances send are not served by the owner's own connections")
+	}
+	if owner, err := x.use(t); owner != "" || err != nil {
+		t.Errorf("a request without organisation goes through %q, %v", owner, err)
+	}
+	if p, _ := x.set.Pool("db-1", ""); p.sizing.MaxOpen != 46*4/5/2 || p.sizing.concurrency() != maxOpenPerInstance {
+		t.Errorf("the owner's sizing is %+v", p.sizing)
+	}
+	setError(x.direct, errBroken) // this instance is cut off from the database
+	_, _ = x.use(t)
+	for name, owner := range x.ownersOf(t, 40) {
+		if owner != "o2" {
+			t.Errorf("an owner that does not reach the database sends %s to %q, want o2", name, owner)
+		}
+	}
+	x.set.cfg.Topology.Apply(topology.Configuration{Version: 2})
+	if pools := x.reconcile(); len(pools) != 1 || pools[0].sizing != SizingFor(46, 2, 46, false) {
+		t.Errorf("without organisations the owner has %d pools, sizing %+v", len(pools), pools[0].sizing)
+	}
+}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -53,6 +53,7 @@
 	owner   string // instance through which the database is reached; empty if it is reached directly
 	dial    Dial
 	now     func() time.Duration // advances while the machine is suspended
+	clock   clock.Clock
 	queue   *admission.Queue
 	metrics *measure.Registry
 
@@ -73,6 +74,7 @@
 	latency      decayingMean       // of exchanges with a statement
 	setupLatency decayingMean       // of exchanges that only bring the session into the right state
 	statuses     statusQueries
+	assigned     assignment
 }
 
 // Config configures a Pool.
@@ -88,15 +90,19 @@
 
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Real{}
+	}
 	return &Pool{
 		db:          cfg.Database,
 		owner:       cfg.Owner,
 		dial:        cfg.Dial,
 		now:         cfg.Now,
+		clock:       cfg.Clock,
 		sizing:      cfg.Sizing,
 		metrics:     cfg.Metrics,
 		warmUpAfter: cfg.Now() + rand.N(warmUpJitter),
-		queue:       admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.MaxOpen, FixedConcurrency: true}),
+		queue:       admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.concurrency(), FixedConcurrency: true}),
 	}
 }
 
@@ -110,11 +116,12 @@
 // SetSizing changes the size of the pool.
 func (p *Pool) SetSizing(s Sizing) {
 	p.mu.Lock()
-	changed := s.MaxOpen != p.sizing.MaxOpen
+	before := p.concurrency()
 	p.sizing = s
+	concurrency := p.concurrency()
 	p.mu.Unlock()
-	if changed {
-		p.queue.SetConcurrency(s.MaxOpen)
+	if concurrency != before {
+		p.queue.SetConcurrency(concurrency)
 	}
 }
 
@@ -123,7 +130,7 @@
 	InUse          int
 	Idle           int // open connections that are not in use
 	Queued         int
-	MaxOpen        int
+	MaxOpen        int  // connections that may be in use at a time
 	AtLimit        bool // no connection is idle, and the database recently refused one for its limit
 	Oversubscribed bool // opening a connection may fail because of the limit
 	Down           bool // no connection can be opened, or exchanges are not answered
@@ -153,7 +160,7 @@
 	return Load{
 		InUse:          p.open - len(p.idle),
 		Queued:         queued,
-		MaxOpen:        p.sizing.MaxOpen,
+		MaxOpen:        p.sizing.concurrency(),
 		AtLimit:        len(p.idle) == 0 && now < p.atLimitUntil,
 		Oversubscribed: p.sizing.oversubscribed(),
 		Position:       p.lastPosition,
@@ -172,8 +179,8 @@
 	serviceTime time.Duration // sum of the lease's exchanges
 }
 
-// Acquire waits for a connection for a session with the given variables. If it fails,
-// nothing was sent to the database.
+// Acquire waits for a connection of the request's organisation for a session with the
+// given variables. If it fails, nothing was sent to the database.
 func (p *Pool) Acquire(ctx context.Context, r admission.Request, variables map[string]string) (*Lease, error) {
 	began := p.now()
 	ticket, err := p.queue.Acquire(ctx, r)
@@ -181,7 +188,9 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := p.takeConn(ctx, variables)
+	organisation := p.organisationOf(r.Organisation)
+	p.recordUse(organisation)
+	conn, err := p.takeConn(ctx, organisation, variables)
 	if err != nil {
 		ticket.Release(0)
 		return nil, err
@@ -192,14 +201,15 @@
 	return &Lease{pool: p, conn: conn, ticket: ticket}, nil
 }
 
-// TryAcquire returns an idle connection for a session with the given variables, if
-// there is one and no request waits.
+// TryAcquire returns an idle connection of the request's organisation for a session with
+// the given variables, if there is one and no request waits.
 func (p *Pool) TryAcquire(r admission.Request, variables map[string]string) (*Lease, bool) {
 	ticket, ok := p.queue.TryAcquire(r)
 	if !ok {
 		return nil, false
 	}
-	conn := p.takeIdle(variables)
+	organisation := p.organisationOf(r.Organisation)
+	conn := p.takeIdle(organisation, variables)
 	if conn != nil && !conn.Alive() {
 		p.discard(conn)
 		conn = nil
@@ -208,75 +218,97 @@
 		ticket.Release(0)
 		return nil, false
 	}
+	p.recordUse(organisation)
 	return &Lease{pool: p, conn: conn, ticket: ticket}, true
 }
 
-// takeConn returns an idle connection or opens one.
-func (p *Pool) takeConn(ctx context.Context, variables map[string]string) (*pooledConn, error) {
+// takeConn returns an idle connection of the organisation, waits for one or opens one.
+func (p *Pool) takeConn(ctx context.Context, organisation string, variables map[string]string) (*pooledConn, error) {
 	for {
-		conn := p.takeIdle(variables)
+		conn := p.takeIdle(organisation, variables)
 		if conn == nil {
-			return p.connect(ctx)
+			break
 		}
 		if conn.Alive() {
 			return conn, nil
 		}
 		p.discard(conn)
 	}
+	if organisation != "" {
+		if conn := p.awaitRelease(ctx, organisation); conn != nil {
+			return conn, nil
+		}
+	}
+	return p.connect(ctx, organisation)
 }
 
-// takeIdle takes an idle connection that has exactly the given variables or, if there is
-// none, the most recently used one, preferably with variables: those without suit all
-// sessions that set none. Setting variables costs a round trip.
-func (p *Pool) takeIdle(variables map[string]string) *pooledConn {
+// takeIdle takes an idle connection of the organisation that has exactly the given
+// variables or, if there is none, the most recently used one, preferably with variables:
+// those without suit all sessions that set none. Setting variables costs a round trip.
+func (p *Pool) takeIdle(organisation string, variables map[string]string) *pooledConn {
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
-	}
-	at := p.indexIdle(variables)
-	if at < 0 {
-		at = n - 1
-		for at > 0 && len(p.idle[at].variables) == 0 {
-			at--
+	latest, withVariables := -1, -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.organisation != organisation {
+			continue
+		}
+		if latest < 0 {
+			latest = i
 		}
-		if len(p.idle[at].variables) == 0 {
-			at = n - 1
+		if withVariables < 0 && len(c.variables) > 0 {
+			withVariables = i
 		}
 	}
+	at := p.indexIdle(organisation, variables)
+	if at < 0 {
+		at = withVariables
+	}
+	if at < 0 {
+		at = latest
+	}
+	if at < 0 {
+		return nil
+	}
 	c := p.idle[at]
 	p.idle = slices.Delete(p.idle, at, at+1)
+	p.taken(c, now)
 	return c
 }
 
-// indexIdle returns the index of the most recently used idle connection that has exactly
-// the given variables, or -1. p.mu is held.
-func (p *Pool) indexIdle(variables map[string]string) int {
+// indexIdle returns the index of the most recently used idle connection of the
+// organisation that has exactly the given variables, or -1. p.mu is held.
+func (p *Pool) indexIdle(organisation string, variables map[string]string) int {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if maps.Equal(p.idle[i].variables, variables) {
+		if p.idle[i].organisation == organisation && maps.Equal(p.idle[i].variables, variables) {
 			return i
 		}
 	}
 	return -1
 }
 
-// SetupTime returns the expected time that setting a session's variables adds to its
-// next statement.
-func (p *Pool) SetupTime(variables map[string]string) time.Duration {
+// SetupTime returns the expected time that preparing a connection for a session of the
+// organisation adds to its next statement, if a connection is idle.
+func (p *Pool) SetupTime(organisation string, variables map[string]string) time.Duration {
 	if p.owner != "" {
 		return 0 // the owner is close to the database
 	}
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.indexIdle(variables) >= 0 {
+	if p.indexIdle(organisation, variables) >= 0 {
 		return 0
 	}
+	if organisation != "" && len(p.idle) > 0 && !slices.ContainsFunc(p.idle, func(c *pooledConn) bool { return c.organisation == organisation }) {
+		return initialOpenTime
+	}
 	return p.setupLatency.at(now)
 }
 
-func (p *Pool) connect(ctx context.Context) (*pooledConn, error) {
+// connect opens a connection of the organisation.
+func (p *Pool) connect(ctx context.Context, organisation string) (*pooledConn, error) {
 	p.mu.Lock()
 	now := p.now()
 	if !p.closed && now < p.dialAfter && p.dialBackoff == 0 {
@@ -287,21 +319,35 @@
 		p.mu.Unlock()
 		return nil, result.Errorf(result.DatabaseDown, "database %s is unreachable", p.db.ID)
 	}
-	if p.open >= p.sizing.MaxOpen {
-		p.mu.Unlock()
-		return nil, result.Errorf(result.ConnectionsBusy, "all connections to database %s are in use or being opened", p.db.ID)
+	delay, ok := p.reserve(now, organisation)
+	if ok && delay == 0 {
+		p.health.begin(now)
 	}
-	p.open++
-	p.health.begin(now)
 	p.mu.Unlock()
+	if !ok {
+		return nil, result.Errorf(result.ConnectionsBusy, "all connections to database %s are in use or being opened", p.db.ID)
+	}
+	if delay > 0 {
+		if err := p.awaitSettled(ctx, delay); err != nil {
+			return nil, err
+		}
+		now = p.now()
+		p.mu.Lock()
+		p.health.begin(now)
+		p.mu.Unlock()
+	}
+	return p.dialReserved(ctx, now, organisation)
+}
 
+// dialReserved opens a connection for which room is reserved. It begins now.
+func (p *Pool) dialReserved(ctx context.Context, now time.Duration, organisation string) (*pooledConn, error) {
 	timeout := dialTimeout
 	if p.owner != "" {
 		timeout = ownerDialTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID)
+	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID, organisation)
 
 	p.countConnect(err)
 	ended := p.now()
@@ -310,7 +356,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.open--
-		p.dialFailed(now, err)
+		p.dialFailed(now, organisation, err)
 		return nil, dialError(p.db.ID, err)
 	}
 	p.health.end(now, ended, true)
@@ -318,11 +364,18 @@
 	if r, ok := conn.(ProgressReporter); ok {
 		r.OnProgress(p.observeProgress)
 	}
-	return newPooledConn(conn), nil
+	c := newPooledConn(conn, organisation)
+	if organisation != "" {
+		p.assigned.openTime = smoothed(p.assigned.openTime, ended-now)
+		p.taken(c, ended)
+		p.countOrganisation("opened")
+	}
+	return c, nil
 }
 
-// dialFailed records a failed dial that began at the given time. p.mu is held.
-func (p *Pool) dialFailed(began time.Duration, err error) {
+// dialFailed records a failed dial for an organisation that began at the given time. p.mu
+// is held.
+func (p *Pool) dialFailed(began time.Duration, organisation string, err error) {
 	now := p.now()
 	var refused *result.Error
 	answered := errors.As(err, &refused) && refused.Code != result.WrongDatabase
@@ -330,6 +383,9 @@
 	if answered {
 		p.dialAfter = now + atLimitBackoff/2 + rand.N(atLimitBackoff) // jitter, so that instances do not retry together
 		p.atLimitUntil = now + atLimitPeriod/2 + rand.N(atLimitPeriod)
+		if organisation != "" && refused.Code == result.ConnectionsBusy {
+			p.lowerBound(now)
+		}
 		return
 	}
 	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), dialBackoffMax)
@@ -347,9 +403,12 @@
 // discard closes a connection that is not in the idle list.
 func (p *Pool) discard(c *pooledConn) {
 	_ = c.Abort() // the connection is not used again
+	now := p.now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open--
-	p.mu.Unlock()
+	p.returned(c, now)
+	p.settle(now)
 }
 
 // Rollback rolls back the open transaction and ends the lease.
--- a/internal/dbpool/pool_test.go
+++ b/internal/dbpool/pool_test.go
@@ -85,7 +85,7 @@
 	a.Release()
 	b.Release() // without variables, and most recently used
 	other := map[string]string{"a": "2"}
-	if got := p.SetupTime(nil); got != 0 {
+	if got := p.SetupTime("", nil); got != 0 {
 		t.Errorf("setup takes %v for a session without variables, want 0", got)
 	}
 	l, err := p.Acquire(context.Background(), newRequest(), other)
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -38,6 +38,7 @@
 // SetConfig configures a Set. Metrics and Owners may be nil; DialOwner is required
 // with Owners.
 type SetConfig struct {
+	Instance  string // name of this instance among the owners
 	Dial      Dial
 	Topology  *topology.Topology
 	Clock     clock.Clock
@@ -59,8 +60,9 @@
 	// not reach, in order of preference. If it is nil, there are none.
 	Detours func(d topology.Database) []ownership.Instance
 	// DialOwner connects to the owner at address to use the database with the
-	// given id.
-	DialOwner func(ctx context.Context, address, id string) (Conn, error)
+	// given id. If organisations is set, requests may have an organisation; an owner
+	// that does not know them is refused.
+	DialOwner func(ctx context.Context, address, id string, organisations bool) (Conn, error)
 }
 
 // Set holds the pools of all known databases. It is safe for concurrent use.
@@ -126,9 +128,10 @@
 // reconcile updates the pools of one database and returns them. s.mu is held.
 func (s *Set) reconcile(d topology.Database, limit, instances int) []*Pool {
 	var (
-		owners []ownership.Instance
-		self   bool
+		owners, peers []ownership.Instance
+		self          bool
 	)
+	organisations := s.organisationsInForce()
 	if s.cfg.Owners != nil && oversubscribed(limit, instances) {
 		owners, self = s.cfg.Owners(d, limit)
 	}
@@ -138,25 +141,39 @@
 	}
 	sizing := SizingFor(limit, instances, rank, d.Primary).afterStart(s.cfg.Now() - s.started)
 	if self {
-		sizing, owners = SizingFor(limit, len(owners), limit, d.Primary), nil
+		sizing = SizingFor(limit, len(owners), limit, d.Primary)
+		if organisations {
+			sizing, peers = sizing.perOrganisation(limit, len(owners)), s.others(owners)
+		}
+		owners = nil
 	}
 	p, ok := s.pools[d.ID]
 	if !ok {
-		p = &paths{}
+		p = &paths{database: d.ID}
 		s.pools[d.ID] = p
 	}
-	p.isOwner = self
+	p.isOwner, p.instance = self, s.cfg.Instance
 	p.mayConnect = len(owners) == 0 || s.cfg.MayConnect == nil || s.cfg.MayConnect(d, limit)
 	if p.direct == nil || !sameDatabase(p.direct.db, d) {
 		p.close()
 		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
 	}
 	p.direct.SetSizing(sizing)
-	if len(owners) == 0 {
+	p.detours = len(owners) == 0
+	if p.detours {
 		owners = s.detours(d, p)
 	}
 	p.owners = s.reconcileOwners(d, p.owners, owners)
-	return append(slices.Clone(p.owners), p.direct)
+	p.peers = s.reconcileOwners(d, p.peers, peers)
+	return slices.Concat(p.owners, p.peers, []*Pool{p.direct})
+}
+
+// organisationsInForce reports whether requests have organisations.
+func (s *Set) organisationsInForce() bool { return s.cfg.Topology.Snapshot().Organisations != nil }
+
+// others returns the instances but this one.
+func (s *Set) others(instances []ownership.Instance) []ownership.Instance {
+	return slices.DeleteFunc(slices.Clone(instances), func(i ownership.Instance) bool { return i.Name == s.cfg.Instance })
 }
 
 // detours returns the instances through which to reach a database while the direct
@@ -181,15 +198,22 @@
 // pools that are no longer needed.
 func (s *Set) reconcileOwners(d topology.Database, old []*Pool, owners []ownership.Instance) []*Pool {
 	var pools []*Pool
+	sizing := ownerSizing
+	if s.organisationsInForce() {
+		sizing.IdleTimeout = ownerIdleTimeoutPerOrganisation
+	}
 	unused := slices.Clone(old)
 	for _, o := range owners {
 		if i := slices.IndexFunc(unused, func(p *Pool) bool { return p.owner == o.Name }); i >= 0 {
+			unused[i].SetSizing(sizing)
 			pools = append(pools, unused[i])
 			unused = slices.Delete(unused, i, i+1)
 			continue
 		}
-		dial := func(ctx context.Context, _, _, id string) (Conn, error) { return s.cfg.DialOwner(ctx, o.Address, id) }
-		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, Dial: dial, Sizing: ownerSizing}))
+		dial := func(ctx context.Context, _, _, id, _ string) (Conn, error) {
+			return s.cfg.DialOwner(ctx, o.Address, id, s.organisationsInForce())
+		}
+		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, Dial: dial, Sizing: sizing}))
 	}
 	for _, p := range unused {
 		p.Close()
@@ -206,19 +230,22 @@
 	return a.Address == b.Address && a.StartMillis == b.StartMillis
 }
 
-// Pool returns the preferred pool of a database.
-func (s *Set) Pool(id string) (*Pool, bool) {
+// Pool returns the preferred pool of a database for the requests of an organisation,
+// which is empty if the deployment has none.
+func (s *Set) Pool(id, organisation string) (*Pool, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	p, ok := s.pools[id]
 	if !ok {
 		return nil, false
 	}
-	return p.pick(), true
+	return p.pickFor(organisation), true
 }
 
 // Owned returns the direct pool of a database if this instance is one of its owners,
-// or if the database has none and this instance reaches it.
+// or if the database has none and this instance reaches it. It does not depend on the
+// organisation: if two instances disagree about the order of the owners, a request must
+// not be sent on by the one that receives it.
 func (s *Set) Owned(id string) (*Pool, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/dbpool/sizing.go
+++ b/internal/dbpool/sizing.go
@@ -38,6 +38,7 @@
 // connection limit it shares with other instances.
 type Sizing struct {
 	MaxOpen     int           // bound of open connections
+	Concurrency int           // bound of requests that use connections at a time; 0: MaxOpen
 	IdleTimeout time.Duration // of idle connections; with KeepWarm, one stays open regardless
 	KeepWarm    bool          // open one connection ahead of need and keep it open
 	// ViaOwner is set if the connections lead to an owner, so that opening one
@@ -79,6 +80,28 @@
 	return Sizing{MaxOpen: min(share, maxOpenPerInstance), IdleTimeout: idleTimeoutTight, KeepWarm: true}
 }
 
+// ownerShareNumerator and ownerShareDenominator are the part of a limit that the owners of
+// a database use in a deployment with organisations: four fifths. Connections of many
+// organisations are idle, and a closed one costs more than it does without them.
+const ownerShareNumerator, ownerShareDenominator = 4, 5
+
+// perOrganisation returns the sizing of an owner whose connections serve one
+// organisation each. More of them may be open than statements run.
+func (s Sizing) perOrganisation(limit, owners int) Sizing {
+	s.Concurrency = s.MaxOpen
+	s.MaxOpen = max(s.MaxOpen, limit*ownerShareNumerator/ownerShareDenominator/owners)
+	s.IdleTimeout = idleTimeoutDefault
+	return s
+}
+
+// concurrency returns the bound of requests that use connections at a time.
+func (s Sizing) concurrency() int {
+	if s.Concurrency == 0 {
+		return s.MaxOpen
+	}
+	return s.Concurrency
+}
+
 // formerConnectionsTime is how long a database keeps the connections of an instance
 // that lost power.
 const formerConnectionsTime = 3 * time.Second
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -14,6 +14,7 @@
 
 	"geraniumbeam/internal/admission"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 )
@@ -35,18 +36,21 @@
 	priority admission.Request // of the next requests
 	progress func()            // called for each report of progress; may be nil
 	inOrder  bool              // the owner sends no command before the answers of those that it relies on
+	// organisations is set if the messages are organisationRequests.
+	organisations bool
 }
 
-// Dial connects to the owner at address for requests to the database with the id.
-// It fails if that instance does not own the database; the pool then reports
+// Dial connects to the owner at address for requests to the database with the id. If
+// organisations is set, the requests may have an organisation. It fails if that instance
+// does not own the database or does not know organisations; the pool then reports
 // result.DatabaseDown.
-func Dial(ctx context.Context, address, id string) (dbpool.Conn, error) {
+func Dial(ctx context.Context, address, id string, organisations bool) (dbpool.Conn, error) {
 	var d net.Dialer
 	netConn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to owner at %s: %w", address, err)
 	}
-	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn)}
+	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn), organisations: organisations}
 	if err := c.handshake(ctx, address, id); err != nil {
 		_ = netConn.Close() // no request was sent on it
 		return nil, err
@@ -67,6 +71,9 @@
 		Method: http.MethodGet, Host: address, URL: &url.URL{Path: Path, RawQuery: url.Values{"id": {id}, progressParam: {"1"}}.Encode()},
 		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {upgrade}},
 	}
+	if c.organisations {
+		req.Header.Set(organisationsHeader, "1")
+	}
 	if err := req.Write(c.w); err != nil {
 		return fmt.Errorf("send handshake to owner at %s: %w", address, err)
 	}
@@ -80,6 +87,9 @@
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		return fmt.Errorf("owner at %s refused the handshake: status %d", address, resp.StatusCode)
 	}
+	if c.organisations && resp.Header.Get(organisationsHeader) == "" {
+		return fmt.Errorf("owner at %s does not know organisations", address)
+	}
 	c.inOrder = resp.Header.Get(inOrderHeader) != ""
 	c.enc, c.dec = gob.NewEncoder(c.w), gob.NewDecoder(c.r)
 	return nil
@@ -136,7 +146,10 @@
 	if err := c.conn.SetDeadline(replyBy); err != nil {
 		return rep, fmt.Errorf("exchange with owner: %w", err)
 	}
-	err := c.enc.Encode(request{
+	if c.priority.Organisation != "" && !c.organisations {
+		return rep, &dbpool.NotSentError{Cause: errNoOrganisations}
+	}
+	err := c.send(request{
 		ID: c.priority.ID, Class: c.priority.Class, Caller: c.priority.Caller, Rank: c.priority.Rank,
 		Remaining: time.Until(deadline), RemainingTarget: remainingTarget(c.priority), Commands: commands,
 	})
@@ -155,6 +168,18 @@
 	return rep, nil
 }
 
+// errNoOrganisations refuses requests of organisations on a connection that was opened
+// before the deployment had any.
+var errNoOrganisations = result.Errorf(result.DatabaseDown, "the connection to the owner carries no organisations")
+
+// send writes a request to the buffer.
+func (c *ownerConn) send(r request) error {
+	if !c.organisations {
+		return c.enc.Encode(r)
+	}
+	return c.enc.Encode(organisationRequest{Organisation: c.priority.Organisation, Request: r})
+}
+
 func remainingTarget(r admission.Request) time.Duration {
 	if r.Target.IsZero() {
 		return 0
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -27,6 +27,7 @@
 type fakeDatabase struct {
 	mu    sync.Mutex
 	conns []*fakeConn
+	names []string      // organisations under whose names they were opened
 	fail  error         // returned by all exchanges while set
 	block chan struct{} // if set, each exchange waits to receive from it
 	// refuse returns the error with which a command is refused, or nil. It may be nil.
@@ -43,9 +44,10 @@
 	closed   bool
 }
 
-func (d *fakeDatabase) dial(context.Context, string, string, string) (dbpool.Conn, error) {
+func (d *fakeDatabase) dial(_ context.Context, _, _, _, organisation string) (dbpool.Conn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.names = append(d.names, organisation)
 	c := &fakeConn{db: d}
 	d.conns = append(d.conns, c)
 	return c, nil
@@ -133,10 +135,15 @@
 
 // clientPool returns the pool of another instance that sends its requests through
 // the owner.
-func (o *owner) clientPool() *dbpool.Pool {
+func (o *owner) clientPool() *dbpool.Pool { return o.clientPoolFor(false) }
+
+// clientPoolFor returns such a pool in a deployment that has organisations or not.
+func (o *owner) clientPoolFor(organisations bool) *dbpool.Pool {
 	return dbpool.New(dbpool.Config{
 		Database: topology.Database{ID: "db-1", Service: "ledger"}, Owner: "owner", Clock: clock.Real{}, Now: clock.SinceBoot,
-		Dial:   func(ctx context.Context, _, _, id string) (dbpool.Conn, error) { return Dial(ctx, o.address, id) },
+		Dial: func(ctx context.Context, _, _, id, _ string) (dbpool.Conn, error) {
+			return Dial(ctx, o.address, id, organisations)
+		},
 		Sizing: dbpool.Sizing{MaxOpen: 8, IdleTimeout: time.Minute, ViaOwner: true},
 	})
 }
@@ -416,11 +423,11 @@
 	if a, err := open.Run(dbpool.Exchange{Statement: statement.Statement{Kind: statement.Commit, Text: "COMMIT"}, Deadline: testDeadline()}); err != nil || a.State != statement.TxIdle {
 		t.Errorf("commit of an open transaction at a draining owner: %+v, %v", a, err)
 	}
-	if _, err := Dial(t.Context(), o.address, "db-1"); err == nil {
+	if _, err := Dial(t.Context(), o.address, "db-1", false); err == nil {
 		t.Error("a draining owner accepted a connection")
 	}
 	o2 := newOwner(t, 2)
-	if _, err := Dial(t.Context(), o2.address, "db-2"); err == nil {
+	if _, err := Dial(t.Context(), o2.address, "db-2", false); err == nil {
 		t.Error("an instance accepted a connection for a database that it does not own")
 	}
 }
@@ -530,7 +537,7 @@
 		time.Sleep(r.Remaining + late)
 		return reply{NotSent: errNotOwner}
 	})
-	c, err := Dial(t.Context(), address, "db-1")
+	c, err := Dial(t.Context(), address, "db-1", false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/hop/protocol.go
+++ b/internal/hop/protocol.go
@@ -30,6 +30,12 @@
 // without it the client sends such commands one after the other.
 const inOrderHeader = "Geraniumbeam-In-Order"
 
+// organisationsHeader is the header with which a client asks in the handshake for a
+// connection whose requests have organisations, and with which the owner agrees. Each
+// message of the client is then an organisationRequest. The client uses no owner that does
+// not agree: it would run the request under a wrong organisation.
+const organisationsHeader = "Geraniumbeam-Organisations"
+
 // upgrade names the protocol in the Upgrade header of the handshake.
 const upgrade = "geraniumbeam-hop"
 
@@ -46,6 +52,12 @@
 	Commands        []statement.Command
 }
 
+// organisationRequest is a request with the organisation on whose connection it must run.
+type organisationRequest struct {
+	Organisation string
+	Request      request
+}
+
 // reply is the owner's message in response to a request.
 type reply struct {
 	// Waiting is set in replies that precede the final one. They say that the
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -39,6 +39,10 @@
 // no longer owns, and new requests while it drains.
 var errNotOwner = result.Errorf(result.DatabaseDown, "the instance does not own the database or is draining")
 
+// errOtherOrganisation refuses a request on the connection of a transaction that another
+// organisation has opened.
+var errOtherOrganisation = result.Errorf(result.DatabaseDown, "the open transaction belongs to another organisation")
+
 // Pools holds the connection pools of the databases that this instance owns.
 type Pools interface {
 	// Owned returns the pool of the database with the id. It reports false if
@@ -85,7 +89,12 @@
 	s.track(c, true)
 	defer s.track(c, false)
 	_ = c.SetDeadline(time.Now().Add(handshakeTimeout)) // if this fails, so does the write below
-	_, err = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgrade + "\r\n" + inOrderHeader + ": 1\r\n\r\n")
+	headers := "Connection: Upgrade\r\nUpgrade: " + upgrade + "\r\n" + inOrderHeader + ": 1\r\n"
+	organisations := req.Header.Get(organisationsHeader) != ""
+	if organisations {
+		headers += organisationsHeader + ": 1\r\n"
+	}
+	_, err = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\n" + headers + "\r\n")
 	if err == nil {
 		err = buffered.Flush()
 	}
@@ -99,7 +108,7 @@
 	p := &peerConn{
 		server: s, id: id, w: buffered.Writer, enc: gob.NewEncoder(buffered.Writer), dec: gob.NewDecoder(buffered.Reader),
 		variables: make(map[string]string), prepared: make(map[string]dbpool.PreparedStatement),
-		reportsProgress: req.URL.Query().Has(progressParam),
+		reportsProgress: req.URL.Query().Has(progressParam), organisations: organisations,
 	}
 	p.serve()
 	_ = sockets.Reset(c) // data in transit is no longer needed
@@ -125,6 +134,7 @@
 	server          *Server
 	id              string
 	reportsProgress bool
+	organisations   bool // the messages are organisationRequests
 	dec             *gob.Decoder
 
 	sendMu sync.Mutex
@@ -136,13 +146,15 @@
 	variables map[string]string
 	prepared  map[string]dbpool.PreparedStatement
 	lease     *dbpool.Lease // set during a transaction
+	// organisation is the one of the transaction.
+	organisation string
 }
 
 // serve handles requests until the peer disconnects, which also ends the wait for
 // a connection to the database.
 func (p *peerConn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
-	requests := make(chan request)
+	requests := make(chan organisationRequest)
 	go func() {
 		defer close(requests)
 		defer cancel()
@@ -156,7 +168,7 @@
 	}()
 	for r := range requests {
 		p.startProgress()
-		rep := p.handle(ctx, r)
+		rep := p.handle(ctx, r.Organisation, r.Request)
 		p.stopProgress()
 		if p.send(rep) != nil || rep.Lost != "" {
 			return // the peer reconnects
@@ -165,10 +177,10 @@
 }
 
 // readRequests passes on the peer's requests until it disconnects or ctx ends.
-func (p *peerConn) readRequests(ctx context.Context, requests chan<- request) {
+func (p *peerConn) readRequests(ctx context.Context, requests chan<- organisationRequest) {
 	for {
-		var r request
-		if p.dec.Decode(&r) != nil {
+		r, err := p.receive()
+		if err != nil {
 			return // the peer has disconnected
 		}
 		select {
@@ -179,6 +191,20 @@
 	}
 }
 
+// receive reads a request. Its organisation is empty if the peer's requests have none.
+func (p *peerConn) receive() (organisationRequest, error) {
+	var (
+		r   organisationRequest
+		err error
+	)
+	if p.organisations {
+		err = p.dec.Decode(&r)
+	} else {
+		err = p.dec.Decode(&r.Request)
+	}
+	return r, err
+}
+
 func (p *peerConn) send(rep reply) error {
 	p.sendMu.Lock()
 	defer p.sendMu.Unlock()
@@ -236,12 +262,15 @@
 	p.timer.Reset(progressInterval)
 }
 
-func (p *peerConn) handle(ctx context.Context, r request) reply {
+func (p *peerConn) handle(ctx context.Context, organisation string, r request) reply {
 	deadline := time.Now().Add(r.Remaining)
 	pool, owned := p.server.Pools.Owned(p.id)
 	if p.lease == nil && (!owned || p.server.stopping.Load()) {
 		return reply{NotSent: errNotOwner}
 	}
+	if p.lease != nil && organisation != p.organisation {
+		return reply{NotSent: errOtherOrganisation}
+	}
 	if len(r.Commands) == 1 && r.Commands[0].Op == statement.OpStatus {
 		return databaseStatus(ctx, pool, r)
 	}
@@ -264,12 +293,12 @@
 		ctx, cancel := context.WithDeadline(ctx, acquireDeadline)
 		defer cancel()
 		lease, err := pool.Acquire(ctx, admission.Request{
-			ID: r.ID, Class: r.Class, Caller: r.Caller, Rank: r.Rank, Deadline: acquireDeadline, Target: targetOf(r),
+			ID: r.ID, Class: r.Class, Caller: r.Caller, Organisation: organisation, Rank: r.Rank, Deadline: acquireDeadline, Target: targetOf(r),
 		}, p.variables)
 		if err != nil {
 			return reply{NotSent: withoutCause(result.From(err)), Answers: answers}
 		}
-		p.lease = lease
+		p.lease, p.organisation = lease, organisation
 	}
 	results, err := p.lease.RunCommands(deadline, p.variables, p.prepared, forwarded)
 	for i, a := range results {
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -76,7 +76,7 @@
 	}
 	i.syncer = topology.NewSyncer(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
-		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
+		Instance: cfg.Instance, Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
 		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial,
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -55,7 +55,7 @@
 		if d.Leaving || (!isPrimary && !provable) || req.attemptsByDatabase[d.ID] >= maxAttemptsPerDatabase {
 			continue
 		}
-		pool, ok := srv.cfg.Pools.Pool(d.ID)
+		pool, ok := srv.cfg.Pools.Pool(d.ID, req.organisation)
 		if !ok {
 			continue
 		}
@@ -67,7 +67,7 @@
 		if isPrimary {
 			t = target{pool: pool, primary: primary}
 		}
-		c := cost(load, d.DataCentre != srv.cfg.DataCentre, isPrimary, required) + pool.SetupTime(s.variables) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty
+		c := cost(load, d.DataCentre != srv.cfg.DataCentre, isPrimary, required) + pool.SetupTime(req.organisation, s.variables) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty
 		if bestCost < 0 || c < bestCost {
 			best, bestCost = t, c
 		}
@@ -103,7 +103,7 @@
 // unreachable or has been leaving for longer than LeavingPrimaryTimeout.
 func (s *session) primaryTarget(req *request, p primacy.Primary) (target, bool) {
 	srv := s.srv
-	pool, ok := srv.cfg.Pools.Pool(p.ID)
+	pool, ok := srv.cfg.Pools.Pool(p.ID, req.organisation)
 	if !ok {
 		return target{}, false
 	}
--- a/internal/proxy/earlybegin.go
+++ b/internal/proxy/earlybegin.go
@@ -36,7 +36,7 @@
 	if !ok {
 		return
 	}
-	pool, ok := srv.cfg.Pools.Pool(primary.ID)
+	pool, ok := srv.cfg.Pools.Pool(primary.ID, req.organisation)
 	if !ok || pool.Owner() != "" || pool.Database().DataCentre == srv.cfg.DataCentre {
 		return // an owner begins the transaction on its way to the statement
 	}
--- a/internal/proxy/earlybegin_test.go
+++ b/internal/proxy/earlybegin_test.go
@@ -55,7 +55,7 @@
 	h := newHarness(t)
 	h.server.cfg.DataCentre = "b"
 	h.eventually("a connection is idle", func() bool {
-		pool, _ := h.server.cfg.Pools.Pool("db-1")
+		pool, _ := h.server.cfg.Pools.Pool("db-1", "")
 		if l := pool.Load(); l.InUse > 0 {
 			return false
 		}
@@ -101,7 +101,7 @@
 			end(s)
 			h.eventually("the transaction is rolled back", func() bool { open, _, _ := d.state(); return !open })
 			h.eventually("the connection is free", func() bool {
-				pool, _ := h.server.cfg.Pools.Pool("db-1")
+				pool, _ := h.server.cfg.Pools.Pool("db-1", "")
 				return pool.Load().InUse == 0
 			})
 		})
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -65,14 +65,14 @@
 	}
 	h.topology.Replace(all, clock.SinceBoot())
 	pools := dbpool.NewSet(dbpool.SetConfig{
-		Dial:     func(_ context.Context, _, _, id string) (dbpool.Conn, error) { return &harnessConn{h, id}, nil },
+		Dial:     func(_ context.Context, _, _, id, _ string) (dbpool.Conn, error) { return &harnessConn{h, id}, nil },
 		Topology: h.topology, Clock: clock.Real{}, Now: clock.SinceBoot, Instances: func() int { return 2 },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = pools.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	h.eventually("the pools exist", func() bool { _, ok := pools.Pool("db-3"); return ok })
+	h.eventually("the pools exist", func() bool { _, ok := pools.Pool("db-3", ""); return ok })
 	h.server = New(Config{
 		DataCentre: "a", MaxSessions: 2, Topology: h.topology, Records: h.records, Pools: pools, Now: clock.SinceBoot,
 		Log: zerolog.Nop(), Metrics: measure.NewRegistry(), LeavingPrimaryTimeout: time.Minute,
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -132,7 +132,7 @@
 	if _, valid := srv.cfg.Records.Primary(req.route.Service); !valid {
 		return srv.cfg.Now()-srv.started > startupPeriod
 	}
-	pool, ok := srv.cfg.Pools.Pool(rec.Primary)
+	pool, ok := srv.cfg.Pools.Pool(rec.Primary, req.organisation)
 	if !ok {
 		return false
 	}
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -152,7 +152,7 @@
 	c.statements <- st(statement.Write)
 	<-c.answers
 	h.eventually("the connection is free", func() bool {
-		p, _ := h.server.cfg.Pools.Pool("db-1")
+		p, _ := h.server.cfg.Pools.Pool("db-1", "")
 		return p.Load().InUse == 0
 	})
 	// The caller must learn that its transaction was rolled back. The soak test
@@ -186,7 +186,7 @@
 	<-c.answers
 	close(c.statements)
 	h.eventually("the connection is free", func() bool {
-		p, _ := h.server.cfg.Pools.Pool("db-1")
+		p, _ := h.server.cfg.Pools.Pool("db-1", "")
 		return p.Load().InUse == 0
 	})
 }
--- a/internal/standin/hosted/database.go
+++ b/internal/standin/hosted/database.go
@@ -21,7 +21,7 @@
 	slots          chan struct{}
 
 	listener         net.Listener
-	conns            map[net.Conn]string // the instance that opened the connection
+	conns            map[net.Conn]string // the instance or the organisation under whose name the connection was opened
 	queuedStatements int                 // statements waiting for a slot
 
 	log                []Commit
@@ -182,7 +182,7 @@
 type connection struct {
 	database  *Database
 	number    uint64
-	instance  string
+	instance  string // or the organisation under whose name it was opened
 	out       *bufio.Writer
 	variables map[string]string
 	prepared  map[string]string // mode (READ or WRITE) and text of prepared statements, by name
@@ -474,7 +474,7 @@
 // newRun describes the execution of a statement. conn.database.group.mu is held.
 func (conn *connection) newRun(id, text string) Run {
 	return Run{
-		At: time.Now(), Database: conn.database.id, Connection: conn.number, ID: id, Text: text, BeginID: conn.beginID, Log: conn.database.log,
+		At: time.Now(), Database: conn.database.id, Connection: conn.number, OpenedBy: conn.instance, ID: id, Text: text, BeginID: conn.beginID, Log: conn.database.log,
 		Variables: maps.Clone(conn.variables), Superseded: conn.database.term < conn.database.group.term,
 	}
 }
--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -23,6 +23,7 @@
 	At         time.Time
 	Database   string
 	Connection uint64
+	OpenedBy   string // second word of the START line of the connection: an instance or an organisation
 	ID         string
 	Text       string
 	BeginID    string            // id of the BEGIN request, if the statement ran in a transaction
