--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -146,8 +146,8 @@
 	keep := !p.closed && p.open <= p.bound()
 	if keep {
 		c.idleSince = p.now()
-		p.returned(c, c.idleSince)
-		if !p.handOver(c, c.idleSince) {
+		p.returned(c)
+		if !p.handOver(c) {
 			p.idle = append(p.idle, c)
 		}
 	}
--- a/internal/dbpool/organisations.go
+++ b/internal/dbpool/organisations.go
@@ -94,23 +94,23 @@
 }
 
 // taken records that a request uses a connection. p.mu is held.
-func (p *Pool) taken(c *pooledConn, now time.Duration) {
+func (p *Pool) taken(c *pooledConn) {
 	if c.organisation == "" {
 		return
 	}
-	c.takenAt = now
+	c.takenAt = p.now()
 	p.assigned.inUse = append(p.assigned.inUse, c)
 }
 
 // returned records that a request no longer uses a connection. p.mu is held.
-func (p *Pool) returned(c *pooledConn, now time.Duration) {
+func (p *Pool) returned(c *pooledConn) {
 	a := &p.assigned
 	i := slices.Index(a.inUse, c)
 	if i < 0 {
 		return
 	}
 	a.inUse = slices.Delete(a.inUse, i, i+1)
-	a.hold = smoothed(a.hold, min(now-c.takenAt, maxHoldSample))
+	a.hold = smoothed(a.hold, min(p.now()-c.takenAt, maxHoldSample))
 }
 
 // smoothed returns the moving average of samples after another one.
@@ -123,9 +123,9 @@
 
 // settle records that a connection was closed, which the database may not know yet.
 // p.mu is held.
-func (p *Pool) settle(now time.Duration) {
+func (p *Pool) settle() {
 	if p.assigned.inForce {
-		p.assigned.settling = append(p.assigned.settling, now+closeSettleTime)
+		p.assigned.settling = append(p.assigned.settling, p.now()+closeSettleTime)
 	}
 }
 
@@ -174,7 +174,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	p.settle(p.now()) // the connection that was closed for this one
+	p.settle() // the connection that was closed for this one
 	return result.Errorf(result.DeadlineBeforeRun, "the request ended while a connection to database %s was replaced: %w", p.db.ID, ctx.Err())
 }
 
@@ -217,7 +217,7 @@
 	p.idle = slices.Delete(p.idle, at, at+1)
 	_ = c.Abort() // the connection is not used again
 	p.open--
-	p.settle(p.now())
+	p.settle()
 }
 
 func (a *assignment) rate(organisation string, now time.Duration) float64 {
@@ -287,13 +287,13 @@
 }
 
 // handOver gives a released connection to a request that waits for it. p.mu is held.
-func (p *Pool) handOver(c *pooledConn, now time.Duration) bool {
+func (p *Pool) handOver(c *pooledConn) bool {
 	a := &p.assigned
 	i := slices.IndexFunc(a.waiters, func(w *waiter) bool { return w.organisation == c.organisation })
 	if i < 0 {
 		return false
 	}
-	p.taken(c, now)
+	p.taken(c)
 	a.waiters[i].conn <- c
 	a.waiters = slices.Delete(a.waiters, i, i+1)
 	return true
@@ -369,7 +369,7 @@
 	}
 	p.mu.Lock()
 	keep := !p.closed && p.open <= p.bound()
-	if keep && !p.handOver(c, p.now()) {
+	if keep && !p.handOver(c) {
 		at := slices.IndexFunc(p.idle, func(o *pooledConn) bool { return o.idleSince > c.idleSince })
 		if at < 0 {
 			at = len(p.idle)
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -246,7 +246,6 @@
 // variables or, if there is none, the most recently used one, preferably with variables:
 // those without suit all sessions that set none. Setting variables costs a round trip.
 func (p *Pool) takeIdle(organisation string, variables map[string]string) *pooledConn {
-	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	latest, withVariables := -1, -1
@@ -274,7 +273,7 @@
 	}
 	c := p.idle[at]
 	p.idle = slices.Delete(p.idle, at, at+1)
-	p.taken(c, now)
+	p.taken(c)
 	return c
 }
 
@@ -367,7 +366,7 @@
 	c := newPooledConn(conn, organisation)
 	if organisation != "" {
 		p.assigned.openTime = smoothed(p.assigned.openTime, ended-now)
-		p.taken(c, ended)
+		p.taken(c)
 		p.countOrganisation("opened")
 	}
 	return c, nil
@@ -403,12 +402,11 @@
 // discard closes a connection that is not in the idle list.
 func (p *Pool) discard(c *pooledConn) {
 	_ = c.Abort() // the connection is not used again
-	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	p.returned(c, now)
-	p.settle(now)
+	p.returned(c)
+	p.settle()
 }
 
 // Rollback rolls back the open transaction and ends the lease.
