--- a/internal/proxy/identity_test.go
+++ b/internal/proxy/identity_test.go
@@ -233,7 +233,7 @@
 	began := time.Now()
 	h.organise()
 	h.eventually("the transaction is rolled back", func() bool {
-		pool, _ := h.server.cfg.Pools.Pool("db-1")
+		pool, _ := h.server.cfg.Pools.Pool("db-1", "acme")
 		return pool.Load().InUse == 0
 	})
 	if took, idle := time.Since(began), h.topology.Snapshot().TxIdleTimeout; took < idle*9/10 {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -18,7 +18,6 @@
 	preparedStmt *dbpool.PreparedStatement
 	writes       bool
 	begin        *statement.Statement // BEGIN to send before the statement; nil if none
-	organisation string               // empty if the deployment has none
 	arrivedAt    time.Duration
 	deadline     time.Time // for the answer, over all attempts
 	target       time.Time // by which the caller should have the answer; zero if the route has no target
--- a/internal/proxy/waiting_test.go
+++ b/internal/proxy/waiting_test.go
@@ -18,7 +18,7 @@
 		}
 		return statement.Answer{Signature: "sig"}, nil
 	})
-	pool, _ := h.server.cfg.Pools.Pool("db-1")
+	pool, _ := h.server.cfg.Pools.Pool("db-1", "acme")
 	for i := range pool.Load().MaxOpen {
 		s := h.sessionOf(testRoute, boltKey)
 		go s.handle(statement.Statement{Kind: statement.Write, ID: "occupying"})
@@ -42,7 +42,7 @@
 			} else {
 				h.startFailover()
 			}
-			pool, _ := h.server.cfg.Pools.Pool("db-1")
+			pool, _ := h.server.cfg.Pools.Pool("db-1", "acme")
 			caller := h.startSession(testRoute, acmeKey)
 			caller.statements <- statement.Statement{Kind: statement.Write, ID: "abandoned"}
 			if waitsFor == "connection" {
@@ -106,7 +106,7 @@
 				h.occupy(release)
 			}
 			caller.statements <- statement.Statement{Kind: statement.Write, ID: id}
-			pool, _ := h.server.cfg.Pools.Pool("db-1")
+			pool, _ := h.server.cfg.Pools.Pool("db-1", "acme")
 			h.eventually("the request waits or runs", func() bool { return pool.Load().Queued == 1 || c.sent && h.runs("db-1", statement.Write) == 1 })
 			caller.state.Store(int32(c.state))
 			time.Sleep(6 * scanInterval)
