proxy: open a connection of the organisation in the test of early transactions

A transaction begins early only on an idle connection of its organisation, and the harness opens one without organisation. The test demands the same as before.

--- a/internal/proxy/charge_test.go
+++ b/internal/proxy/charge_test.go
@@ -139,12 +139,13 @@
 // database before its first statement.
 func TestEarlyBeginIsNotReturned(t *testing.T) {
 	h, d := newRemoteHarness(t)
-	l := &fakeLimiter{left: 10}
-	h.server.cfg.Limiter = l
 	acme := org("acme", acmeKey)
 	acme.Limited = true
 	h.organise(acme)
 	s := h.sessionOf(testRoute, acmeKey)
+	s.handle(st(statement.Read)) // opens a connection of the organisation, on which BEGIN can be sent early
+	l := &fakeLimiter{left: 10}
+	h.server.cfg.Limiter = l
 	s.handle(st(statement.Begin))
 	h.eventually("the transaction is open", func() bool { open, _, _ := d.state(); return open })
 	s.handle(st(statement.Rollback))
