admission: fairness between organisations spans the classes of a rank

Requests of an organisation wait in one queue for each rank, with one flow for each organisation; within it the order is by target and deadline. Service times are still kept for each class.

Requests without an organisation are queued as before.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -59,7 +59,8 @@
 
 // item is one admitted request.
 type item struct {
-	class    *classQueue
+	class    *classQueue // has the service times
+	queue    *classQueue // in which the item waits: class, or that of all organisations
 	flow     *flow
 	rank     int
 	pinned   bool
@@ -92,14 +93,18 @@
 	rank, class, caller := c.queueKey(r)
 	rq := &c.ranks[rank]
 	cq := rq.class(class)
+	queue := cq
+	if r.Organisation != "" && c.policy == PolicyTargets {
+		queue = rq.class(organisationsClass)
+	}
 	if !r.Pinned {
-		if ref, ok := c.admit(now, rank, cq, caller, deadline); !ok {
+		if ref, ok := c.admit(now, rank, queue, cq, caller, deadline); !ok {
 			c.refusalRatio += (1 - c.refusalRatio/maxRefusalRatio) / 16
 			return nil, ref
 		}
 	}
 	c.seq++
-	it := &item{class: cq, rank: rank, pinned: r.Pinned, deadline: deadline, target: noDeadline, order: int64(deadline), seq: c.seq, arrived: now}
+	it := &item{class: cq, queue: queue, rank: rank, pinned: r.Pinned, deadline: deadline, target: noDeadline, order: int64(deadline), seq: c.seq, arrived: now}
 	switch {
 	case c.policy != PolicyTargets:
 		it.order = int64(c.seq)
@@ -108,7 +113,7 @@
 		it.order = int64(min(it.target, deadline))
 	}
 	if deadline != noDeadline {
-		cq.observeBudget(deadline - now)
+		queue.observeBudget(deadline - now)
 	}
 	rq.push(it, caller)
 	c.queued++
@@ -148,7 +153,7 @@
 	c.queued--
 	if ref, late := c.missesDeadline(now, it); late {
 		it.state, it.refusal = stateRefused, ref
-		it.class.restoreStartTag(it.flow)
+		it.queue.restoreStartTag(it.flow)
 		return it
 	}
 	c.start(it)
@@ -167,7 +172,7 @@
 			return it
 		}
 		it.late, it.order = true, int64(it.deadline)
-		it.class.restoreStartTag(it.flow)
+		it.queue.restoreStartTag(it.flow)
 		rq.push(it, it.flow.caller)
 	}
 }
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -20,9 +20,9 @@
 	minCapacity = 0.02
 )
 
-// admit decides whether a new request may be queued.
-func (c *core) admit(now time.Duration, rank int, cq *classQueue, caller string, deadline time.Duration) (refusal, bool) {
-	backlog := cq.backlog(caller)
+// admit decides whether a new request of class cq may be queued in queue.
+func (c *core) admit(now time.Duration, rank int, queue, cq *classQueue, caller string, deadline time.Duration) (refusal, bool) {
+	backlog := queue.backlog(caller)
 	free := c.maxQueued - c.ranks[rank].count
 	if c.policy != PolicyTargets {
 		if free <= 0 {
@@ -30,7 +30,7 @@
 		}
 		return refusal{}, true
 	}
-	wait := c.estimateWait(now, rank, cq, backlog, (deadline - now).Seconds())
+	wait := c.estimateWait(now, rank, queue, backlog, (deadline - now).Seconds())
 	// A caller may have at most as many requests waiting as there are free
 	// places, so one caller never fills the queue.
 	if backlog >= free {
--- a/internal/admission/flows.go
+++ b/internal/admission/flows.go
@@ -14,6 +14,12 @@
 	count   int           // waiting requests, including pinned ones
 }
 
+// organisationsClass is the name of the queue in which the requests of organisations wait,
+// whatever their class. Fairness between organisations must span classes: classes are
+// served by the earliest target, so a long queue of one organisation in a class of its own
+// would be served before the others. No class has a name with a blank.
+const organisationsClass = "of organisations"
+
 // maxClasses bounds the classes whose service times are kept.
 const maxClasses = 256
 
@@ -39,10 +45,10 @@
 		heap.Push(&r.pinned, it)
 		return
 	}
-	if it.class.count == 0 {
-		r.active = append(r.active, it.class)
+	if it.queue.count == 0 {
+		r.active = append(r.active, it.queue)
 	}
-	it.class.push(it, caller)
+	it.queue.push(it, caller)
 }
 
 func (r *rankQueue) pop() *item {
@@ -75,8 +81,8 @@
 		heap.Remove(&r.pinned, it.index)
 		return
 	}
-	it.class.remove(it)
-	r.dropIfEmpty(it.class)
+	it.queue.remove(it)
+	r.dropIfEmpty(it.queue)
 }
 
 func (r *rankQueue) dropIfEmpty(cq *classQueue) {
