standin/hosted, test: organisations in whole-process tests

The stand-in of a database records statements of a caller that were sent on a connection opened under another name than that of the caller's organisation.

--- a/internal/standin/hosted/database.go
+++ b/internal/standin/hosted/database.go
@@ -182,7 +182,7 @@
 type connection struct {
 	database  *Database
 	number    uint64
-	instance  string
+	instance  string // or the organisation under whose name the connection was opened
 	out       *bufio.Writer
 	variables map[string]string
 	prepared  map[string]string // mode (READ or WRITE) and text of prepared statements, by name
@@ -305,6 +305,7 @@
 		return
 	}
 	id, text := fields[1], fields[2]
+	conn.checkOrganisation(id, text)
 	if rest, ok := strings.CutPrefix(text, "WAITFOR "); ok {
 		position, stripped, _ := strings.Cut(rest, " ")
 		if !conn.database.hasReached(position) {
--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -57,6 +57,9 @@
 	term           uint64
 	lastConnection uint64
 	promotions     []PromotionCall
+
+	organisationOf   func(id string) (string, bool) // of a request; nil: not checked
+	wrongConnections []string
 }
 
 // PromotionCall is a call that asks for the promotion of a database.
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -365,23 +365,30 @@
 	Service  string
 	Timeout  time.Duration
 	MaxAge   time.Duration
+	Public   bool // usable without the key of an organisation
 }
 
 // Configure stores a configuration as the operators do.
 func (s *Store) Configure(version int, routes []Route, maxConnections map[string]int, txIdle time.Duration) {
+	s.Put("config", "main", configuration(version, routes, maxConnections, txIdle))
+}
+
+// configuration returns the spec of a configuration.
+func configuration(version int, routes []Route, maxConnections map[string]int, txIdle time.Duration) map[string]any {
 	encodedRoutes := make([]map[string]any, 0, len(routes))
 	for _, r := range routes {
 		encodedRoutes = append(encodedRoutes, map[string]any{
 			"name": "r-" + r.Database, "database": r.Database, "route_type": r.Type, "service": r.Service, "priority": 1,
 			"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": 250, "max_staleness_ms": r.MaxAge.Milliseconds(),
+			"public": r.Public,
 		})
 	}
 	services := make([]map[string]any, 0, len(maxConnections))
 	for name, limit := range maxConnections {
 		services = append(services, map[string]any{"name": name, "max_connections": limit})
 	}
-	s.Put("config", "main", map[string]any{
+	return map[string]any{
 		"version": version, "routes": encodedRoutes, "services": services,
 		"limits": map[string]any{"tx_idle_ms": txIdle.Milliseconds()},
-	})
+	}
 }
