--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -32,6 +32,7 @@
 	Service          string  `json:"service"`
 	Database         string  `json:"database"`
 	Owner            string  `json:"owner"`
+	Organisation     string  `json:"organisation"`
 	Code             string  `json:"code"`
 	Reason           string  `json:"reason"`
 	Error            string  `json:"error"`
@@ -135,6 +136,9 @@
 	if l.Error != "" {
 		add("Error: %s.", l.Error)
 	}
+	if l.Organisation != "" {
+		add("Organisation: %s.", l.Organisation)
+	}
 	if l.Database != "" {
 		add("Last database: %s, %d connections in use, %d requests queued, mean latency %.0f ms.", l.Database, l.ConnectionsInUse, l.Queued, l.MeanLatencyMS)
 	}
