dbpool: idle transactions don't count against an owner's concurrency

The requests of an organisation meet at one owner of a database. Not measured in a deployment; found by reading.

A connection in use that has run nothing for 100 ms no longer counts against the concurrency, which stays within the number of connections. Only connections of organisations are looked at, so other deployments keep their concurrency. TestIdleTransactionsLeaveRoomForOthers fails without the count. Tests of dbpool pass with the race detector.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -71,6 +71,10 @@
 	lastName  int
 	idleSince time.Duration
 	takenAt   time.Duration // when the current request got the connection
+	// exchanging is set during an exchange; usedAt is the end of the last one. Pool.mu
+	// protects them.
+	exchanging bool
+	usedAt     time.Duration
 	// unknown is set if the database may have carried out a command that changes the
 	// variables and has not confirmed it. The connection is then used no more.
 	unknown bool
--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -211,6 +211,7 @@
 	began := p.now()
 	p.mu.Lock()
 	p.health.begin(began)
+	l.conn.exchanging = true
 	p.mu.Unlock()
 	answers, err := l.conn.Do(deadline, commands)
 	for i, a := range answers {
@@ -227,6 +228,7 @@
 	}
 	p.observePhase(phase, ended-began)
 	p.mu.Lock()
+	l.conn.exchanging, l.conn.usedAt = false, ended
 	p.health.end(began, ended, err == nil || ownerRefused(err))
 	switch {
 	case err != nil:
--- a/internal/dbpool/maintain.go
+++ b/internal/dbpool/maintain.go
@@ -31,6 +31,7 @@
 	}
 	p.idle = keep
 	p.restoreBound(now)
+	p.countIdleTransactions(now)
 	p.forgetUses(now)
 	p.mu.Unlock()
 	for _, c := range unneeded {
@@ -51,7 +52,7 @@
 func (p *Pool) needsMaintenance() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0 || p.assigned.lowered > 0 || (p.sizing.KeepWarm && p.open == 0) || (p.owner != "" && p.health.failingSince != 0)
+	return len(p.idle) > 0 || len(p.assigned.inUse) > 0 || p.assigned.lowered > 0 || p.assigned.idleTransactions > 0 || (p.sizing.KeepWarm && p.open == 0) || (p.owner != "" && p.health.failingSince != 0)
 }
 
 // startMaintain runs Maintain in the background unless it is already running.
--- a/internal/dbpool/organisations.go
+++ b/internal/dbpool/organisations.go
@@ -32,6 +32,9 @@
 	// boundStepTime is how long the bound of connections stays lowered by one after the
 	// database refused a connection because of its limit.
 	boundStepTime = 2 * time.Second
+	// idleTransactionTime is how long a transaction must have sent nothing to count as
+	// idle. Callers usually send the next statement within a few milliseconds.
+	idleTransactionTime = 100 * time.Millisecond
 	// maxUses bounds the organisations whose use of the database is known. An entry takes
 	// about 100 bytes.
 	maxUses = 4096
@@ -49,6 +52,9 @@
 	openTime time.Duration   // mean time to open a connection
 	lowered  int             // connections by which the bound is lowered
 	restore  time.Duration   // when lowered next falls by one
+	// idleTransactions is the number of connections in use that run nothing, as of the
+	// last maintenance.
+	idleTransactions int
 }
 
 // waiter is a request that waits for a connection of its organisation that is in use.
@@ -69,9 +75,28 @@
 // bound returns the number of connections that the pool may open now. p.mu is held.
 func (p *Pool) bound() int { return max(1, p.sizing.MaxOpen-p.assigned.lowered) }
 
-// concurrency returns the number of requests that may use connections at a time. p.mu is
+// concurrency returns the number of requests that may use connections at a time. Idle
+// transactions don't count if there are further connections: the transactions of an
+// organisation meet at one owner, and while their callers are idle, they would stop all
+// its other organisations. p.mu is held.
+func (p *Pool) concurrency() int {
+	return min(p.sizing.concurrency()+p.assigned.idleTransactions, p.bound())
+}
+
+// countIdleTransactions adapts the concurrency to the number of idle transactions. p.mu is
 // held.
-func (p *Pool) concurrency() int { return min(p.sizing.concurrency(), p.bound()) }
+func (p *Pool) countIdleTransactions(now time.Duration) {
+	before := p.concurrency()
+	p.assigned.idleTransactions = 0
+	for _, c := range p.assigned.inUse {
+		if !c.exchanging && now-max(c.takenAt, c.usedAt) > idleTransactionTime {
+			p.assigned.idleTransactions++
+		}
+	}
+	if after := p.concurrency(); after != before {
+		p.queue.SetConcurrency(after)
+	}
+}
 
 // recordUse counts a request of an organisation.
 func (p *Pool) recordUse(organisation string) {
--- a/internal/dbpool/organisations_test.go
+++ b/internal/dbpool/organisations_test.go
@@ -426,3 +426,48 @@
 	b.Release()
 	c.Release()
 }
+
+// Guards against an organisation whose callers stay idle in transactions and thereby stop
+// all other organisations of the same owner, and against a change of that kind in
+// deployments without organisations.
+func TestIdleTransactionsLeaveRoomForOthers(t *testing.T) {
+	p, _, clk := newCountingPool(Sizing{MaxOpen: 4, Concurrency: 2, IdleTimeout: idleTimeoutDefault})
+	first, second := useAs(t, p, "a"), useAs(t, p, "a")
+	p.Maintain(context.Background())
+	if p.concurrency() != 2 {
+		t.Errorf("concurrency %d while requests run, want 2", p.concurrency())
+	}
+	clk.advance(2 * idleTransactionTime)
+	if !p.needsMaintenance() {
+		t.Error("idle transactions are not noticed")
+	}
+	p.Maintain(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var others []*Lease
+	for _, organisation := range []string{"b", "c"} {
+		l, err := p.Acquire(ctx, requestOf(organisation), nil)
+		if err != nil {
+			t.Fatalf("no connection for %s while transactions of another organisation are idle: %v", organisation, err)
+		}
+		others = append(others, l)
+	}
+	if _, ok := p.TryAcquire(requestOf("a"), nil); ok {
+		t.Error("more requests run than there are connections")
+	}
+	for _, l := range append(others, first, second) {
+		l.Release()
+	}
+	p.Maintain(context.Background())
+	if p.concurrency() != 2 || p.needsMaintenance() != (len(p.idle) > 0) {
+		t.Errorf("concurrency %d after the transactions have ended, want 2", p.concurrency())
+	}
+
+	p, _, clk = newCountingPool(Sizing{MaxOpen: 4, Concurrency: 2, IdleTimeout: idleTimeoutDefault})
+	useAs(t, p, "")
+	clk.advance(2 * idleTransactionTime)
+	p.Maintain(context.Background())
+	if p.concurrency() != 2 {
+		t.Errorf("concurrency %d without organisations, want 2", p.concurrency())
+	}
+}
