--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -28,6 +28,8 @@
 	mu    sync.Mutex
 	conns []*fakeConn
 	names []string      // organisations under whose names they were opened
+	open  int           // connections that are open
+	peak  int           // most that were open at once
 	fail  error         // returned by all exchanges while set
 	block chan struct{} // if set, each exchange waits to receive from it
 	// refuse returns the error with which a command is refused, or nil. It may be nil.
@@ -48,6 +50,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.names = append(d.names, organisation)
+	d.open++
+	d.peak = max(d.peak, d.open)
 	c := &fakeConn{db: d}
 	d.conns = append(d.conns, c)
 	return c, nil
@@ -102,7 +106,10 @@
 func (c *fakeConn) Abort() error {
 	c.db.mu.Lock()
 	defer c.db.mu.Unlock()
-	c.closed = true
+	if !c.closed {
+		c.closed = true
+		c.db.open--
+	}
 	return nil
 }
 
