docs: capacity of connections per organisation

400 connections between a client and an owner in one process took 70,881 bytes each, both sides together, after one request on each (heap and stacks in use). The other figures are worked out or from TestNewConnectionsPerRequest.

--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -14,7 +14,8 @@
 
 // ownerIdleTimeoutPerOrganisation applies to connections to owners in a deployment with
 // organisations. There an instance uses all owners of a database instead of one: with 79
-// instances, 24 databases and 7 owners, it sends one request to an owner every 14 s.
+// instances, 24 databases and 7 owners, it sends one request to an owner every 14 s. A
+// connection takes 71 KB on both sides together.
 const ownerIdleTimeoutPerOrganisation = 60 * time.Second
 
 // paths holds the pools through which an instance reaches one database: one for
