--- a/internal/dbpool/organisations.go
+++ b/internal/dbpool/organisations.go
@@ -32,6 +32,9 @@
 	// boundStepTime is how long the bound of connections stays lowered by one after the
 	// database refused a connection because of its limit.
 	boundStepTime = 2 * time.Second
+	// idleTransactionTime is how long a transaction must have sent nothing to count as
+	// idle. Callers usually send the next statement within a few milliseconds.
+	idleTransactionTime = 100 * time.Millisecond
 	// maxUses bounds the organisations whose use of the database is known. An entry takes
 	// about 100 bytes.
 	maxUses = 4096
@@ -49,6 +52,9 @@
 	openTime time.Duration   // mean time to open a connection
 	lowered  int             // connections by which the bound is lowered
 	restore  time.Duration   // when lowered next falls by one
+	// idleTransactions is the number of connections in use that run nothing, as of the
+	// last maintenance.
+	idleTransactions int
 }
 
 // waiter is a request that waits for a connection of its organisation that is in use.
@@ -69,9 +75,28 @@
 // bound returns the number of connections that the pool may open now. p.mu is held.
 func (p *Pool) bound() int { return max(1, p.sizing.MaxOpen-p.assigned.lowered) }
 
-// concurrency returns the number of requests that may use connections at a time. p.mu is
+// concurrency returns the number of requests that may use connections at a time. Idle
+// transactions don't count if there are further connections: the transactions of an
+// organisation meet at one owner, and while their callers are idle, they would stop all
+// its other organisations. p.mu is held.
+func (p *Pool) concurrency() int {
+	return min(p.sizing.concurrency()+p.assigned.idleTransactions, p.bound())
+}
+
+// countIdleTransactions adapts the concurrency to the number of idle transactions. p.mu is
 // held.
-func (p *Pool) concurrency() int { return min(p.sizing.concurrency(), p.bound()) }
+func (p *Pool) countIdleTransactions(now time.Duration) {
+	before := p.concurrency()
+	p.assigned.idleTransactions = 0
+	for _, c := range p.assigned.inUse {
+		if !c.exchanging && now-max(c.takenAt, c.usedAt) > idleTransactionTime {
+			p.assigned.idleTransactions++
+		}
+	}
+	if after := p.concurrency(); after != before {
+		p.queue.SetConcurrency(after)
+	}
+}
 
 // recordUse counts a request of an organisation.
 func (p *Pool) recordUse(organisation string) {
@@ -134,20 +159,15 @@
 // of another organisation. It reports false if there is no room. p.mu is held.
 //
 // Together with the closed connections that the database may still count, there are never
-// more than the bound. So the last place is left free where possible: while a
-// connection is replaced, the database may count both.
+// more than the bound: a connection that takes the place of another one is opened when
+// the database no longer counts that one. To leave one place free instead, so that no
+// request waits for that, costs a quarter more new connections.
 func (p *Pool) reserve(now time.Duration, organisation string) (delay time.Duration, ok bool) {
 	a := &p.assigned
 	a.settling = slices.DeleteFunc(a.settling, func(until time.Duration) bool { return until <= now })
 	bound := p.bound()
-	preferred := bound
-	if bound > p.sizing.concurrency() {
-		preferred--
-	}
-	if a.inForce && now < p.atLimitUntil {
-		preferred = min(preferred, p.open) // the database has no room for more
-	}
-	if p.open >= preferred {
+	atLimit := a.inForce && now < p.atLimitUntil // the database has no room for more
+	if atLimit {
 		p.evictFor(now, organisation)
 	}
 	for p.open >= bound && p.evictFor(now, organisation) {
@@ -155,7 +175,7 @@
 	if p.open >= bound {
 		return 0, false
 	}
-	if len(a.settling) > 0 && (p.open+len(a.settling) >= bound || now < p.atLimitUntil) {
+	if len(a.settling) > 0 && (p.open+len(a.settling) >= bound || atLimit) {
 		delay = a.settling[0] - now
 		a.settling = slices.Delete(a.settling, 0, 1)
 	}
