proxy: wait until the contained panic is counted

TestPanicEndsOnlyItsSession failed once on a busy machine with "0 panics counted, want 1". Cause, from reading: the session closes its connection in a deferred call, and the panic is counted after it, in the function that recovers; the test looked in between.

--- a/internal/proxy/panic_test.go
+++ b/internal/proxy/panic_test.go
@@ -30,6 +30,8 @@
 	case <-time.After(30 * time.Second):
 		t.Fatal("the session that panicked is still open")
 	}
+	// The session closes its connection before the panic reaches the function that counts it.
+	h.eventually("the panic is counted", func() bool { return contain.Panics() > before })
 	if n := contain.Panics() - before; n != 1 {
 		t.Errorf("%d panics counted, want 1", n)
 	}
