primacy, peer: a configuration with organisations is passed on by a request of its own

With 1,400 routes and 200 organisations the listing has 290 KB, which is 235 ms on a link of 10 Mbit/s, and each change of a registration sends it again to up to 16 instances: by this calculation neither the configuration nor the records would pass.

The requester then fetches the listing in the background, one request at a time, within 4 s. Such responses are compressed (33 KB). Messages of deployments without organisations have the same bytes as before.

Tests of internal/primacy, internal/peer, internal/topology, internal/proxy and internal/admission pass.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,8 +10,10 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -77,10 +79,42 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// A write error means that the peer disconnected; it will ask again.
-		_ = json.NewEncoder(w).Encode(s)
+		_ = encodeSnapshot(w, s)
 	})
 }
 
+// encodeSnapshot writes a snapshot, compressed if its configuration has organisations.
+// Every instance that can use such a configuration understands that; 290 KB become 33 KB.
+func encodeSnapshot(w http.ResponseWriter, s primacy.StoreSnapshot) error {
+	if s.Listing == nil || s.Listing.Configuration.Organisations == nil {
+		return json.NewEncoder(w).Encode(s)
+	}
+	w.Header().Set(encodingHeader, encodingGzip)
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return err
+	}
+	return errors.Join(json.NewEncoder(z).Encode(s), z.Close())
+}
+
+// Header and value of a compressed response.
+const (
+	encodingHeader = "Content-Encoding"
+	encodingGzip   = "gzip"
+)
+
+// bodyOf returns the body of a response, decompressed and limited to maxBodyBytes.
+func bodyOf(resp *http.Response) (io.Reader, error) {
+	if resp.Header.Get(encodingHeader) != encodingGzip {
+		return io.LimitReader(resp.Body, maxBodyBytes), nil
+	}
+	z, err := gzip.NewReader(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	return io.LimitReader(z, maxBodyBytes), nil
+}
+
 // Client sends requests to peers. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
@@ -129,7 +163,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("call peer %s: status %d", address, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(out); err != nil {
+	data, err := bodyOf(resp)
+	if err == nil {
+		err = json.NewDecoder(data).Decode(out)
+	}
+	if err != nil {
 		return fmt.Errorf("decode response of peer %s: %w", address, err)
 	}
 	return nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/topology"
@@ -83,3 +87,44 @@
 		*field = 0
 	}
 }
+
+// Guards against a configuration of 290 KB that occupies the links of small instances,
+// against one that changes on its way, and against compressed responses where no
+// organisations are, which earlier releases don't understand.
+func TestSnapshotWithOrganisationsIsCompressed(t *testing.T) {
+	listing := &topology.Listing{Configuration: topology.Configuration{Version: 3, Routes: make(map[string]topology.Route)}}
+	for i := range 1400 {
+		name := fmt.Sprint("database-", i)
+		listing.Configuration.Routes[name] = topology.Route{Database: name, Service: "ledger", Timeout: time.Second, Public: i == 0}
+	}
+	want := primacy.StoreSnapshot{Listing: listing, Process: "a#1"}
+	srv := httptest.NewServer(Handler(fakeResponder{snapshot: func(primacy.SnapshotQuery) (primacy.StoreSnapshot, bool) { return want, true }}))
+	defer srv.Close()
+	sizes := make(map[bool]int)
+	for _, compressed := range []bool{false, true} {
+		if compressed {
+			listing.Configuration.Organisations = []organisation.Organisation{{Name: "acme", Keys: []organisation.Digest{organisation.DigestOf("k")}, Rate: 2.5, Limited: true}}
+		}
+		got, err := NewClient().FetchSnapshot(t.Context(), strings.TrimPrefix(srv.URL, "http://"), primacy.SnapshotQuery{Full: true})
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("compressed %v: error %v, or another snapshot", compressed, err)
+		}
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, srv.URL+PathSnapshot, strings.NewReader("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := (&http.Transport{DisableCompression: true}).RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := io.ReadAll(resp.Body)
+		if err != nil || (resp.Header.Get(encodingHeader) == encodingGzip) != compressed {
+			t.Errorf("encoding %q, error %v, want compressed: %v", resp.Header.Get(encodingHeader), err, compressed)
+		}
+		_ = resp.Body.Close() // was read
+		sizes[compressed] = len(data)
+	}
+	if sizes[true] > sizes[false]/4 {
+		t.Errorf("%d bytes are compressed to %d", sizes[false], sizes[true])
+	}
+}
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -49,6 +49,10 @@
 	After, Records uint64
 	Content        uint64        // of the requester's listing
 	Wait           time.Duration // how long to wait for a snapshot after After
+	// Version is that of the requester's configuration, if that has organisations.
+	Version uint64 `json:",omitempty"`
+	// Full asks for the whole listing, also if it is large.
+	Full bool `json:",omitempty"`
 }
 
 // StoreSnapshot is the state of the store as an instance knows it, directly or from
@@ -67,6 +71,9 @@
 	// left out if the requester has them already.
 	Listing    *topology.Listing
 	ListingAge time.Duration // since the listing was last known to be current
+	// ConfigurationVersion is not 0 if the configuration of the listing, or all of the
+	// listing, is left out because the configuration has organisations.
+	ConfigurationVersion uint64 `json:",omitempty"`
 }
 
 // Peers sends requests to other instances.
@@ -140,12 +147,7 @@
 	}
 	if listing != nil {
 		s.ListingAge = now - current
-		s.Listing = listing
-		if q.Content == listing.Content {
-			s.Listing = &topology.Listing{
-				ConfigurationRevision: listing.ConfigurationRevision, DatabasesRevision: listing.DatabasesRevision, Content: listing.Content,
-			}
-		}
+		s.Listing, s.ConfigurationVersion = listingFor(listing, q)
 	}
 	return s, true
 }
@@ -226,13 +228,11 @@
 // fetchUpstream sends a query to an upstream and processes the snapshot. It reports
 // whether the snapshot is recent.
 func (r *Runner) fetchUpstream(ctx context.Context, upstream ownership.Instance, q SnapshotQuery) bool {
-	if l, _ := r.cfg.Listings.Listing(); l != nil {
-		q.Content = l.Content
-	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+upstreamTimeout)
+	q = r.describeListing(q)
+	fetch, cancel := context.WithTimeout(ctx, q.Wait+upstreamTimeout)
 	defer cancel()
 	sent := r.cfg.Now()
-	s, err := r.cfg.Peers.FetchSnapshot(ctx, upstream.Address, q)
+	s, err := r.cfg.Peers.FetchSnapshot(fetch, upstream.Address, q)
 	received := r.cfg.Now()
 	if err != nil {
 		r.log.Debug().Str("upstream", upstream.Name).Err(err).Msg("An upstream did not respond.")
@@ -242,9 +242,7 @@
 	if received-asked > relayMaxAge {
 		return false
 	}
-	if s.Listing != nil {
-		r.cfg.Listings.Adopt(s.Listing, asked+s.Age-s.ListingAge)
-	}
+	r.adoptListing(ctx, upstream.Address, s, asked)
 	if !r.isRegistered() {
 		return true // no record may be used yet
 	}
@@ -290,10 +288,7 @@
 // instance: so the state reaches those that the store does not answer, although few
 // are in contact with it. It reports whether the peer is in contact with the store.
 func (r *Runner) renewFromPeer(ctx context.Context, address string) bool {
-	var q SnapshotQuery
-	if l, _ := r.cfg.Listings.Listing(); l != nil {
-		q.Content = l.Content
-	}
+	q := r.describeListing(SnapshotQuery{})
 	sent := r.cfg.Now()
 	s, err := r.cfg.Peers.FetchSnapshot(ctx, address, q)
 	received := r.cfg.Now()
@@ -301,9 +296,7 @@
 		return false // the caller falls back to the databases
 	}
 	asked := askedAt(s, sent, received)
-	if s.Listing != nil {
-		r.cfg.Listings.Adopt(s.Listing, asked+s.Age-s.ListingAge)
-	}
+	r.adoptListing(context.WithoutCancel(ctx), address, s, asked) // ctx ends with the round of queries
 	r.confirmRecords(s.Records, s.Revision, asked)
 	return s.Age <= storeContactMaxAge
 }
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -61,6 +61,7 @@
 	snapshotRecords []Record
 	era             knownEra
 	unestablished   map[string]bool // services whose record the restored store has lost or has from an earlier era
+	fetchingListing bool            // a listing is being fetched on its own
 	relist          chan struct{}   // makes instancesLoop list the instances
 	// askStore is set while the records must be confirmed by the store itself,
 	// because the snapshots of others may date from before the registration.
--- a/test/hosted_organisations_test.go
+++ b/test/hosted_organisations_test.go
@@ -237,3 +237,53 @@
 		t.Errorf("%d of %d statements ran on a wrong connection, first: %s", len(wrong), n, wrong[0])
 	}
 }
+
+// Guards against instances that stall, or lose their primaries, when 1,400 routes and 100
+// organisations are added at once, and against a configuration of that size that takes
+// more than 5 s until it is in force everywhere.
+func TestHostedLargeConfiguration(t *testing.T) {
+	h := startHosted(t, 3, 1)
+	database := routePrimary + "svc0"
+	all := []hosted.Organisation{{Name: "acme", Keys: []string{acmeKey}}}
+	h.organise(8, all...)
+	h.waitStartCode(database, acmeKey, "")
+	stop, done := make(chan struct{}), make(chan struct{})
+	var slowest time.Duration
+	var failures []string
+	c := h.mustStart(0, database, acmeKey)
+	go func() {
+		defer close(done)
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			began := time.Now()
+			if a, err := c.query(fmt.Sprintf("during-%d", n), "WRITE k v"); err != nil || a.code != "" {
+				failures = append(failures, fmt.Sprintf("code %q, error %v", a.code, err))
+			}
+			slowest = max(slowest, time.Since(began))
+		}
+	}()
+	routes := routesOf("svc0")
+	for i := range 1400 {
+		routes = append(routes, hosted.Route{
+			Database: fmt.Sprintf("added-%d", i), Type: "primary", Service: "svc0", Timeout: 800 * time.Millisecond, MaxAge: boundedAge,
+		})
+	}
+	for i := range 100 {
+		all = append(all, hosted.Organisation{Name: fmt.Sprintf("added-%d", i), Keys: []string{fmt.Sprintf("key-a-%d", i), fmt.Sprintf("key-b-%d", i)}})
+	}
+	began := time.Now()
+	h.store.ConfigureOrganisations(9, routes, map[string]int{"svc0": 4 * len(h.instances)}, 10*time.Second, all)
+	h.waitStartCode("added-1399", "key-b-99", "")
+	took := time.Since(began)
+	time.Sleep(time.Second) // longer than what the instances take to pass on the next state
+	close(stop)
+	<-done
+	t.Logf("in force after %v; the slowest of the requests meanwhile took %v", took, slowest)
+	if len(failures) > 0 {
+		t.Errorf("%d requests failed, first: %s", len(failures), failures[0])
+	}
+}
