topology: don't pass on an older configuration than the one in force

A listing may have newer databases and an older configuration than those in use, if it was read while a configuration was written. It was put in use as received and passed on, so a process that had just started could accept a key that was revoked, until the next list. Where organisations are in force, the listing now keeps the newer configuration. Tests of internal/topology pass with the race detector.

--- a/internal/topology/listing.go
+++ b/internal/topology/listing.go
@@ -99,6 +99,7 @@
 // apply puts a listing in use that was current at the given time. s.mu is held.
 func (s *Syncer) apply(l *Listing, currentAt time.Duration) {
 	s.applyConfiguration(l.Configuration)
+	l = s.withConfigurationInForce(l)
 	databases := usable(l.Databases)
 	s.reportChanges(databases, l.DatabasesRevision)
 	s.Topology.Replace(databases, s.Now())
@@ -110,6 +111,24 @@
 	}
 }
 
+// withConfigurationInForce returns the listing with the configuration in force if that is
+// newer and has organisations. The databases of a listing may be newer than those in use
+// while its configuration is older; an instance that has just started would accept the
+// older one, with keys that were revoked since.
+func (s *Syncer) withConfigurationInForce(l *Listing) *Listing {
+	c := s.Topology.Snapshot().Configuration
+	if c.Organisations == nil || c.Version <= l.Configuration.Version {
+		return l
+	}
+	content, err := contentOf(c, l.Databases)
+	if err != nil {
+		return l // can't happen: the databases were decoded from the same form
+	}
+	merged := *l
+	merged.Configuration, merged.Content = c, content
+	return &merged
+}
+
 // SetRelayed tells the syncer whether listings come from another instance. It then
 // lists the store only if that instance lags behind.
 func (s *Syncer) SetRelayed(relayed bool) {
--- a/internal/topology/organisations_test.go
+++ b/internal/topology/organisations_test.go
@@ -114,3 +114,28 @@
 		t.Errorf("reported again: %s", out.String())
 	}
 }
+
+// Guards against an instance that passes on an older configuration than it uses, together
+// with newer databases: one that has just started would accept keys that were revoked.
+func TestOlderConfigurationIsNotPassedOn(t *testing.T) {
+	for name, all := range map[string][]organisation.Organisation{"organisations": testOrganisations(), "none": nil} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSyncer()
+			s.source.version, s.source.organisations = 9, all
+			content := s.listed(t).Content
+			older := Listing{Configuration: Configuration{Version: 8, Organisations: all}, Databases: []Database{db("db-2")}, DatabasesRevision: rev(20), Content: content + 1}
+			s.Adopt(&older, s.Now())
+			l, _ := s.Listing()
+			want := uint64(9)
+			if all == nil {
+				want = 8 // as it was received
+			}
+			if l.Configuration.Version != want || l.Databases[0].ID != "db-2" || (l.Content != older.Content) != (all != nil) || older.Configuration.Version != 8 {
+				t.Errorf("listing %+v, want configuration %d", l, want)
+			}
+			if v := s.Topology.Snapshot().Version; v != 9 {
+				t.Errorf("version %d is in force", v)
+			}
+		})
+	}
+}
