--- a/internal/dbpool/load_test.go
+++ b/internal/dbpool/load_test.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -14,6 +15,7 @@
 	"geraniumbeam/internal/admission"
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -69,19 +71,21 @@
 	think         time.Duration
 	owners        int
 	limit         int
+	enforced      int // limit that the database enforces; 0: limit
 	warmUp, time  time.Duration
 }
 
 // loadResult is what a load led to after the warm-up.
 type loadResult struct {
-	requests, opened, peak, failed int
-	latencies                      []time.Duration // of requests that are no transactions, ascending
+	requests, opened, refused, peak, failed int
+	latencies                               []time.Duration // of requests that are no transactions, ascending
 }
 
 func (l load) run(t *testing.T) loadResult {
 	began := time.Now()
 	now := func() time.Duration { return time.Hour + time.Since(began) }
 	db := &slotDatabase{countingDatabase: countingDatabase{now: now, linger: closeSettleTime / 2}, slots: make(chan struct{}, loadSlots)}
+	db.limit = cmp.Or(l.enforced, l.limit)
 	pools, names := make([]*Pool, l.owners), make([]string, l.owners)
 	for i := range pools {
 		names[i] = fmt.Sprint("instance-", i)
@@ -107,6 +111,7 @@
 		if !warm && time.Since(began) > l.warmUp {
 			warm = true
 			db.takeDialed()
+			db.refused = 0
 		}
 		if time.Since(began)-maintained > maintainInterval {
 			maintained = time.Since(began)
@@ -140,7 +145,7 @@
 		p.Close()
 	}
 	slices.Sort(res.latencies)
-	res.opened, res.peak = len(db.takeDialed()), db.peak
+	res.opened, res.refused, res.peak = len(db.takeDialed()), db.refused, db.peak
 	if len(db.wrong) > 0 {
 		t.Errorf("statements ran on wrong connections: %v", db.wrong)
 	}
@@ -151,7 +156,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	lease, err := p.Acquire(ctx, admission.Request{Class: "c", Caller: organisation, Organisation: organisation, Deadline: deadline}, nil)
+	r := admission.Request{Class: "c", Caller: organisation, Organisation: organisation, Deadline: deadline}
+	lease, err := p.Acquire(ctx, r, nil)
+	for result.Is(err, result.ConnectionsBusy) && ctx.Err() == nil { // as a session does
+		time.Sleep(20 * time.Millisecond)
+		lease, err = p.Acquire(ctx, r, nil)
+	}
 	if err != nil {
 		return err
 	}
@@ -176,8 +186,8 @@
 
 func (r loadResult) log(t *testing.T) {
 	n := len(r.latencies)
-	t.Logf("%d requests, %.1f new connections per 100, at most %d at once, %d failed, latency p50 %v, p90 %v, p99 %v, max %v",
-		r.requests, 100*float64(r.opened)/float64(r.requests), r.peak, r.failed, r.latencies[n/2], r.latencies[n*9/10], r.latencies[n*99/100], r.latencies[n-1])
+	t.Logf("%d requests, %.1f new connections per 100, %d refused, at most %d at once, %d failed, latency p50 %v, p90 %v, p99 %v, max %v",
+		r.requests, 100*float64(r.opened)/float64(r.requests), r.refused, r.peak, r.failed, r.latencies[n/2], r.latencies[n*9/10], r.latencies[n*99/100], r.latencies[n-1])
 }
 
 // Guards against connections that are opened without need, requests that wait or fail
@@ -216,3 +226,18 @@
 		}
 	})
 }
+
+// Guards against owners that fail or stop requests while others use up the connection limit:
+// the database accepts 40 connections instead of the 56 that the owners may open. An owner
+// that replaces nothing after a refusal serves no further organisation.
+func TestLoadAtTheConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := usualLoad
+		l.transactions, l.think, l.enforced = 0.2, 30*time.Millisecond, 40
+		res := l.run(t)
+		res.log(t)
+		if res.failed > 0 || 100*res.refused > 5*res.requests {
+			t.Errorf("%d of %d requests failed, %d connections were refused, want none and at most one for 20 requests", res.failed, res.requests, res.refused)
+		}
+	})
+}
--- a/internal/dbpool/organisations_test.go
+++ b/internal/dbpool/organisations_test.go
@@ -21,15 +21,16 @@
 // countingDatabase records under which name each connection was opened. It counts a
 // connection for a time after it was closed.
 type countingDatabase struct {
-	mu     sync.Mutex
-	now    func() time.Duration
-	linger time.Duration
-	limit  int // refuses connections beyond it; 0: none
-	open   int
-	closed []time.Duration // until when closed connections count
-	dialed []string
-	peak   int
-	wrong  []string // statements that ran on a connection of another organisation
+	mu      sync.Mutex
+	now     func() time.Duration
+	linger  time.Duration
+	limit   int // refuses connections beyond it; 0: none
+	open    int
+	closed  []time.Duration // until when closed connections count
+	dialed  []string
+	refused int
+	peak    int
+	wrong   []string // statements that ran on a connection of another organisation
 }
 
 type countingConn struct {
@@ -44,6 +45,7 @@
 	now := d.now()
 	d.closed = slices.DeleteFunc(d.closed, func(until time.Duration) bool { return until <= now })
 	if d.limit > 0 && d.open+len(d.closed) >= d.limit {
+		d.refused++
 		return nil, result.Errorf(result.ConnectionsBusy, "full")
 	}
 	d.open++
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -48,10 +48,7 @@
 		return p.pick()
 	}
 	key := p.database + " " + organisation
-	var (
-		pools []*Pool
-		names []string
-	)
+	pools, names := make([]*Pool, 0, len(candidates)+1), make([]string, 0, len(candidates)+1)
 	if p.isOwner && p.direct.usable() {
 		pools, names = append(pools, p.direct), append(names, p.instance)
 	}
