test: organisations with connections of their own, whole process

TestHostedStatementsRunUnderTheirOrganisation ran nothing until connections served one organisation; it runs now. TestHostedOrganisationsShareScarceConnections sends requests of nine organisations through two owners with three connections each, and kills four of seven instances one after the other.

--- a/test/hosted_organisations_test.go
+++ b/test/hosted_organisations_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,16 +18,19 @@
 	revocationDeadline = 5 * time.Second
 	publicDatabase     = "lobby"
 	acmeKey, boltKey   = "key-of-acme-41c7", "key-of-bolt-9a02"
-	// connectionsPerOrganisation is set when each organisation has connections of its own.
-	connectionsPerOrganisation = false
 )
 
 // organise stores a configuration with the organisations and a public route.
 func (h *hostedCluster) organise(version int, all ...hosted.Organisation) {
+	h.organiseWithLimit(version, 4*len(h.instances), all...)
+}
+
+// organiseWithLimit does so for databases with a connection limit.
+func (h *hostedCluster) organiseWithLimit(version, limit int, all ...hosted.Organisation) {
 	routes := append(routesOf("svc0"), hosted.Route{
 		Database: publicDatabase, Type: "primary", Service: "svc0", Timeout: 800 * time.Millisecond, Public: true,
 	})
-	h.store.ConfigureOrganisations(version, routes, map[string]int{"svc0": 4 * len(h.instances)}, 10*time.Second, all)
+	h.store.ConfigureOrganisations(version, routes, map[string]int{"svc0": limit}, 10*time.Second, all)
 }
 
 // startWithKey starts a session and returns the code of the refusal, or "" and a connection.
@@ -206,9 +212,6 @@
 // Guards against statements of an organisation that run on a connection opened under
 // another name.
 func TestHostedStatementsRunUnderTheirOrganisation(t *testing.T) {
-	if !connectionsPerOrganisation {
-		t.Skip("connections are not kept for each organisation yet")
-	}
 	h := startHosted(t, 3, 1)
 	h.groups[0].SetOrganisationOf(func(id string) (string, bool) {
 		name, _, ok := strings.Cut(id, ".")
@@ -237,3 +240,83 @@
 		t.Errorf("%d of %d statements ran on a wrong connection, first: %s", len(wrong), n, wrong[0])
 	}
 }
+
+// Guards against statements on connections of other organisations, and against requests
+// that are not served, where an owner has three connections for nine organisations and
+// most statements go through owners, while owners are restarted.
+func TestHostedOrganisationsShareScarceConnections(t *testing.T) {
+	const limit, instances, organisations = 8, 7, 9
+	h := startHostedWithLimit(t, instances, 1, limit)
+	h.groups[0].SetOrganisationOf(func(id string) (string, bool) {
+		name, _, ok := strings.Cut(id, ".")
+		return name, ok
+	})
+	var all []hosted.Organisation
+	for i := range organisations {
+		all = append(all, hosted.Organisation{Name: fmt.Sprintf("org%d", i), Keys: []string{fmt.Sprintf("key-of-org%d", i)}})
+	}
+	h.organiseWithLimit(8, limit, all...)
+	database := routePrimary + "svc0"
+	h.waitStartCode(database, all[organisations-1].Keys[0], "")
+	time.Sleep(2 * time.Second) // time for the instances to discover each other
+	var served, failed atomic.Int64
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for n := range 12 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				o := all[(n+i)%organisations]
+				if useOnce(h.callerAddresses[(n+i)%instances], database, o, fmt.Sprintf("%s.%d.%d", o.Name, n, i)) {
+					served.Add(1)
+				} else {
+					failed.Add(1)
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	calm, refused := served.Load(), failed.Load()
+	for _, p := range h.instances[:4] { // two owners of each database are among them
+		p.signal(t, syscall.SIGKILL)
+		<-p.exited
+		time.Sleep(400 * time.Millisecond)
+		p.start(t)
+	}
+	for i := range h.instances {
+		waitFor(t, 30*time.Second, "the instance serves", func() bool {
+			return useOnce(h.callerAddresses[i], database, all[0], fmt.Sprintf("%s.last.%d", all[0].Name, i))
+		})
+	}
+	close(stop)
+	wg.Wait()
+	t.Logf("%d requests were served and %d were not before the first restart, %d and %d in all", calm, refused, served.Load(), failed.Load())
+	if wrong := h.groups[0].WrongConnections(); len(wrong) > 0 {
+		t.Errorf("%d statements were sent on a wrong connection, first: %s", len(wrong), wrong[0])
+	}
+	if refused > 0 || calm < 50 || served.Load() < 2*calm {
+		t.Errorf("%d requests were served and %d were not before the first restart, %d were in all; want 50 or more, none, and twice as many", calm, refused, served.Load())
+	}
+	h.checkOwnersUsed()
+}
+
+// useOnce opens a session, runs a statement and a transaction, and reports whether all were
+// served.
+func useOnce(address, database string, o hosted.Organisation, id string) bool {
+	c, code, err := startWithKey(address, database, o.Keys[0])
+	if err != nil || code != "" {
+		return false
+	}
+	defer c.close()
+	for i, text := range []string{"READ k", "BEGIN", "WRITE k v", "COMMIT"} {
+		if a, err := c.query(fmt.Sprintf("%s.%d", id, i), text); err != nil || a.code != "" {
+			return false
+		}
+	}
+	return true
+}
