--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -76,7 +76,7 @@
 	}
 	i.syncer = topology.NewSyncer(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
-		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
+		Instance: cfg.Instance, Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
 		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial,
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
@@ -187,7 +187,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.closeIdleWhileIsolated} {
+	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.proxy.Run, i.closeIdleWhileIsolated} {
 		wg.Go(func() {
 			contain.Loop(ctx, log, "background task", func(ctx context.Context) {
 				if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/proxy/earlybegin.go
+++ b/internal/proxy/earlybegin.go
@@ -36,7 +36,7 @@
 	if !ok {
 		return
 	}
-	pool, ok := srv.cfg.Pools.Pool(primary.ID)
+	pool, ok := srv.cfg.Pools.Pool(primary.ID, req.organisation)
 	if !ok || pool.Owner() != "" || pool.Database().DataCentre == srv.cfg.DataCentre {
 		return // an owner begins the transaction on its way to the statement
 	}
@@ -47,6 +47,7 @@
 	}
 	e := &earlyBegin{target: target{pool: pool, primary: primary}, done: make(chan struct{})}
 	tx.early = e
+	tx.charge.setSent(true)
 	variables := maps.Clone(s.variables)
 	go func() {
 		defer close(e.done)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,9 +15,11 @@
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/measure"
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/revision"
+	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -65,14 +68,14 @@
 	}
 	h.topology.Replace(all, clock.SinceBoot())
 	pools := dbpool.NewSet(dbpool.SetConfig{
-		Dial:     func(_ context.Context, _, _, id string) (dbpool.Conn, error) { return &harnessConn{h, id}, nil },
+		Dial:     func(_ context.Context, _, _, id, _ string) (dbpool.Conn, error) { return &harnessConn{h, id}, nil },
 		Topology: h.topology, Clock: clock.Real{}, Now: clock.SinceBoot, Instances: func() int { return 2 },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = pools.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	h.eventually("the pools exist", func() bool { _, ok := pools.Pool("db-3"); return ok })
+	h.eventually("the pools exist", func() bool { _, ok := pools.Pool("db-3", ""); return ok })
 	h.server = New(Config{
 		DataCentre: "a", MaxSessions: 2, Topology: h.topology, Records: h.records, Pools: pools, Now: clock.SinceBoot,
 		Log: zerolog.Nop(), Metrics: measure.NewRegistry(), LeavingPrimaryTimeout: time.Minute,
@@ -181,7 +184,7 @@
 // its handle method.
 func (h *harness) session(database string) *session {
 	return &session{
-		srv: h.server, number: 1, database: database,
+		srv: h.server, number: 1, caller: caller{database: database},
 		variables: make(map[string]string), prepared: make(map[string]dbpool.PreparedStatement),
 	}
 }
@@ -207,7 +210,8 @@
 
 // scriptedCaller is a CallerConn whose statements the test supplies.
 type scriptedCaller struct {
-	start      string
+	start, key string
+	state      atomic.Int32 // sockets.State
 	statements chan statement.Statement
 	answers    chan statement.Answer
 	wake       chan struct{}
@@ -234,7 +238,11 @@
 
 var _ net.Error = timeoutError{}
 
-func (c *scriptedCaller) ReadStartup() (string, error) { return c.start, nil }
+func (c *scriptedCaller) ReadStartup() (string, organisation.Digest, error) {
+	return c.start, organisation.DigestOf(c.key), nil
+}
+
+func (c *scriptedCaller) Peek() sockets.State { return sockets.State(c.state.Load()) }
 func (c *scriptedCaller) ReadStatement() (statement.Statement, error) {
 	for {
 		c.mu.Lock()
