limits: enforce the limits of organisations over all instances

Runs package quota in an instance: the coordinator's record (geraniumbeam.limits, seen through the record cache), takeover, exchange over POST /peer/limits, proxy.Limiter and metrics. It does nothing without organisation_limits in the settings or without limited organisations in the configuration.

The record is no service: primacy neither logs, establishes nor suspects it. Its Candidate holds the coordinator's address, as the list of registrations may be 10 s old when the record changes.

--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -18,6 +18,7 @@
 	"geraniumbeam/internal/peer"
 	"geraniumbeam/internal/platformd"
 	"geraniumbeam/internal/proxy"
+	"geraniumbeam/internal/quota"
 	"geraniumbeam/internal/telemetry"
 	"geraniumbeam/internal/version"
 	"geraniumbeam/platform"
@@ -68,10 +69,21 @@
 		MaxSessions:   max(1, s.MaxOpenFiles-reservedFiles),
 		GracePeriod:   time.Duration(s.GracePeriod),
 		DrainTime:     time.Duration(s.DrainTime),
+
+		OrganisationLimits: limitWindow(s.OrganisationLimits),
 	})
 	return instance.Run(stop, listeners, platform.ReadinessHandler(instance.Ready), innerHandler(instance, store, log))
 }
 
+// limitWindow returns the rule that the limits of organisations must keep, or nil if they
+// have none.
+func limitWindow(l *platform.OrganisationLimits) *quota.Window {
+	if l == nil {
+		return nil
+	}
+	return &quota.Window{Length: time.Duration(l.Window), Overage: l.Overage, Slack: l.Slack}
+}
+
 func listen(s platform.Settings) (platformd.Listeners, error) {
 	var l platformd.Listeners
 	for _, x := range []struct {
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -26,15 +26,17 @@
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/hop"
+	"geraniumbeam/internal/limits"
 	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/peer"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/proxy"
+	"geraniumbeam/internal/quota"
 	"geraniumbeam/internal/topology"
 )
 
-// Config holds what an instance needs. All fields are required.
+// Config holds what an instance needs. All fields but OrganisationLimits are required.
 type Config struct {
 	Instance      string
 	DataCentre    string
@@ -51,6 +53,8 @@
 	GracePeriod time.Duration
 	// DrainTime is how long a database that is leaving may still get work.
 	DrainTime time.Duration
+	// OrganisationLimits is nil if organisations have no limits.
+	OrganisationLimits *quota.Window
 }
 
 // Instance is a proxy instance.
@@ -64,6 +68,7 @@
 	metrics  *measure.Registry
 	syncer   *topology.Syncer
 	hop      *hop.Server
+	limits   *limits.Limiter // nil if organisations have no limits
 	stopping atomic.Bool
 }
 
@@ -96,14 +101,29 @@
 		Listings:           i.syncer,
 	})
 	i.syncer.OnListing = i.primacy.NotifyListing
+	var limiter proxy.Limiter
+	if cfg.OrganisationLimits != nil {
+		i.limits = i.newLimiter(incarnation)
+		limiter = i.limits
+	}
 	i.proxy = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, MaxSessions: cfg.MaxSessions, Topology: i.topology, Records: i.records,
 		Pools: i.pools, Now: clock.SinceBoot, Log: cfg.Log.With().Str("part", "proxy").Logger(),
 		NewCallerConn: cfg.NewCallerConn, Metrics: i.metrics, LeavingPrimaryTimeout: cfg.DrainTime * leavingPrimaryPercent / 100,
+		Limiter: limiter,
 	})
 	return i
 }
 
+// newLimiter returns the limiter of the organisations' operations.
+func (i *Instance) newLimiter(incarnation string) *limits.Limiter {
+	return limits.New(limits.Config{
+		Instance: i.cfg.Instance, Incarnation: incarnation, Address: i.cfg.Address, Window: *i.cfg.OrganisationLimits,
+		Store: i.cfg.Store, Records: i.records, Registry: i.primacy, Peers: peer.NewClient(), Topology: i.topology,
+		Now: clock.SinceBoot, Log: i.cfg.Log.With().Str("part", "limits").Logger(),
+	})
+}
+
 // leavingPrimaryPercent is the share of the drain time, in percent, during which a
 // leaving primary still gets work. The rest covers the delay until the instance
 // learns from the store that the database is leaving.
@@ -154,6 +174,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.PathPrefix, peer.Handler(i.primacy))
 	mux.Handle(hop.Path, i.hop)
+	if i.limits != nil {
+		mux.Handle("POST "+peer.PathLimits, peer.LimitsHandler(i.limits.Exchange))
+	}
 	return mux
 }
 
@@ -236,6 +259,9 @@
 func (i *Instance) shutdown(log zerolog.Logger, callers net.Listener) {
 	i.stopping.Store(true)
 	i.hop.Drain()
+	if i.limits != nil {
+		i.limits.Stop()
+	}
 	log.Info().Msg("Shutdown started; the instance is no longer ready.")
 	ctx, cancel := context.WithTimeout(context.Background(), i.cfg.GracePeriod-exitReserve)
 	defer cancel()
--- a/internal/platformd/metrics.go
+++ b/internal/platformd/metrics.go
@@ -35,6 +35,11 @@
 	if err := i.writeRecords(w); err != nil {
 		return err
 	}
+	if i.limits != nil {
+		if err := i.limits.WriteMetrics(w); err != nil {
+			return err
+		}
+	}
 	for _, v := range []struct {
 		name  string
 		value int64
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -24,6 +24,11 @@
 	"geraniumbeam/internal/statement"
 )
 
+// LimitsRecord is the name of the record of the instance that coordinates the limits of
+// organisations. It is no service: no database belongs to it, and package limits
+// establishes it after a restore of the store.
+const LimitsRecord = "geraniumbeam.limits"
+
 // Phase is the state of a service's record.
 type Phase string
 
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -285,6 +285,12 @@
 // longer returns the former primary at that point, so the registration may state
 // that this instance stopped using it.
 func (r *Runner) recordChanged(rec Record, how string) {
+	if rec.Service == LimitsRecord {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.state.advance()
+		return
+	}
 	r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).Str("phase", string(rec.Phase)).
 		Str("primary", rec.Primary).Uint64("term", rec.Term).Stringer("revision", rec.Revision).Str("how", how).
 		Str("promoter", rec.Promoter).Str("candidate", rec.Candidate).Msg("The record of a service changed.")
--- a/internal/primacy/restore.go
+++ b/internal/primacy/restore.go
@@ -32,6 +32,9 @@
 // within an era.
 const tokenEraBits = 20
 
+// NextToken is nextToken for holders of other records.
+func NextToken(era, prev uint64) uint64 { return nextToken(era, prev) }
+
 // nextToken returns the fencing token that follows prev in an era of the store. It is
 // higher than all tokens of earlier eras, also of those that the store has lost.
 func nextToken(era, prev uint64) uint64 { return max(prev, era<<tokenEraBits) + 1 }
@@ -88,7 +91,7 @@
 	listed := make(map[string]bool, len(records))
 	for _, rec := range records {
 		listed[rec.Service] = true
-		if rec.Revision.Era < era {
+		if rec.Revision.Era < era && rec.Service != LimitsRecord {
 			r.unestablished[rec.Service] = true
 		}
 	}
@@ -97,7 +100,7 @@
 		switch {
 		case rec.Revision.Era == era:
 			delete(r.unestablished, rec.Service) // written since the list
-		case !listed[rec.Service]:
+		case !listed[rec.Service] && rec.Service != LimitsRecord:
 			r.unestablished[rec.Service] = true
 		}
 	}
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -119,6 +119,25 @@
 	return r.instanceCount
 }
 
+// RegisteredEra returns the era of the store in which this instance is registered. It
+// reports false if it is not registered in the present one.
+func (r *Runner) RegisteredEra() (uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.published.era, r.published.incarnation != "" && r.era.known && r.published.era == r.era.number
+}
+
+// EraAge returns for how long the present era of the store has been known.
+func (r *Runner) EraAge() time.Duration { return r.eraAge() }
+
+// KnownInstances returns the registrations in the latest list, which may be
+// instancesInterval old. Callers must not modify them.
+func (r *Runner) KnownInstances() []Registration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.knownInstances
+}
+
 func (r *Runner) incarnation() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -50,3 +50,13 @@
 	// missing, or if the operations should wait and the instance ask again.
 	RetryAfter time.Duration `json:"A,omitempty"`
 }
+
+// IsValid reports whether the numbers are in range.
+func (r Reply) IsValid() bool {
+	for _, g := range r.Grants {
+		if !(g.Rate >= 0 && g.Rate <= 1 && g.Cap >= 0 && g.Cap <= 1) || g.Permits < 0 || g.RetryAfter < 0 {
+			return false
+		}
+	}
+	return r.Validity <= ShareValidity
+}
