--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -210,7 +210,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.proxy.Run, i.closeIdleWhileIsolated} {
+	tasks := []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.proxy.Run, i.closeIdleWhileIsolated}
+	if i.limits != nil {
+		tasks = append(tasks, i.limits.Run)
+	}
+	for _, run := range tasks {
 		wg.Go(func() {
 			contain.Loop(ctx, log, "background task", func(ctx context.Context) {
 				if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
