dbpool, placement: spread large organisations over further owners

An owner has about eight connections for all of its organisations.

Each instance records for how long the requests of its callers use connections of owners, by organisation, and multiplies with the number of instances. With more than three connections in use on average a request goes to one of the first two owners by chance, with more than six to one of three, and so on. An owner's requests by its own callers to itself are not recorded; it spreads nothing that it serves itself.

TestLargeOrganisationUsesFurtherOwners fails with one owner for all and with all owners for all.

--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -1,11 +1,13 @@
 package dbpool
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/placement"
 )
 
 // ownerSizing is the size of a pool of connections to an owner, which do not count
@@ -29,6 +31,8 @@
 	direct              *Pool
 	database            string
 	instance            string        // this one
+	instances           int           // that use the database
+	occupation          *occupation   // nil without organisations
 	isOwner             bool          // this instance is an owner of the database's connections
 	detourAt            time.Duration // when a detour was last needed; 0: never
 	detourSince         time.Duration // since when owners are detours, because the direct connections fail; 0: they are not
@@ -57,10 +61,27 @@
 			pools, names = append(pools, pool), append(names, pool.owner)
 		}
 	}
-	if at := ownership.Pick(key, names); at >= 0 {
-		return pools[at]
+	for skip := p.skip(organisation, len(pools)); ; skip-- {
+		at := ownership.Pick(key, names)
+		switch {
+		case at < 0:
+			return p.pick()
+		case skip <= 0:
+			return pools[at]
+		}
+		pools, names = slices.Delete(pools, at, at+1), slices.Delete(names, at, at+1)
 	}
-	return p.pick()
+}
+
+// skip returns how many owners a request of an organisation passes over. It is more than
+// 0 only for a part of the requests of an organisation that uses more connections than one
+// owner has for it.
+func (p *paths) skip(organisation string, owners int) int {
+	if p.occupation == nil || owners == 0 {
+		return 0
+	}
+	inUse := p.occupation.inUse(p.direct.now(), organisation) * float64(p.instances)
+	return rand.IntN(placement.Spread(inUse, owners))
 }
 
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
--- a/internal/dbpool/paths_test.go
+++ b/internal/dbpool/paths_test.go
@@ -382,3 +382,44 @@
 		t.Errorf("without organisations the owner has %d pools, sizing %+v", len(pools), pools[0].sizing)
 	}
 }
+
+// Guards against an organisation that needs more connections than one owner has, for
+// example because its callers stay idle in transactions, and is refused while the other
+// owners have some; and against further connections for organisations that one owner can
+// serve, and in deployments without organisations.
+func TestLargeOrganisationUsesFurtherOwners(t *testing.T) {
+	x := newOversubscribedSet(t)
+	x.set.pools = map[string]*paths{} // the deployment has organisations from the start
+	x.set.cfg.Topology.Apply(topology.Configuration{Version: 1, Organisations: []organisation.Organisation{{Name: "any"}}})
+	x.reconcile()
+	use := func(organisation string, held time.Duration) {
+		p, _ := x.set.Pool("db-1", organisation)
+		r := newRequest()
+		r.Organisation = organisation
+		l, err := p.Acquire(t.Context(), r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.began -= held
+		l.Release()
+	}
+	// With 64 instances, 3 s of use within half a minute are 6.4 connections in use.
+	for range 3 {
+		use("large", time.Second)
+		use("usual", 20*time.Millisecond)
+	}
+	owners := func(organisation string) map[string]int {
+		n := map[string]int{}
+		for range 200 {
+			p, _ := x.set.Pool("db-1", organisation)
+			n[p.Owner()]++
+		}
+		return n
+	}
+	if got := owners("large"); got["o1"] < 50 || got["o2"] < 50 {
+		t.Errorf("the large organisation uses %v, want both owners", got)
+	}
+	if got := owners("usual"); len(got) != 1 {
+		t.Errorf("the usual organisation uses %v, want one owner", got)
+	}
+}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -75,17 +75,21 @@
 	setupLatency decayingMean       // of exchanges that only bring the session into the right state
 	statuses     statusQueries
 	assigned     assignment
+	occupation   *occupation // nil if the database is reached directly
 }
 
 // Config configures a Pool.
 type Config struct {
 	Database topology.Database
 	Owner    string // instance that Dial connects to; empty if it connects to the database itself
-	Dial     Dial
-	Clock    clock.Clock
-	Now      func() time.Duration // a clock that advances while the machine is suspended
-	Sizing   Sizing
-	Metrics  *measure.Registry // may be nil
+	// Occupation records the use of connections to an owner by organisations; nil if Owner
+	// is empty or the deployment has no organisations.
+	Occupation *occupation
+	Dial       Dial
+	Clock      clock.Clock
+	Now        func() time.Duration // a clock that advances while the machine is suspended
+	Sizing     Sizing
+	Metrics    *measure.Registry // may be nil
 }
 
 // New returns a pool without connections.
@@ -96,6 +100,7 @@
 	return &Pool{
 		db:          cfg.Database,
 		owner:       cfg.Owner,
+		occupation:  cfg.Occupation,
 		dial:        cfg.Dial,
 		now:         cfg.Now,
 		clock:       cfg.Clock,
@@ -177,6 +182,9 @@
 	conn        *pooledConn
 	ticket      *admission.Ticket
 	serviceTime time.Duration // sum of the lease's exchanges
+
+	organisation string        // whose use of an owner is recorded; empty if it is not
+	began        time.Duration // valid with organisation
 }
 
 // Acquire waits for a connection of the request's organisation for a session with the
@@ -198,7 +206,11 @@
 	if c, ok := conn.Conn.(Prioritizer); ok {
 		c.Prioritize(r)
 	}
-	return &Lease{pool: p, conn: conn, ticket: ticket}, nil
+	l := &Lease{pool: p, conn: conn, ticket: ticket}
+	if p.occupation != nil && r.Organisation != "" {
+		l.organisation, l.began = r.Organisation, p.now()
+	}
+	return l, nil
 }
 
 // TryAcquire returns an idle connection of the request's organisation for a session with
@@ -426,12 +438,14 @@
 		l.Discard()
 		return
 	}
+	l.recordOccupation()
 	l.pool.putIdle(l.conn)
 	l.ticket.Release(l.serviceTime)
 }
 
 // Discard closes the connection; the database rolls back its open transaction.
 func (l *Lease) Discard() {
+	l.recordOccupation()
 	l.pool.discard(l.conn)
 	l.ticket.Release(0)
 }
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -152,7 +152,10 @@
 		p = &paths{database: d.ID}
 		s.pools[d.ID] = p
 	}
-	p.isOwner, p.instance = self, s.cfg.Instance
+	p.isOwner, p.instance, p.instances = self, s.cfg.Instance, instances
+	if organisations && p.occupation == nil {
+		p.occupation = &occupation{}
+	}
 	p.mayConnect = len(owners) == 0 || s.cfg.MayConnect == nil || s.cfg.MayConnect(d, limit)
 	if p.direct == nil || !sameDatabase(p.direct.db, d) {
 		p.close()
@@ -163,8 +166,8 @@
 	if p.detours {
 		owners = s.detours(d, p)
 	}
-	p.owners = s.reconcileOwners(d, p.owners, owners)
-	p.peers = s.reconcileOwners(d, p.peers, peers)
+	p.owners = s.reconcileOwners(d, p.owners, owners, p.occupation)
+	p.peers = s.reconcileOwners(d, p.peers, peers, p.occupation)
 	return slices.Concat(p.owners, p.peers, []*Pool{p.direct})
 }
 
@@ -196,7 +199,7 @@
 
 // reconcileOwners returns a pool for each owner, reusing those in old, and closes the
 // pools that are no longer needed.
-func (s *Set) reconcileOwners(d topology.Database, old []*Pool, owners []ownership.Instance) []*Pool {
+func (s *Set) reconcileOwners(d topology.Database, old []*Pool, owners []ownership.Instance, occupation *occupation) []*Pool {
 	var pools []*Pool
 	sizing := ownerSizing
 	if s.organisationsInForce() {
@@ -213,7 +216,7 @@
 		dial := func(ctx context.Context, _, _, id, _ string) (Conn, error) {
 			return s.cfg.DialOwner(ctx, o.Address, id, s.organisationsInForce())
 		}
-		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, Dial: dial, Sizing: sizing}))
+		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, Dial: dial, Sizing: sizing, Occupation: occupation}))
 	}
 	for _, p := range unused {
 		p.Close()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,12 +22,15 @@
 }
 
 // Record counts a request.
-func (u *Use) Record(now time.Duration) {
-	u.weight = u.decayed(now) + 1
+func (u *Use) Record(now time.Duration) { u.Add(now, 1) }
+
+// Add counts an amount instead of a request.
+func (u *Use) Add(now time.Duration, amount float64) {
+	u.weight = u.decayed(now) + amount
 	u.at = now
 }
 
-// Rate returns the estimated number of requests per second.
+// Rate returns the estimated number of requests, or amount, per second.
 func (u Use) Rate(now time.Duration) float64 { return u.decayed(now) / useTimeConstant.Seconds() }
 
 // Negligible reports whether the use is so old or rare that it can be forgotten.
@@ -88,6 +91,15 @@
 	return 1 / (rate * math.Pow(occupation, float64(before)))
 }
 
+// maxPerOwner is the mean number of connections that an organisation may use at one owner.
+// An owner has about 8; if 3 are in use on average, more than 8 are needed in 0.4 % of the
+// time.
+const maxPerOwner = 3
+
+// Spread returns over how many of the owners of a database the requests of an organisation
+// are spread, given the mean number of connections that they use.
+func Spread(inUse float64, owners int) int { return min(1+int(inUse/maxPerOwner), owners) }
+
 // WaitTime returns how long a request should wait for one of the connections of its
 // organisation that are in use, rather than have one opened; 0 means not at all. held
 // contains how long each of them has been in use, waiting is the number of requests that
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -69,3 +69,16 @@
 		}
 	}
 }
+
+// Guards against an organisation that is spread without need, or over more owners than
+// there are.
+func TestSpreadFollowsTheConnectionsInUse(t *testing.T) {
+	for _, c := range []struct {
+		inUse        float64
+		owners, want int
+	}{{0, 7, 1}, {2.9, 7, 1}, {3.1, 7, 2}, {10, 7, 4}, {10, 2, 2}, {100, 7, 7}} {
+		if got := Spread(c.inUse, c.owners); got != c.want {
+			t.Errorf("%.1f connections in use, %d owners: spread over %d, want %d", c.inUse, c.owners, got, c.want)
+		}
+	}
+}
