dbpool, platformd: adapt the concurrency of direct pools with adaptive_pace

The setting was parsed but had no effect. Direct pools now take their concurrency from internal/pace, within the bound of the sizing. Transactions that are open and run nothing don't count against the limit. It begins again when a database fails, is replaced or promoted. Without the setting, pools keep their fixed concurrency.

Ruled out: cold_remaining_ms as a field of topology.Database, since instances compare a hash of the listing, which would change with each report.

--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -71,6 +71,7 @@
 		DrainTime:     time.Duration(s.DrainTime),
 
 		OrganisationLimits: limitWindow(s.OrganisationLimits),
+		AdaptivePace:       s.HasAdaptivePace(),
 	})
 	return instance.Run(stop, listeners, platform.ReadinessHandler(instance.Ready), innerHandler(instance, store, log))
 }
--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -212,6 +212,7 @@
 	p.mu.Lock()
 	p.health.begin(began)
 	l.conn.exchanging = true
+	l.hold(false)
 	p.mu.Unlock()
 	answers, err := l.conn.Do(deadline, commands)
 	for i, a := range answers {
@@ -230,6 +231,7 @@
 	p.mu.Lock()
 	l.conn.exchanging, l.conn.usedAt = false, ended
 	p.health.end(began, ended, err == nil || ownerRefused(err))
+	l.observePace(began, ended, withStatement, answers, err)
 	switch {
 	case err != nil:
 	case withStatement:
--- a/internal/dbpool/organisations.go
+++ b/internal/dbpool/organisations.go
@@ -80,7 +80,7 @@
 // organisation meet at one owner, and while their callers are idle, they would stop all
 // its other organisations. p.mu is held.
 func (p *Pool) concurrency() int {
-	return min(p.sizing.concurrency()+p.assigned.idleTransactions, p.bound())
+	return p.pace.limit(min(p.sizing.concurrency()+p.assigned.idleTransactions, p.bound()))
 }
 
 // countIdleTransactions adapts the concurrency to the number of idle transactions. p.mu is
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -76,6 +76,7 @@
 	statuses     statusQueries
 	assigned     assignment
 	occupation   *occupation // nil if the database is reached directly
+	pace         *pacer      // nil if the concurrency is fixed
 }
 
 // Config configures a Pool.
@@ -90,6 +91,8 @@
 	Now        func() time.Duration // a clock that advances while the machine is suspended
 	Sizing     Sizing
 	Metrics    *measure.Registry // may be nil
+	// AdaptivePace limits the concurrency of a direct pool by how the database answers.
+	AdaptivePace bool
 }
 
 // New returns a pool without connections.
@@ -97,7 +100,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Real{}
 	}
+	pacer := newPacer(cfg)
 	return &Pool{
+		pace:        pacer,
 		db:          cfg.Database,
 		owner:       cfg.Owner,
 		occupation:  cfg.Occupation,
@@ -107,7 +112,7 @@
 		sizing:      cfg.Sizing,
 		metrics:     cfg.Metrics,
 		warmUpAfter: cfg.Now() + rand.N(warmUpJitter),
-		queue:       admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.concurrency(), FixedConcurrency: true}),
+		queue:       admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: pacer.limit(cfg.Sizing.concurrency()), FixedConcurrency: true}),
 	}
 }
 
@@ -185,6 +190,9 @@
 
 	organisation string        // whose use of an owner is recorded; empty if it is not
 	began        time.Duration // valid with organisation
+
+	class string // of the request
+	held  bool   // see hold
 }
 
 // Acquire waits for a connection of the request's organisation for a session with the
@@ -206,7 +214,7 @@
 	if c, ok := conn.Conn.(Prioritizer); ok {
 		c.Prioritize(r)
 	}
-	l := &Lease{pool: p, conn: conn, ticket: ticket}
+	l := &Lease{pool: p, conn: conn, ticket: ticket, class: r.Class}
 	if p.occupation != nil && r.Organisation != "" {
 		l.organisation, l.began = r.Organisation, p.now()
 	}
@@ -231,7 +239,7 @@
 		return nil, false
 	}
 	p.recordUse(organisation)
-	return &Lease{pool: p, conn: conn, ticket: ticket}, true
+	return &Lease{pool: p, conn: conn, ticket: ticket, class: r.Class}, true
 }
 
 // takeConn returns an idle connection of the organisation, waits for one or opens one.
@@ -400,6 +408,9 @@
 		}
 		return
 	}
+	if p.dialBackoff == 0 {
+		p.restartPace()
+	}
 	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), dialBackoffMax)
 	p.dialAfter = now + p.dialBackoff
 }
@@ -439,6 +450,7 @@
 		return
 	}
 	l.recordOccupation()
+	l.endHold()
 	l.pool.putIdle(l.conn)
 	l.ticket.Release(l.serviceTime)
 }
@@ -446,6 +458,7 @@
 // Discard closes the connection; the database rolls back its open transaction.
 func (l *Lease) Discard() {
 	l.recordOccupation()
+	l.endHold()
 	l.pool.discard(l.conn)
 	l.ticket.Release(0)
 }
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -63,6 +63,8 @@
 	// given id. If organisations is set, requests may have an organisation; an owner
 	// that does not know them is refused.
 	DialOwner func(ctx context.Context, address, id string, organisations bool) (Conn, error)
+	// AdaptivePace limits the concurrency of direct pools by how the databases answer.
+	AdaptivePace bool
 }
 
 // Set holds the pools of all known databases. It is safe for concurrent use.
@@ -161,6 +163,7 @@
 		p.close()
 		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
 	}
+	p.direct.setPrimary(d.Primary)
 	p.direct.SetSizing(sizing)
 	p.detours = len(owners) == 0
 	if p.detours {
@@ -225,7 +228,7 @@
 }
 
 func (s *Set) newPool(cfg Config) *Pool {
-	cfg.Clock, cfg.Now, cfg.Metrics = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics
+	cfg.Clock, cfg.Now, cfg.Metrics, cfg.AdaptivePace = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics, s.cfg.AdaptivePace
 	return New(cfg)
 }
 
--- a/internal/pace/model_test.go
+++ b/internal/pace/model_test.go
@@ -15,19 +15,22 @@
 	slots, owners int
 	work          time.Duration // mean when warm
 	cold          float64       // factor of the work until coldTime
-	coldTime      time.Duration
-	bound         int // per owner
-	callers       int // per owner, each with one request at a time
+	coldFrom      time.Duration
+	coldTime      time.Duration // end of the slow time
+	bound         int           // per owner
+	callers       int           // per owner, each with one request at a time
 	adaptive      bool
 	hint          bool // the owners know coldTime
+	oneOwner      bool // only the first owner has callers
 }
 
 // outcome is what a run measured.
 type outcome struct {
-	served5s, refused5s int
-	wait                time.Duration // mean time at the database per served statement in the first 5 s
-	maxIdle             time.Duration // longest time of idle slots while a request waited
-	fullPaceAfter       time.Duration // from coldTime until 90 % of the warm throughput is reached
+	served, served5s int
+	refused5s        int
+	wait             time.Duration // mean time at the database per served statement in the first 5 s
+	maxIdle          time.Duration // longest time of idle slots while a request waited
+	fullPaceAfter    time.Duration // from coldTime until 90 % of the warm throughput is reached
 }
 
 type job struct {
@@ -89,7 +92,9 @@
 	}
 	for i := range s.owners {
 		m.limiters = append(m.limiters, New(s.bound, 0, cold))
-		m.waiting[i] = s.callers
+		if i == 0 || !s.oneOwner {
+			m.waiting[i] = s.callers
+		}
 	}
 	m.at(time.Microsecond, func() {
 		for i := range s.owners {
@@ -145,7 +150,7 @@
 		j.class = "long"
 		took *= 3
 	}
-	if m.now < m.coldTime {
+	if m.now >= m.coldFrom && m.now < m.coldTime {
 		took = time.Duration(float64(took) * m.cold)
 	}
 	m.at(m.now+took, func() {
@@ -166,12 +171,13 @@
 		m.out.refused5s++
 	case o == Answered:
 		m.ends = append(m.ends, m.now)
+		m.out.served++
 		if in5s {
 			m.out.served5s++
 			m.waitSum += m.now - j.sent
 		}
 	}
-	m.limiters[j.owner].Observe(End{Class: j.class, Began: j.sent, Ended: m.now, Outcome: o, InUse: m.running[j.owner], Waited: m.waiting[j.owner] > 0})
+	m.limiters[j.owner].Observe(End{Class: j.class, Began: j.sent, Ended: m.now, Outcome: o, Waited: m.waiting[j.owner] > 0})
 	m.running[j.owner]--
 	again := func() { m.waiting[j.owner]++; m.dispatch(j.owner) }
 	if o == Refused {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -36,8 +36,7 @@
 	Class        string
 	Began, Ended time.Duration
 	Outcome      Outcome
-	InUse        int  // statements that run, this one included
-	Waited       bool // requests wait
+	Waited       bool // requests wait because the limit is in use
 }
 
 const (
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -46,11 +46,36 @@
 	}
 }
 
+// TestOtherLoad guards against slots that stay idle because one owner alone has callers or
+// because the database becomes slower for another reason than the load.
+func TestOtherLoad(t *testing.T) {
+	for _, slots := range []int{2, 4, 8, 16} {
+		for _, s := range []scenario{
+			{slots: min(slots, 8), oneOwner: true, cold: 1},
+			{slots: slots, cold: 5, coldFrom: 2 * time.Second, coldTime: 5 * time.Second},
+		} {
+			s.owners, s.bound, s.callers, s.work = 4, 8, 12, 12*time.Millisecond
+			on := s
+			on.adaptive = true
+			for seed := range uint64(5) {
+				x, y := run(s, seed, 8*time.Second), run(on, seed, 8*time.Second)
+				t.Logf("%+v seed %d: served %d, %d without the limiter; idle %v", s, seed, y.served, x.served, y.maxIdle)
+				if float64(y.served) < 0.95*float64(x.served) {
+					t.Errorf("%+v, seed %d: %d statements served, %d without the limiter; want at least 0.95 of them", s, seed, y.served, x.served)
+				}
+				if y.maxIdle > 200*time.Millisecond {
+					t.Errorf("%+v, seed %d: slots were idle for %v while requests waited, want at most 200 ms", s, seed, y.maxIdle)
+				}
+			}
+		}
+	}
+}
+
 // answers reports n answers of the class, one after the other, and returns the time after
 // them.
 func answers(l *Limiter, class string, now, took time.Duration, n int) time.Duration {
 	for range n {
-		l.Observe(End{Class: class, Began: now, Ended: now + took, InUse: l.Limit(), Waited: true})
+		l.Observe(End{Class: class, Began: now, Ended: now + took, Waited: true})
 		now += took
 	}
 	return now
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -36,7 +36,7 @@
 	"geraniumbeam/internal/topology"
 )
 
-// Config holds what an instance needs. All fields but OrganisationLimits are required.
+// Config holds what an instance needs. All fields but OrganisationLimits and AdaptivePace are required.
 type Config struct {
 	Instance      string
 	DataCentre    string
@@ -55,6 +55,8 @@
 	DrainTime time.Duration
 	// OrganisationLimits is nil if organisations have no limits.
 	OrganisationLimits *quota.Window
+	// AdaptivePace limits the concurrency of databases by how they answer.
+	AdaptivePace bool
 }
 
 // Instance is a proxy instance.
@@ -82,7 +84,7 @@
 	i.syncer = topology.NewSyncer(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Instance: cfg.Instance, Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
-		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial,
+		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial, AdaptivePace: cfg.AdaptivePace,
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
 		},
--- a/internal/platformd/metrics.go
+++ b/internal/platformd/metrics.go
@@ -32,6 +32,9 @@
 	if err := i.proxy.WriteMetrics(w); err != nil {
 		return err
 	}
+	if err := i.pools.WriteMetrics(w); err != nil {
+		return err
+	}
 	if err := i.writeRecords(w); err != nil {
 		return err
 	}
