pace: yield to other owners of a database

An owner that began late, or was refused first, stayed at a limit of 1 while the others held the queue of the database: with 6 owners and 4 slots it was served 146 of 833 statements of an equal part. The others' statements take the places that their own have just left, so they are never refused.

Owners with a limit of 6 or more now lower it by a quarter each 500 ms.

--- a/internal/pace/model_test.go
+++ b/internal/pace/model_test.go
@@ -20,13 +20,15 @@
 	bound         int           // per owner
 	callers       int           // per owner, each with one request at a time
 	adaptive      bool
-	hint          bool // the owners know coldTime
-	oneOwner      bool // only the first owner has callers
+	hint          bool          // the owners know coldTime
+	lateFirst     time.Duration // when the first owner begins, if it begins late
+	oneOwner      bool          // only the first owner has callers
 }
 
 // outcome is what a run measured.
 type outcome struct {
 	served, served5s int
+	perOwner         []int // statements served after the first 5 s
 	refused5s        int
 	wait             time.Duration // mean time at the database per served statement in the first 5 s
 	maxIdle          time.Duration // longest time of idle slots while a request waited
@@ -85,13 +87,17 @@
 const refusalRetry = 50 * time.Millisecond
 
 func run(s scenario, seed uint64, length time.Duration) outcome {
-	m := &model{scenario: s, rng: rand.New(rand.NewPCG(seed, 1)), waiting: make([]int, s.owners), running: make([]int, s.owners)}
+	m := &model{scenario: s, rng: rand.New(rand.NewPCG(seed, 1)), out: outcome{perOwner: make([]int, s.owners)}, waiting: make([]int, s.owners), running: make([]int, s.owners)}
 	cold := time.Duration(0)
 	if s.hint {
 		cold = s.coldTime
 	}
 	for i := range s.owners {
 		m.limiters = append(m.limiters, New(s.bound, 0, cold))
+		if i == 0 && s.lateFirst > 0 {
+			m.at(s.lateFirst, func() { m.begin(0) })
+			continue
+		}
 		if i == 0 || !s.oneOwner {
 			m.waiting[i] = s.callers
 		}
@@ -112,6 +118,13 @@
 	return m.out
 }
 
+// begin lets an owner begin now.
+func (m *model) begin(owner int) {
+	m.limiters[owner] = New(m.bound, m.now, 0)
+	m.waiting[owner] = m.callers
+	m.dispatch(owner)
+}
+
 func (m *model) at(t time.Duration, f func()) {
 	m.seq++
 	heap.Push(&m.events, &event{at: t, seq: m.seq, fire: f})
@@ -172,6 +185,9 @@
 	case o == Answered:
 		m.ends = append(m.ends, m.now)
 		m.out.served++
+		if !in5s {
+			m.out.perOwner[j.owner]++
+		}
 		if in5s {
 			m.out.served5s++
 			m.waitSum += m.now - j.sent
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -28,6 +28,7 @@
 	Refusal   Reason = "refused"
 	Slower    Reason = "slower"   // service times are above those of light load
 	NotLoad   Reason = "not_load" // lowering the limit did not shorten the service times
+	Yield     Reason = "yield"    // for a time, in favour of other owners
 	Restart   Reason = "restart"
 )
 
@@ -68,6 +69,10 @@
 	// refused a statement.
 	ceilingFactor = 0.75
 	ceilingPeriod = 2 * time.Second
+	// yieldFrom and yieldPeriod: an owner whose statements take the places that its own have
+	// just left is never refused, while one with a lower limit is at each increase.
+	yieldFrom   = 6
+	yieldPeriod = 500 * time.Millisecond
 	// maxClasses bounds the classes with a base of their own. An entry takes about 100 bytes.
 	maxClasses = 256
 )
@@ -96,6 +101,7 @@
 	before     trial
 	ceiling    float64
 	ceilingEnd time.Duration
+	yielded    time.Duration // when the limit was last lowered in favour of other owners
 }
 
 // trial is the state before the limit was lowered; the zero value means that it was not.
@@ -118,7 +124,7 @@
 // Restart begins again with a small limit and unknown service times, for a database that
 // has started, recovered or was promoted, and is expected to be slow until coldUntil.
 func (l *Limiter) Restart(now, coldUntil time.Duration) {
-	*l = Limiter{bound: l.bound, limit: initialLimit, classes: make(map[string]*class), slowStart: true, coldUntil: coldUntil, roundBegan: now, lastAnswer: l.lastAnswer}
+	*l = Limiter{bound: l.bound, limit: initialLimit, classes: make(map[string]*class), slowStart: true, coldUntil: coldUntil, roundBegan: now, yielded: now, lastAnswer: l.lastAnswer}
 }
 
 // Observe records the end of a statement and returns why the limit changed, if it did.
@@ -230,6 +236,11 @@
 		l.limit = max(1, l.limit*shrinkFactor)
 		l.nextRound(now)
 		return Slower
+	case waited && !l.slowStart && l.limit >= yieldFrom && now-l.yielded > yieldPeriod:
+		l.yielded = now
+		l.limit *= shrinkFactor
+		l.nextRound(now)
+		return Yield
 	case ratio > growBelow:
 		l.slowStart = false
 		l.held++
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -71,6 +72,22 @@
 	}
 }
 
+// TestLateOwner guards against owners that hold the whole queue of the database, so that
+// one that begins later, or was refused first, stays at a limit of 1.
+func TestLateOwner(t *testing.T) {
+	for _, slots := range []int{2, 4, 16} {
+		for seed := range uint64(5) {
+			s := scenario{slots: slots, owners: 6, work: 12 * time.Millisecond, cold: 1, bound: 8, callers: 12, adaptive: true, lateFirst: 3 * time.Second}
+			o := run(s, seed, 20*time.Second)
+			equal := float64(s.slots) * (15 * time.Second).Seconds() / s.work.Seconds() / float64(s.owners)
+			t.Logf("%d slots, seed %d: served per owner %d", slots, seed, o.perOwner)
+			if least := slices.Min(o.perOwner); float64(least) < equal/3 {
+				t.Errorf("%d slots, seed %d: an owner had %d statements served, want at least a third of %.0f", slots, seed, least, equal)
+			}
+		}
+	}
+}
+
 // answers reports n answers of the class, one after the other, and returns the time after
 // them.
 func answers(l *Limiter, class string, now, took time.Duration, n int) time.Duration {
