dbpool, hop: keep requests in the queues of the owners under load

Cause: owners of a database with a limit of 46 run at most 20 statements at a time, below the 36 that a database with 4 slots and a queue of 32 holds. By reading, four things went around that bound:

* A statement that passed its deadline was given up and its place was used again at once, although the database still runs it.
A database that became slow so got more statements, not fewer.
* A request with less time left than the queue takes counted as a failure of the owner and of the database, and the next requests took another path.
* An owner whose progress reports were late (no processor time at either side, or a slow database) counted as stalled.
If all owners did, up to 11 instances opened two direct connections each to the primary, each of which takes a slot for 12 ms.
* With 12 to 30 instances the limit has room for one direct connection each and more, up to 46 in all, so there were no owners.

Ruled out: a refusal for load by an owner was no failure before either (TestRefusalForLoadIsNotAFailure), and detours end only at owners.

Change, in deployments with several regions only: the place of a statement that was given up stays taken for the usual time of an exchange (10 to 500 ms); an expired request is a failure only after 250 ms without an answer; an owner says with a lost answer that the database answers it; an owner that is slow but has not failed is used for up to 1 s; there are owners wherever half of the limit gives less than two connections each, and other instances have one direct connection. The sum over all instances is at most 36 for fleets of 3 to 67.

The tests for the first three causes show the former behaviour with the mechanism off.

--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -68,10 +68,19 @@
 		MaxSessions:   max(1, s.MaxOpenFiles-reservedFiles),
 		GracePeriod:   time.Duration(s.GracePeriod),
 		DrainTime:     time.Duration(s.DrainTime),
+		Regions:       regions(s),
 	})
 	return instance.Run(stop, listeners, platform.ReadinessHandler(instance.Ready), innerHandler(instance, store, log))
 }
 
+// regions returns the regions of the data centres, or nil if there are not several.
+func regions(s platform.Settings) map[string]string {
+	if !s.HasRegions() {
+		return nil
+	}
+	return s.Regions
+}
+
 func listen(s platform.Settings) (platformd.Listeners, error) {
 	var l platformd.Listeners
 	for _, x := range []struct {
--- /dev/null
+++ b/internal/dbpool/atowners_test.go
@@ -0,0 +1,119 @@
+package dbpool
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/ownership"
+	"geraniumbeam/internal/primacy"
+	"geraniumbeam/internal/statement"
+	"geraniumbeam/internal/topology"
+)
+
+// Guards against a database whose queue fills although its owners keep to their
+// concurrency: a statement that was given up is still run by the database, so its place
+// must not be used again at once.
+func TestStatementThatWasGivenUpKeepsItsPlace(t *testing.T) {
+	for _, atOwners := range []bool{false, true} {
+		db := &fakeDatabase{answer: func(statement.Command) (statement.Answer, error) {
+			return statement.Answer{}, fmt.Errorf("read answer: %w", os.ErrDeadlineExceeded)
+		}}
+		p, clk := newPool(db, Sizing{MaxOpen: 1, IdleTimeout: idleTimeoutDefault})
+		p.queueAtOwners = atOwners
+		p.latency.add(200*time.Millisecond, clk.read())
+		l := acquire(t, p)
+		if _, err := l.Run(Exchange{Deadline: time.Now().Add(time.Second)}); err == nil {
+			t.Fatal("the statement was answered")
+		}
+		l.Discard()
+		ticket, free := p.queue.TryAcquire(newRequest())
+		if free == atOwners {
+			t.Errorf("with QueueAtOwners %v: the place of the statement is free: %v", atOwners, free)
+		}
+		if free {
+			ticket.Release(0)
+			continue
+		}
+		for end := time.Now().Add(5 * time.Second); !free; time.Sleep(time.Millisecond) {
+			if _, free = p.queue.TryAcquire(newRequest()); !free && time.Now().After(end) {
+				t.Fatal("the place is never free again")
+			}
+		}
+	}
+}
+
+// Guards against a database or an owner that counts as failed because a request had less
+// time left than the queue takes, and against a failure that is not noticed because all
+// requests have short deadlines.
+func TestShortDeadlineIsNoFailure(t *testing.T) {
+	var h health
+	h.begin(1000 * ms)
+	h.end(1000*ms, 1010*ms, true)
+	h.begin(1020 * ms)
+	h.expired(1020*ms, 1050*ms)
+	if _, unresponsive := h.unresponsiveSince(1050 * ms); unresponsive || !h.idleAndHealthy() {
+		t.Error("a request that passed its own deadline counts as a failure")
+	}
+	h.begin(1260 * ms)
+	h.expired(1260*ms, 1290*ms)
+	if since, unresponsive := h.unresponsiveSince(1290 * ms); !unresponsive || since != 1020*ms || h.outstanding != 0 {
+		t.Errorf("unresponsive %v since %v, want since the first request without an answer", unresponsive, since)
+	}
+}
+
+// Guards against an instance that opens direct connections to a busy database because
+// all of its owners are slow, and against one that never does although none answers.
+func TestSlowOwnersAreNotBypassed(t *testing.T) {
+	for _, atOwners := range []bool{false, true} {
+		x := newOversubscribedSet(t)
+		x.set.pools["db-1"].queueAtOwners = atOwners
+		now := time.Hour
+		for _, p := range x.set.pools["db-1"].owners {
+			p.now = func() time.Duration { return now }
+			p.health.begin(now)
+		}
+		through := func() string { p, _ := x.set.Pool("db-1"); return p.Owner() }
+		now += stallTimeout + ms
+		if got := through() != ""; got != atOwners {
+			t.Errorf("with QueueAtOwners %v: a slow owner is used: %v", atOwners, got)
+		}
+		now += slowOwnerLimit
+		if got := through(); got != "" {
+			t.Errorf("after a second without progress: through %q, want a direct connection", got)
+		}
+	}
+}
+
+// Guards against instances that together hold more statements in a database than its
+// slots and its queue, 4 and 32 here, while each keeps to its own bound.
+func TestConnectionsStayBelowTheQueueOfADatabase(t *testing.T) {
+	const limit, places = 46, 36
+	for _, n := range []int{3, 11, 12, 15, 20, 23, 30, 33, 46, 67} {
+		var all []primacy.Registration
+		for i := range n {
+			name := fmt.Sprintf("inst-%d", i)
+			all = append(all, primacy.Registration{Instance: name, Address: name + ":1", DataCentre: string(rune('a' + i%6))})
+		}
+		total := 0
+		for _, reg := range all {
+			set := NewSet(SetConfig{
+				Clock: clock.Real{}, Now: clock.SinceBoot, Instances: func() int { return n }, Topology: topology.New(), QueueAtOwners: true,
+				Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
+					return primacy.Owners(all, reg.Instance, d.ID, d.DataCentre, limit)
+				},
+				MayConnect: func(d topology.Database, limit int) bool { return primacy.MayConnect(all, reg.Instance, d.ID, limit) },
+			})
+			set.started -= time.Hour
+			set.reconcile(topology.Database{ID: "db-1", Service: "ledger", Address: "db:1", DataCentre: "a", Primary: true}, limit, n)
+			if p := set.pools["db-1"]; p.isOwner || p.mayConnect {
+				total += p.direct.Load().MaxOpen
+			}
+		}
+		if total > places {
+			t.Errorf("%d instances may hold %d connections, the database holds %d statements", n, total, places)
+		}
+	}
+}
--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -227,7 +227,7 @@
 	}
 	p.observePhase(phase, ended-began)
 	p.mu.Lock()
-	p.health.end(began, ended, err == nil || ownerRefused(err))
+	l.recordEnd(began, ended, err, withStatement)
 	switch {
 	case err != nil:
 	case withStatement:
--- a/internal/dbpool/health.go
+++ b/internal/dbpool/health.go
@@ -13,6 +13,7 @@
 	lastAnswer   time.Duration
 	failingSince time.Duration // start of the first exchange that failed after lastAnswer; 0 if none
 	lastFailure  time.Duration // 0 if none
+	expiredSince time.Duration // start of the first exchange after lastAnswer that passed its own deadline; 0 if none
 	outstanding  int
 	// waitingSince is the later of lastAnswer and the time at which exchanges
 	// became outstanding.
@@ -41,10 +42,24 @@
 	}
 }
 
+// expired records that an exchange passed its own deadline. A deadline can be shorter
+// than the database's queue, so this is a failure only if nothing was answered for
+// stallTimeout.
+func (h *health) expired(began, now time.Duration) {
+	if began >= h.lastAnswer && h.expiredSince == 0 {
+		h.expiredSince = began
+	}
+	if h.expiredSince != 0 && now-h.expiredSince >= stallTimeout {
+		h.end(h.expiredSince, now, false)
+		return
+	}
+	h.outstanding--
+}
+
 // answered records an answer of the database, or of the owner on its way.
 func (h *health) answered(now time.Duration) {
 	h.lastAnswer, h.waitingSince = now, now
-	h.failingSince = 0
+	h.failingSince, h.expiredSince = 0, 0
 }
 
 // idleAndHealthy reports whether no exchange is outstanding and none has failed
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -20,17 +20,26 @@
 	detourAt            time.Duration // when a detour was last needed; 0: never
 	detourSince         time.Duration // since when owners are detours, because the direct connections fail; 0: they are not
 	mayConnect          bool          // direct connections are allowed while no owner is usable
+	queueAtOwners       bool          // SetConfig.QueueAtOwners
 	lastAnsweredControl atomic.Int64  // sending time of the last control command that the database answered
 }
 
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
-// is usable and this instance may not connect itself, it returns the first owner's.
+// is usable and this instance may not connect itself, it returns the first owner's. With
+// queueAtOwners, an owner that is only slow is preferred to the direct pool.
 func (p *paths) pick() *Pool {
 	for _, pool := range p.owners {
 		if pool.usable() {
 			return pool
 		}
 	}
+	if p.queueAtOwners && p.detourSince == 0 {
+		for _, pool := range p.owners {
+			if pool.onlySlow() {
+				return pool
+			}
+		}
+	}
 	if len(p.owners) == 0 || p.mayConnect {
 		return p.direct
 	}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -55,6 +55,8 @@
 	now     func() time.Duration // advances while the machine is suspended
 	queue   *admission.Queue
 	metrics *measure.Registry
+	// queueAtOwners is Config.QueueAtOwners.
+	queueAtOwners bool
 
 	maintaining atomic.Bool
 
@@ -84,19 +86,24 @@
 	Now      func() time.Duration // a clock that advances while the machine is suspended
 	Sizing   Sizing
 	Metrics  *measure.Registry // may be nil
+	// QueueAtOwners keeps the statements that a database holds within the concurrency of
+	// its owners: a statement that was given up counts until the database has probably
+	// run it, and a request that passed its own deadline is no failure of the database.
+	QueueAtOwners bool
 }
 
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
 	return &Pool{
-		db:          cfg.Database,
-		owner:       cfg.Owner,
-		dial:        cfg.Dial,
-		now:         cfg.Now,
-		sizing:      cfg.Sizing,
-		metrics:     cfg.Metrics,
-		warmUpAfter: cfg.Now() + rand.N(warmUpJitter),
-		queue:       admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.MaxOpen, FixedConcurrency: true}),
+		db:            cfg.Database,
+		owner:         cfg.Owner,
+		dial:          cfg.Dial,
+		now:           cfg.Now,
+		sizing:        cfg.Sizing,
+		metrics:       cfg.Metrics,
+		queueAtOwners: cfg.QueueAtOwners,
+		warmUpAfter:   cfg.Now() + rand.N(warmUpJitter),
+		queue:         admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.MaxOpen, FixedConcurrency: true}),
 	}
 }
 
@@ -170,6 +177,7 @@
 	conn        *pooledConn
 	ticket      *admission.Ticket
 	serviceTime time.Duration // sum of the lease's exchanges
+	abandoned   bool          // a statement was sent and not answered by its deadline
 }
 
 // Acquire waits for a connection for a session with the given variables. If it fails,
@@ -375,6 +383,10 @@
 // Discard closes the connection; the database rolls back its open transaction.
 func (l *Lease) Discard() {
 	l.pool.discard(l.conn)
+	if hold := l.holdTime(); hold > 0 {
+		time.AfterFunc(hold, func() { l.ticket.Release(0) })
+		return
+	}
 	l.ticket.Release(0)
 }
 
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -61,6 +61,10 @@
 	// DialOwner connects to the owner at address to use the database with the
 	// given id.
 	DialOwner func(ctx context.Context, address, id string) (Conn, error)
+	// QueueAtOwners makes requests wait at the owners of a database rather than in the
+	// database, also under load. Owners then also serve databases whose limit has room
+	// for a single connection of each instance.
+	QueueAtOwners bool
 }
 
 // Set holds the pools of all known databases. It is safe for concurrent use.
@@ -129,7 +133,8 @@
 		owners []ownership.Instance
 		self   bool
 	)
-	if s.cfg.Owners != nil && oversubscribed(limit, instances) {
+	hasOwners := oversubscribed(limit, instances) || (s.cfg.QueueAtOwners && scarce(limit, instances))
+	if s.cfg.Owners != nil && hasOwners {
 		owners, self = s.cfg.Owners(d, limit)
 	}
 	rank := limit
@@ -139,10 +144,12 @@
 	sizing := SizingFor(limit, instances, rank, d.Primary).afterStart(s.cfg.Now() - s.started)
 	if self {
 		sizing, owners = SizingFor(limit, len(owners), limit, d.Primary), nil
+	} else if s.cfg.QueueAtOwners && len(owners) > 0 {
+		sizing = besideOwnersSizing
 	}
 	p, ok := s.pools[d.ID]
 	if !ok {
-		p = &paths{}
+		p = &paths{queueAtOwners: s.cfg.QueueAtOwners}
 		s.pools[d.ID] = p
 	}
 	p.isOwner = self
@@ -198,7 +205,7 @@
 }
 
 func (s *Set) newPool(cfg Config) *Pool {
-	cfg.Clock, cfg.Now, cfg.Metrics = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics
+	cfg.Clock, cfg.Now, cfg.Metrics, cfg.QueueAtOwners = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics, s.cfg.QueueAtOwners
 	return New(cfg)
 }
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -94,6 +94,9 @@
 	if err != nil {
 		return localAnswers(commands, rep.Answers), err
 	}
+	if rep.Lost != "" && rep.Answering {
+		return rep.Answers, &dbpool.ExpiredError{Cause: errors.New(rep.Lost)}
+	}
 	if rep.Lost != "" {
 		return rep.Answers, errors.New(rep.Lost)
 	}
--- a/internal/hop/protocol.go
+++ b/internal/hop/protocol.go
@@ -60,6 +60,9 @@
 	// Lost is set if the database did not answer, and says why. The owner has
 	// closed its connection to the database.
 	Lost string
+	// Answering is set together with Lost if the database answers the owner: only the
+	// deadline of this request has passed.
+	Answering bool
 }
 
 // withoutCause returns a copy of an error without its wrapped cause, which gob can't
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -51,6 +51,8 @@
 type Server struct {
 	Pools Pools
 	Log   zerolog.Logger
+	// QueueAtOwners is dbpool.SetConfig.QueueAtOwners.
+	QueueAtOwners bool
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -284,7 +286,7 @@
 		if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
 			return reply{NotSent: withoutCause(result.From(notSent.Cause)), Answers: answers}
 		}
-		return reply{Lost: err.Error()}
+		return reply{Lost: err.Error(), Answering: p.server.QueueAtOwners && answering(pool, owned)}
 	}
 	if results[len(results)-1].State == statement.TxIdle {
 		p.lease.Release()
@@ -345,3 +347,12 @@
 	}
 	return reply{Status: &s}
 }
+
+// answering reports whether the database answers this instance.
+func answering(pool *dbpool.Pool, owned bool) bool {
+	if !owned {
+		return false
+	}
+	_, unresponsive := pool.UnresponsiveSince()
+	return !unresponsive
+}
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -34,7 +34,7 @@
 	"geraniumbeam/internal/topology"
 )
 
-// Config holds what an instance needs. All fields are required.
+// Config holds what an instance needs. All fields but Regions are required.
 type Config struct {
 	Instance      string
 	DataCentre    string
@@ -51,6 +51,9 @@
 	GracePeriod time.Duration
 	// DrainTime is how long a database that is leaving may still get work.
 	DrainTime time.Duration
+	// Regions maps each data centre to its region. It is nil in a deployment of one
+	// region, in which demand is not balanced.
+	Regions map[string]string
 }
 
 // Instance is a proxy instance.
@@ -78,6 +81,7 @@
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
 		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial,
+		QueueAtOwners: cfg.Regions != nil,
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
 		},
@@ -87,7 +91,7 @@
 			return i.primacy.MayConnect(d.ID, d.DataCentre, limit)
 		},
 	})
-	i.hop = &hop.Server{Pools: i.pools, Log: cfg.Log.With().Str("part", "hop").Logger()}
+	i.hop = &hop.Server{Pools: i.pools, QueueAtOwners: cfg.Regions != nil, Log: cfg.Log.With().Str("part", "hop").Logger()}
 	i.primacy = primacy.NewRunner(primacy.Config{
 		Instance: cfg.Instance, DataCentre: cfg.DataCentre, Address: cfg.Address, Peers: peer.NewClient(), Incarnation: incarnation, Store: cfg.Store, Databases: i.pools,
 		Promotions: cfg.Promotions, Cache: i.records, Services: i.services, Now: clock.SinceBoot,
