balance, distance, proxy, dbpool, hop: spread reads by free capacity and distance

Cause: each instance chose the replica with the lowest estimated cost by what it had seen itself, a sixtieth of the load, and all of a region chose the same one.

Change, in deployments with several regions only: two databases are drawn in proportion to their free capacity and the one with the shorter expected time is taken. Owners report queue, places, pace and refusals in their replies. A refusal for a full queue is learned from at once: the database gets no reads for a jittered time that doubles with repeated refusals, and the refused read is sent elsewhere without delay.

The costs of deployments of one region are pinned by TestCostsOfOneRegionAreUnchanged.

Tests of internal/balance, internal/distance, internal/dbpool, internal/hop and internal/proxy pass.

--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -226,8 +226,10 @@
 		phase = phaseExchange
 	}
 	p.observePhase(phase, ended-began)
+	queued := p.queue.Queued()
 	p.mu.Lock()
 	l.recordEnd(began, ended, err, withStatement)
+	p.learn(l.conn.Conn, answers, ended-began, ended, queued)
 	switch {
 	case err != nil:
 	case withStatement:
--- a/internal/dbpool/metrics.go
+++ b/internal/dbpool/metrics.go
@@ -13,6 +13,7 @@
 	metricPhase       = "geraniumbeam_database_microseconds"
 	metricConnections = "geraniumbeam_connections_total"
 	metricExchanges   = "geraniumbeam_exchanges_total"
+	metricRefusals    = "geraniumbeam_refusals_learned_total"
 )
 
 // Phases of a request, as values of the label "phase" of metricPhase.
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/result"
@@ -57,6 +58,8 @@
 	metrics *measure.Registry
 	// queueAtOwners is Config.QueueAtOwners.
 	queueAtOwners bool
+	dataCentre    string
+	onRoundTrip   func(time.Duration)
 
 	maintaining atomic.Bool
 
@@ -75,6 +78,7 @@
 	latency      decayingMean       // of exchanges with a statement
 	setupLatency decayingMean       // of exchanges that only bring the session into the right state
 	statuses     statusQueries
+	shared       sharedLoad
 }
 
 // Config configures a Pool.
@@ -90,6 +94,11 @@
 	// its owners: a statement that was given up counts until the database has probably
 	// run it, and a request that passed its own deadline is no failure of the database.
 	QueueAtOwners bool
+	// DataCentre is the place of the database or, with Owner, of the owner.
+	DataCentre string
+	// OnRoundTrip gets the time that an exchange with an owner spent on the way. It may be
+	// nil.
+	OnRoundTrip func(took time.Duration)
 }
 
 // New returns a pool without connections.
@@ -102,6 +111,8 @@
 		sizing:        cfg.Sizing,
 		metrics:       cfg.Metrics,
 		queueAtOwners: cfg.QueueAtOwners,
+		dataCentre:    cfg.DataCentre,
+		onRoundTrip:   cfg.OnRoundTrip,
 		warmUpAfter:   cfg.Now() + rand.N(warmUpJitter),
 		queue:         admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.MaxOpen, FixedConcurrency: true}),
 	}
@@ -141,6 +152,13 @@
 	Lagging bool
 	// MeanLatency is the smoothed round-trip time of an exchange.
 	MeanLatency time.Duration
+	// Report is what the owner reported with its latest reply, which is ReportAge old. On
+	// a direct connection it is the load of this instance's own pool.
+	Report    balance.Report
+	ReportAge time.Duration
+	// RefusedFor is how long the database should get no reads, because it refused some for
+	// a full queue. It is 0 if it has not lately.
+	RefusedFor time.Duration
 }
 
 // MarkLagging records that the database lacked a log position that a read
@@ -157,7 +175,11 @@
 	now := p.now() // a system call, made before the lock is taken
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	report, age := p.reportAt(now, queued)
 	return Load{
+		Report:         report,
+		ReportAge:      age,
+		RefusedFor:     p.shared.refusals.Remaining(now),
 		InUse:          p.open - len(p.idle),
 		Queued:         queued,
 		MaxOpen:        p.sizing.MaxOpen,
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -65,6 +65,9 @@
 	// database, also under load. Owners then also serve databases whose limit has room
 	// for a single connection of each instance.
 	QueueAtOwners bool
+	// OnRoundTrip gets the time that an exchange with an owner in a data centre spent on
+	// the way. It may be nil.
+	OnRoundTrip func(dataCentre string, took time.Duration)
 }
 
 // Set holds the pools of all known databases. It is safe for concurrent use.
@@ -156,7 +159,7 @@
 	p.mayConnect = len(owners) == 0 || s.cfg.MayConnect == nil || s.cfg.MayConnect(d, limit)
 	if p.direct == nil || !sameDatabase(p.direct.db, d) {
 		p.close()
-		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
+		p.direct = s.newPool(Config{Database: d, DataCentre: d.DataCentre, Dial: s.cfg.Dial, Sizing: sizing})
 	}
 	p.direct.SetSizing(sizing)
 	if len(owners) == 0 {
@@ -196,7 +199,7 @@
 			continue
 		}
 		dial := func(ctx context.Context, _, _, id string) (Conn, error) { return s.cfg.DialOwner(ctx, o.Address, id) }
-		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, Dial: dial, Sizing: ownerSizing}))
+		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, DataCentre: o.DataCentre, Dial: dial, Sizing: ownerSizing}))
 	}
 	for _, p := range unused {
 		p.Close()
@@ -206,6 +209,9 @@
 
 func (s *Set) newPool(cfg Config) *Pool {
 	cfg.Clock, cfg.Now, cfg.Metrics, cfg.QueueAtOwners = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics, s.cfg.QueueAtOwners
+	if s.cfg.OnRoundTrip != nil {
+		cfg.OnRoundTrip = func(took time.Duration) { s.cfg.OnRoundTrip(cfg.DataCentre, took) }
+	}
 	return New(cfg)
 }
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
@@ -33,6 +34,7 @@
 	enc      *gob.Encoder
 	dec      *gob.Decoder
 	priority admission.Request // of the next requests
+	load     *balance.Report   // in the latest reply; nil once it has been taken
 	progress func()            // called for each report of progress; may be nil
 	inOrder  bool              // the owner sends no command before the answers of those that it relies on
 }
@@ -170,6 +172,7 @@
 	for {
 		var rep reply // gob leaves fields unchanged that were not sent
 		if err := c.dec.Decode(&rep); err != nil || !rep.Waiting {
+			c.load = rep.Load
 			return rep, err
 		}
 		if c.progress != nil {
@@ -178,6 +181,16 @@
 	}
 }
 
+// TakeReport implements dbpool.LoadReporter.
+func (c *ownerConn) TakeReport() (balance.Report, bool) {
+	if c.load == nil {
+		return balance.Report{}, false
+	}
+	r := *c.load
+	c.load = nil
+	return r, true
+}
+
 // OnProgress implements dbpool.ProgressReporter.
 func (c *ownerConn) OnProgress(f func()) { c.progress = f }
 
@@ -194,4 +207,5 @@
 	_ dbpool.Prioritizer      = (*ownerConn)(nil)
 	_ dbpool.ProgressReporter = (*ownerConn)(nil)
 	_ dbpool.Sequencer        = (*ownerConn)(nil)
+	_ dbpool.LoadReporter     = (*ownerConn)(nil)
 )
--- a/internal/hop/load_test.go
+++ b/internal/hop/load_test.go
@@ -1,10 +1,13 @@
 package hop
 
 import (
+	"bytes"
+	"encoding/gob"
 	"os"
 	"testing"
 	"time"
 
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/topology"
@@ -37,3 +40,45 @@
 		}
 	}
 }
+
+// Guards against instances that learn the load of a database only from their own
+// exchanges, and against a reply that carries the load in deployments of one region.
+func TestOwnerReportsTheLoad(t *testing.T) {
+	for _, atOwners := range []bool{false, true} {
+		o := newOwner(t, 2)
+		o.server.QueueAtOwners = atOwners
+		p := o.clientPool()
+		l := acquire(t, p)
+		if _, err := l.Run(dbpool.Exchange{Statement: readStatement("one"), Deadline: testDeadline()}); err != nil {
+			t.Fatal(err)
+		}
+		l.Release()
+		if r := p.Load().Report; (r.Limit == 2) != atOwners || (r.Took > 0) != atOwners {
+			t.Errorf("with QueueAtOwners %v: report %+v", atOwners, r)
+		}
+	}
+}
+
+// Guards against a failed exchange between an instance and one of an earlier version
+// that does not know the report.
+func TestReportIsIgnoredByEarlierVersions(t *testing.T) {
+	type earlierReply struct {
+		Waiting bool
+		Lost    string
+	}
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(reply{Lost: "late", Answering: true, Load: &balance.Report{Limit: 2}}); err != nil {
+		t.Fatal(err)
+	}
+	var got earlierReply
+	if err := gob.NewDecoder(&buf).Decode(&got); err != nil || got.Lost != "late" {
+		t.Errorf("decoded %+v, %v", got, err)
+	}
+	if err := gob.NewEncoder(&buf).Encode(earlierReply{Lost: "late"}); err != nil {
+		t.Fatal(err)
+	}
+	var current reply
+	if err := gob.NewDecoder(&buf).Decode(&current); err != nil || current.Lost != "late" || current.Load != nil {
+		t.Errorf("decoded %+v, %v", current, err)
+	}
+}
--- a/internal/hop/protocol.go
+++ b/internal/hop/protocol.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/catalog"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/statement"
@@ -63,6 +64,9 @@
 	// Answering is set together with Lost if the database answers the owner: only the
 	// deadline of this request has passed.
 	Answering bool
+	// Load is the owner's view of the database's load. It is nil if the owner does not
+	// report it.
+	Load *balance.Report
 }
 
 // withoutCause returns a copy of an error without its wrapped cause, which gob can't
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/result"
@@ -158,8 +159,10 @@
 	}()
 	for r := range requests {
 		p.startProgress()
+		began := time.Now()
 		rep := p.handle(ctx, r)
 		p.stopProgress()
+		rep.Load = p.server.load(p.id, time.Since(began))
 		if p.send(rep) != nil || rep.Lost != "" {
 			return // the peer reconnects
 		}
@@ -356,3 +359,18 @@
 	_, unresponsive := pool.UnresponsiveSince()
 	return !unresponsive
 }
+
+// load returns the load of a database for a reply to a request that took the given time,
+// or nil if this instance does not report it.
+func (s *Server) load(id string, took time.Duration) *balance.Report {
+	if !s.QueueAtOwners {
+		return nil
+	}
+	pool, owned := s.Pools.Owned(id)
+	if !owned {
+		return nil
+	}
+	l := pool.Load()
+	l.Report.RefusedFor, l.Report.Took = l.RefusedFor, took
+	return &l.Report
+}
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -25,6 +25,7 @@
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/hop"
 	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/ownership"
@@ -53,21 +54,22 @@
 	DrainTime time.Duration
 	// Regions maps each data centre to its region. It is nil in a deployment of one
 	// region, in which demand is not balanced.
-	Regions map[string]string
+	Regions distance.Regions
 }
 
 // Instance is a proxy instance.
 type Instance struct {
-	cfg      Config
-	topology *topology.Topology
-	records  *primacy.RecordCache
-	primacy  *primacy.Runner
-	pools    *dbpool.Set
-	proxy    *proxy.Server
-	metrics  *measure.Registry
-	syncer   *topology.Syncer
-	hop      *hop.Server
-	stopping atomic.Bool
+	cfg       Config
+	topology  *topology.Topology
+	records   *primacy.RecordCache
+	primacy   *primacy.Runner
+	pools     *dbpool.Set
+	proxy     *proxy.Server
+	metrics   *measure.Registry
+	syncer    *topology.Syncer
+	hop       *hop.Server
+	distances *distance.Times // nil in a deployment of one region
+	stopping  atomic.Bool
 }
 
 // New returns an instance. Run starts it.
@@ -78,10 +80,13 @@
 		records: primacy.NewRecordCache(incarnation, primacy.InitialValidity, clock.SinceBoot),
 	}
 	i.syncer = topology.NewSyncer(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
+	if cfg.Regions != nil {
+		i.distances = distance.NewTimes(cfg.Regions, cfg.DataCentre)
+	}
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
 		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial,
-		QueueAtOwners: cfg.Regions != nil,
+		QueueAtOwners: cfg.Regions != nil, OnRoundTrip: i.observeRoundTrip,
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
 		},
@@ -104,10 +109,17 @@
 		DataCentre: cfg.DataCentre, MaxSessions: cfg.MaxSessions, Topology: i.topology, Records: i.records,
 		Pools: i.pools, Now: clock.SinceBoot, Log: cfg.Log.With().Str("part", "proxy").Logger(),
 		NewCallerConn: cfg.NewCallerConn, Metrics: i.metrics, LeavingPrimaryTimeout: cfg.DrainTime * leavingPrimaryPercent / 100,
+		Distances: i.distances,
 	})
 	return i
 }
 
+func (i *Instance) observeRoundTrip(dataCentre string, took time.Duration) {
+	if i.distances != nil {
+		i.distances.Observe(dataCentre, took, clock.SinceBoot())
+	}
+}
+
 // leavingPrimaryPercent is the share of the drain time, in percent, during which a
 // leaving primary still gets work. The rest covers the delay until the instance
 // learns from the store that the database is leaving.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -34,8 +34,7 @@
 )
 
 // chooseTarget returns the database for the next attempt: the primary if the
-// request needs it, otherwise the usable database with the lowest estimated
-// cost. It reports false if no database is usable now.
+// request needs it, otherwise a usable replica or the primary. It reports false if no database is usable now.
 func (s *session) chooseTarget(req *request) (target, bool) {
 	srv := s.srv
 	service := req.route.Service
@@ -48,8 +47,7 @@
 	}
 	required, provable := srv.history(service).RequiredPosition(srv.cfg.Now(), req.route.MaxAge)
 	required = required.Max(s.floor)
-	var best target
-	bestCost := time.Duration(-1)
+	var options []option
 	for _, d := range srv.cfg.Topology.Snapshot().Databases[service] {
 		isPrimary := hasPrimary && d.ID == primary.ID
 		if d.Leaving || (!isPrimary && !provable) || req.attemptsByDatabase[d.ID] >= maxAttemptsPerDatabase {
@@ -67,9 +65,35 @@
 		if isPrimary {
 			t = target{pool: pool, primary: primary}
 		}
-		c := cost(load, d.DataCentre != srv.cfg.DataCentre, isPrimary, required) + pool.SetupTime(s.variables) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty
+		options = append(options, option{
+			target: t, load: load, dataCentre: d.DataCentre, required: required,
+			extra: pool.SetupTime(s.variables) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty,
+		})
+	}
+	if srv.cfg.Distances != nil {
+		return s.chooseBalanced(req, options)
+	}
+	return cheapest(options, srv.cfg.DataCentre)
+}
+
+// option is a database that may serve a read.
+type option struct {
+	target     target
+	load       dbpool.Load
+	dataCentre string
+	required   statement.Position
+	extra      time.Duration // costs of this request at the database
+}
+
+// cheapest returns the option with the lowest cost for an instance in the data centre. It
+// reports false if there is none.
+func cheapest(options []option, dataCentre string) (target, bool) {
+	var best target
+	bestCost := time.Duration(-1)
+	for _, o := range options {
+		c := cost(o.load, o.dataCentre != dataCentre, o.target.usesPrimary(), o.required) + o.extra
 		if bestCost < 0 || c < bestCost {
-			best, bestCost = t, c
+			best, bestCost = o.target, c
 		}
 	}
 	return best, bestCost >= 0
@@ -77,16 +101,7 @@
 
 // cost returns the estimated time until the answer, plus penalties.
 func cost(l dbpool.Load, remote, primary bool, required statement.Position) time.Duration {
-	c := l.MeanLatency
-	if l.Idle == 0 && l.InUse < l.MaxOpen {
-		c += connectCost
-		if l.Oversubscribed {
-			c += oversubscribedCost
-		}
-	}
-	if l.AtLimit {
-		c += atLimitCost
-	}
+	c := l.MeanLatency + openingCost(l)
 	c += l.MeanLatency * time.Duration(l.InUse+l.Queued) / time.Duration(max(1, l.MaxOpen))
 	if remote {
 		c += remotePenalty
@@ -99,6 +114,21 @@
 	return c
 }
 
+// openingCost returns the expected time until a connection is open, plus penalties.
+func openingCost(l dbpool.Load) time.Duration {
+	c := time.Duration(0)
+	if l.Idle == 0 && l.InUse < l.MaxOpen {
+		c += connectCost
+		if l.Oversubscribed {
+			c += oversubscribedCost
+		}
+	}
+	if l.AtLimit {
+		c += atLimitCost
+	}
+	return c
+}
+
 // primaryTarget returns the primary p. It reports false if the primary is
 // unreachable or has been leaving for longer than LeavingPrimaryTimeout.
 func (s *session) primaryTarget(req *request, p primacy.Primary) (target, bool) {
--- a/internal/proxy/choose_test.go
+++ b/internal/proxy/choose_test.go
@@ -37,3 +37,40 @@
 		t.Error("opening a connection to an oversubscribed database costs no more than to another")
 	}
 }
+
+// Guards against a change of the choices in deployments of one region: these are the
+// costs before reads were balanced.
+func TestCostsOfOneRegionAreUnchanged(t *testing.T) {
+	at, behind := statement.Position{Term: 1, Number: 9}, statement.Position{Term: 1, Number: 8}
+	ms := func(f float64) time.Duration { return time.Duration(f * float64(time.Millisecond)) }
+	for _, c := range []struct {
+		load            dbpool.Load
+		remote, primary bool
+		want            time.Duration
+	}{
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Idle: 1, Position: at}, false, false, ms(10)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Idle: 1, Position: at}, true, false, ms(14)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Idle: 1, Position: at}, false, true, ms(30)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Idle: 1, Position: behind}, false, false, ms(22)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Idle: 1, Position: behind}, false, true, ms(30)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Position: at}, false, false, ms(25)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Position: at, Oversubscribed: true}, false, false, ms(85)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, InUse: 2, Position: at}, false, false, ms(20)},
+		{dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, InUse: 2, Queued: 3, Position: at, AtLimit: true}, true, false, ms(189)},
+		{dbpool.Load{Position: at}, false, false, 0},
+	} {
+		if got := cost(c.load, c.remote, c.primary, at); got != c.want {
+			t.Errorf("%+v, remote %v, primary %v: cost %v, want %v", c.load, c.remote, c.primary, got, c.want)
+		}
+	}
+	near := option{load: dbpool.Load{MeanLatency: ms(10), MaxOpen: 2, Idle: 1, Position: at, RefusedFor: time.Second}, dataCentre: "a", required: at}
+	far := option{load: dbpool.Load{MeanLatency: ms(7), MaxOpen: 2, Idle: 1, Position: at}, dataCentre: "b", required: at}
+	near.target.waitFor, far.target.waitFor = at, behind
+	if got, ok := cheapest([]option{far, near}, "a"); !ok || got.waitFor != at {
+		t.Error("the cheapest database is not chosen")
+	}
+	far.extra = -ms(2)
+	if got, _ := cheapest([]option{near, far}, "a"); got.waitFor != behind {
+		t.Error("the cheapest database is not chosen")
+	}
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -10,6 +10,7 @@
 const (
 	metricRequests = "geraniumbeam_requests_total"
 	metricLatency  = "geraniumbeam_request_microseconds"
+	metricReads    = "geraniumbeam_balanced_reads_total"
 )
 
 // recordRequest records the count and latency of a finished request. The code is
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -352,7 +352,9 @@
 		req.attemptsByDatabase[id] = maxAttemptsPerDatabase
 		return o, true
 	case result.Overloaded:
-		time.Sleep(min(overloadedDelay, time.Until(req.deadline)))
+		if s.srv.cfg.Distances == nil || req.needsPrimary() || req.attemptsByDatabase[id] > 1 {
+			time.Sleep(min(overloadedDelay, time.Until(req.deadline)))
+		}
 		return o, req.attemptsByDatabase[id] < maxAttemptsPerDatabase || !req.needsPrimary()
 	case result.NotPrimary:
 		waitUntil(s.srv.cfg.Records.Changed(), earlier(req.deadline, time.Now().Add(notPrimaryDelay)))
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -22,6 +22,7 @@
 
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/freshness"
 	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/primacy"
@@ -51,7 +52,7 @@
 	Close() error
 }
 
-// Config holds what a Server needs. All fields are required.
+// Config holds what a Server needs. All fields but Distances are required.
 type Config struct {
 	DataCentre    string
 	Topology      *topology.Topology
@@ -66,6 +67,9 @@
 	// LeavingPrimaryTimeout is how long a primary that is leaving may still get
 	// work while no other database has been promoted.
 	LeavingPrimaryTimeout time.Duration
+	// Distances is nil if the deployment has one region. Otherwise reads are spread over
+	// the databases by distance and free capacity.
+	Distances *distance.Times
 }
 
 // stage is the progress of a shutdown.
