dbpool, hop, proxy: no needless waits and failures when owners die

A request that could not be written to a closed connection counted as sent.

Change, in deployments with several regions only: requests that wait for a connection to an owner which has ceased to answer go to another path (checked every 100 ms); a request whose owner failed takes the next path without delay; an incompletely written request is reported as not sent, since an owner does not decode an incomplete message; dials to a failed owner are at most 400 ms apart, 800 ms elsewhere; if no owner is usable, the one that may be dialled first is used. Everywhere: an owner that has restarted at another address is dialled there; its pool kept the former address.

Ruled out: a shared back-off does not exist, so a dead owner never delays dials to others; an in-flight write can't be repeated.

Tests of internal/dbpool, internal/hop and internal/proxy pass.

--- a/internal/dbpool/atowners.go
+++ b/internal/dbpool/atowners.go
@@ -1,9 +1,13 @@
 package dbpool
 
 import (
+	"context"
 	"errors"
 	"os"
 	"time"
+
+	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/result"
 )
 
 // The functions of this file keep requests in the queues of a database's owners, where
@@ -23,6 +27,10 @@
 	// before it counts as unreachable. Progress is due every 80 ms, but an instance
 	// whose processor time is used up reads and sends it late.
 	slowOwnerLimit = 1 * time.Second
+	// ownerBackoffMax bounds the back-off after failed dials to an owner. One that has
+	// restarted must take its part again soon, as the others have its load meanwhile. An
+	// instance that has lost two owners of each of 24 databases dials 120 times a second.
+	ownerBackoffMax = 400 * time.Millisecond
 )
 
 // besideOwnersSizing is the size of the direct pool of an instance that is not an owner.
@@ -86,3 +94,65 @@
 	defer p.mu.Unlock()
 	return !p.closed && p.health.failingSince == 0 && p.health.outstanding > 0 && p.now()-p.health.waitingSince <= slowOwnerLimit
 }
+
+// maxBackoff returns the bound of the back-off after failed dials.
+func (p *Pool) maxBackoff() time.Duration {
+	if p.queueAtOwners && p.owner != "" {
+		return ownerBackoffMax
+	}
+	return dialBackoffMax
+}
+
+// retryAt returns the earliest time of the next dial.
+func (p *Pool) retryAt() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialAfter
+}
+
+// errOwnerLost ends the wait of requests for a connection to an owner that no longer
+// answers.
+var errOwnerLost = errors.New("the owner does not answer")
+
+// waiting ends the wait of all requests in the queue of a pool. Pool.mu protects it.
+type waiting struct {
+	ctx    context.Context // nil until the first request waits
+	cancel context.CancelCauseFunc
+}
+
+// awaitTurn waits until the request may use a connection. If the pool leads to an owner
+// that ceases to answer, the wait ends: the other owners answer, and the connections of
+// this one may be in use until the deadlines of the statements that were sent on them.
+func (p *Pool) awaitTurn(ctx context.Context, r admission.Request) (*admission.Ticket, error) {
+	if p.owner == "" || !p.queueAtOwners {
+		return p.queue.Acquire(ctx, r)
+	}
+	p.mu.Lock()
+	if p.waiting.ctx == nil {
+		p.waiting.ctx, p.waiting.cancel = context.WithCancelCause(context.Background())
+	}
+	lost := p.waiting.ctx
+	p.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(lost, cancel)()
+	ticket, err := p.queue.Acquire(ctx, r)
+	if err != nil && lost.Err() != nil {
+		return nil, result.Errorf(result.DatabaseDown, "database %s is unreachable: %w", p.db.ID, context.Cause(lost))
+	}
+	return ticket, err
+}
+
+// releaseWaiting ends the wait of all requests if the pool leads to an owner that has
+// ceased to answer.
+func (p *Pool) releaseWaiting() {
+	if p.owner == "" || !p.queueAtOwners || p.usable() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting.cancel != nil {
+		p.waiting.cancel(errOwnerLost)
+		p.waiting = waiting{}
+	}
+}
--- a/internal/dbpool/atowners_test.go
+++ b/internal/dbpool/atowners_test.go
@@ -117,3 +117,53 @@
 		}
 	}
 }
+
+// Guards against an owner that gets no requests for long after it has restarted, and
+// against requests that wait for the back-off of one owner while another can be dialled.
+func TestRestartedOwnerIsTriedSoon(t *testing.T) {
+	x := newOversubscribedSet(t)
+	x.set.cfg.MayConnect = func(topology.Database, int) bool { return false }
+	x.set.pools["db-1"].queueAtOwners = true
+	now := time.Hour
+	for _, p := range x.set.pools["db-1"].owners {
+		p.now, p.queueAtOwners = func() time.Duration { return now }, true
+	}
+	x.reconcile()
+	for _, owner := range []string{"o1:1", "o2:1"} {
+		setError(x.owners[owner], errBroken)
+	}
+	for range 10 {
+		now += time.Second
+		for range 2 {
+			if _, err := x.use(t); err == nil {
+				t.Fatal("a request succeeds without an owner")
+			}
+		}
+	}
+	o1, o2 := x.set.pools["db-1"].owners[0], x.set.pools["db-1"].owners[1]
+	if o1.dialBackoff != ownerBackoffMax || o2.dialBackoff != ownerBackoffMax {
+		t.Errorf("back-offs of %v and %v, want %v", o1.dialBackoff, o2.dialBackoff, ownerBackoffMax)
+	}
+	o1.dialAfter, o2.dialAfter = now+200*ms, now+100*ms
+	setError(x.owners["o2:1"], nil)
+	now += 100 * ms
+	if owner, err := x.use(t); owner != "o2" || err != nil {
+		t.Errorf("through %q, %v, want the owner that may be dialled first", owner, err)
+	}
+}
+
+// Guards against requests to the former address of an owner that has restarted elsewhere.
+func TestOwnerWithAnotherAddressIsDialledThere(t *testing.T) {
+	x := newOversubscribedSet(t)
+	if _, err := x.use(t); err != nil {
+		t.Fatal(err)
+	}
+	x.owners["o1:2"] = &fakeDatabase{}
+	x.set.cfg.Owners = func(topology.Database, int) ([]ownership.Instance, bool) {
+		return []ownership.Instance{{Name: "o1", Address: "o1:2"}}, false
+	}
+	x.reconcile()
+	if owner, err := x.use(t); owner != "o1" || err != nil || x.owners["o1:2"].dialed != 1 {
+		t.Errorf("through %q, %v, %d connections to the new address", owner, err, x.owners["o1:2"].dialed)
+	}
+}
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -1,6 +1,8 @@
 package dbpool
 
 import (
+	"cmp"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -26,7 +28,8 @@
 
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
 // is usable and this instance may not connect itself, it returns the first owner's. With
-// queueAtOwners, an owner that is only slow is preferred to the direct pool.
+// queueAtOwners, an owner that is only slow is preferred to the direct pool, and of failed
+// owners the one that may be tried first is returned.
 func (p *paths) pick() *Pool {
 	for _, pool := range p.owners {
 		if pool.usable() {
@@ -43,6 +46,9 @@
 	if len(p.owners) == 0 || p.mayConnect {
 		return p.direct
 	}
+	if p.queueAtOwners {
+		return slices.MinFunc(p.owners, func(a, b *Pool) int { return cmp.Compare(a.retryAt(), b.retryAt()) })
+	}
 	return p.owners[0]
 }
 
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -59,6 +59,7 @@
 	// queueAtOwners is Config.QueueAtOwners.
 	queueAtOwners bool
 	dataCentre    string
+	ownerAddress  string
 	onRoundTrip   func(time.Duration)
 
 	maintaining atomic.Bool
@@ -79,17 +80,20 @@
 	setupLatency decayingMean       // of exchanges that only bring the session into the right state
 	statuses     statusQueries
 	shared       sharedLoad
+	waiting      waiting
 }
 
 // Config configures a Pool.
 type Config struct {
 	Database topology.Database
 	Owner    string // instance that Dial connects to; empty if it connects to the database itself
-	Dial     Dial
-	Clock    clock.Clock
-	Now      func() time.Duration // a clock that advances while the machine is suspended
-	Sizing   Sizing
-	Metrics  *measure.Registry // may be nil
+	// OwnerAddress is the address of the owner, which changes if it restarts elsewhere.
+	OwnerAddress string
+	Dial         Dial
+	Clock        clock.Clock
+	Now          func() time.Duration // a clock that advances while the machine is suspended
+	Sizing       Sizing
+	Metrics      *measure.Registry // may be nil
 	// QueueAtOwners keeps the statements that a database holds within the concurrency of
 	// its owners: a statement that was given up counts until the database has probably
 	// run it, and a request that passed its own deadline is no failure of the database.
@@ -112,6 +116,7 @@
 		metrics:       cfg.Metrics,
 		queueAtOwners: cfg.QueueAtOwners,
 		dataCentre:    cfg.DataCentre,
+		ownerAddress:  cfg.OwnerAddress,
 		onRoundTrip:   cfg.OnRoundTrip,
 		warmUpAfter:   cfg.Now() + rand.N(warmUpJitter),
 		queue:         admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.MaxOpen, FixedConcurrency: true}),
@@ -206,7 +211,7 @@
 // nothing was sent to the database.
 func (p *Pool) Acquire(ctx context.Context, r admission.Request, variables map[string]string) (*Lease, error) {
 	began := p.now()
-	ticket, err := p.queue.Acquire(ctx, r)
+	ticket, err := p.awaitTurn(ctx, r)
 	p.observePhase(phaseQueue, p.now()-began)
 	if err != nil {
 		return nil, err
@@ -362,7 +367,7 @@
 		p.atLimitUntil = now + atLimitPeriod/2 + rand.N(atLimitPeriod)
 		return
 	}
-	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), dialBackoffMax)
+	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), p.maxBackoff())
 	p.dialAfter = now + p.dialBackoff
 }
 
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -90,6 +90,7 @@
 	for {
 		changed := s.cfg.Topology.Changed()
 		for _, p := range s.sync() {
+			p.releaseWaiting()
 			if p.needsMaintenance() {
 				p.startMaintain(ctx)
 			}
@@ -193,13 +194,13 @@
 	var pools []*Pool
 	unused := slices.Clone(old)
 	for _, o := range owners {
-		if i := slices.IndexFunc(unused, func(p *Pool) bool { return p.owner == o.Name }); i >= 0 {
+		if i := slices.IndexFunc(unused, func(p *Pool) bool { return p.owner == o.Name && p.ownerAddress == o.Address }); i >= 0 {
 			pools = append(pools, unused[i])
 			unused = slices.Delete(unused, i, i+1)
 			continue
 		}
 		dial := func(ctx context.Context, _, _, id string) (Conn, error) { return s.cfg.DialOwner(ctx, o.Address, id) }
-		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, DataCentre: o.DataCentre, Dial: dial, Sizing: ownerSizing}))
+		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, OwnerAddress: o.Address, DataCentre: o.DataCentre, Dial: dial, Sizing: ownerSizing}))
 	}
 	for _, p := range unused {
 		p.Close()
--- a/internal/distance/distance_test.go
+++ b/internal/distance/distance_test.go
@@ -14,8 +14,14 @@
 		a, b string
 		want Tier
 	}{
-		{"a", "a", SameDataCentre}, {"a", "b", SameRegion}, {"a", "c", OtherRegion}, {"c", "b", OtherRegion},
-		{"a", "x", OtherRegion}, {"x", "a", OtherRegion}, {"x", "x", SameDataCentre}, {"x", "y", OtherRegion},
+		{"a", "a", SameDataCentre},
+		{"a", "b", SameRegion},
+		{"a", "c", OtherRegion},
+		{"c", "b", OtherRegion},
+		{"a", "x", OtherRegion},
+		{"x", "a", OtherRegion},
+		{"x", "x", SameDataCentre},
+		{"x", "y", OtherRegion},
 	} {
 		if got := regions.Tier(c.a, c.b); got != c.want {
 			t.Errorf("%s to %s: %v, want %v", c.a, c.b, got, c.want)
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -15,6 +15,7 @@
 	"geraniumbeam/internal/admission"
 	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 )
@@ -37,18 +38,30 @@
 	load     *balance.Report   // in the latest reply; nil once it has been taken
 	progress func()            // called for each report of progress; may be nil
 	inOrder  bool              // the owner sends no command before the answers of those that it relies on
+	// reportUnsent is set if an incompletely sent request is reported as not sent.
+	reportUnsent bool
 }
 
 // Dial connects to the owner at address for requests to the database with the id.
 // It fails if that instance does not own the database; the pool then reports
 // result.DatabaseDown.
 func Dial(ctx context.Context, address, id string) (dbpool.Conn, error) {
+	return dial(ctx, address, id, false)
+}
+
+// DialReportingUnsent is like Dial. If a request can't be sent completely, the connection
+// fails with a dbpool.NotSentError: the owner runs nothing of an incomplete message.
+func DialReportingUnsent(ctx context.Context, address, id string) (dbpool.Conn, error) {
+	return dial(ctx, address, id, true)
+}
+
+func dial(ctx context.Context, address, id string, reportUnsent bool) (dbpool.Conn, error) {
 	var d net.Dialer
 	netConn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to owner at %s: %w", address, err)
 	}
-	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn)}
+	c := &ownerConn{conn: netConn, reportUnsent: reportUnsent, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn)}
 	if err := c.handshake(ctx, address, id); err != nil {
 		_ = netConn.Close() // no request was sent on it
 		return nil, err
@@ -148,6 +161,9 @@
 	if err == nil {
 		err = c.w.Flush()
 	}
+	if err != nil && c.reportUnsent {
+		return rep, &dbpool.NotSentError{Cause: result.Errorf(result.DatabaseDown, "send a request to the owner: %w", err)}
+	}
 	if err == nil {
 		rep, err = c.receive()
 	}
--- a/internal/hop/load_test.go
+++ b/internal/hop/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
 
@@ -82,3 +84,22 @@
 		t.Errorf("decoded %+v, %v", current, err)
 	}
 }
+
+// Guards against a write that counts as sent although the connection to the owner was
+// already closed, so that its outcome counts as unknown.
+func TestUnsentRequestIsReported(t *testing.T) {
+	for _, report := range []bool{false, true} {
+		o := newOwner(t, 2)
+		c, err := dial(t.Context(), o.address, "db-1", report)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.(*ownerConn).conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		_, err = c.Do(testDeadline(), []statement.Command{{Op: statement.OpStatement, Statement: readStatement("one")}})
+		if err == nil || dbpool.IsNotSent(err) != report {
+			t.Errorf("with reports %v: error %v", report, err)
+		}
+	}
+}
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -80,12 +80,14 @@
 		records: primacy.NewRecordCache(incarnation, primacy.InitialValidity, clock.SinceBoot),
 	}
 	i.syncer = topology.NewSyncer(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
+	dialOwner := hop.Dial
 	if cfg.Regions != nil {
+		dialOwner = hop.DialReportingUnsent
 		i.distances = distance.NewTimes(cfg.Regions, cfg.DataCentre)
 	}
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
-		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial,
+		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: dialOwner,
 		QueueAtOwners: cfg.Regions != nil, OnRoundTrip: i.observeRoundTrip,
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
--- a/internal/proxy/balance.go
+++ b/internal/proxy/balance.go
@@ -63,3 +63,17 @@
 	}
 	return o.dataCentre
 }
+
+// maxPaths bounds the attempts of a request that follow each other without delay because
+// the owner of each one failed. A database has at most eight owners.
+const maxPaths = 8
+
+// hasOtherPath reports whether the database of a target is reached through another
+// instance now, after an attempt that got no connection.
+func (s *session) hasOtherPath(req *request, t target) bool {
+	if s.srv.cfg.Distances == nil || req.acquireFailures >= maxPaths {
+		return false
+	}
+	pool, ok := s.srv.cfg.Pools.Pool(t.pool.Database().ID)
+	return ok && pool != t.pool && !pool.Load().Down
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -49,6 +49,12 @@
 }
 
 func newHarness(t *testing.T) *harness {
+	t.Helper()
+	return newHarnessWith(t, func(*dbpool.SetConfig) {})
+}
+
+// newHarnessWith returns a harness whose pools are configured by configure.
+func newHarnessWith(t *testing.T, configure func(*dbpool.SetConfig)) *harness {
 	t.Helper()
 	h := &harness{
 		t: t, sent: make(map[string][]statement.Command), topology: topology.New(),
@@ -64,10 +70,12 @@
 		all = append(all, topology.Database{ID: id, Service: testService, Address: "10.0.0.1:1", DataCentre: "a", Primary: id == "db-1"})
 	}
 	h.topology.Replace(all, clock.SinceBoot())
-	pools := dbpool.NewSet(dbpool.SetConfig{
+	cfg := dbpool.SetConfig{
 		Dial:     func(_ context.Context, _, _, id string) (dbpool.Conn, error) { return &harnessConn{h, id}, nil },
 		Topology: h.topology, Clock: clock.Real{}, Now: clock.SinceBoot, Instances: func() int { return 2 },
-	})
+	}
+	configure(&cfg)
+	pools := dbpool.NewSet(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = pools.Run(ctx) }()
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -237,6 +237,10 @@
 		req.attemptsByDatabase[t.pool.Database().ID]++
 		return o, true
 	}
+	if s.hasOtherPath(req, t) {
+		req.acquireFailures++
+		return o, true
+	}
 	if req.needsPrimary() || req.acquireFailures > 0 {
 		waitNoDatabaseDelay(s.srv.cfg.Records.Changed(), req.deadline)
 	}
