primacy: owners, detours and the tree prefer the region

Cause: owners of a database whose data centre has fewer than two instances, detours beyond the data centres involved, and the first instances of all data centres ignored regions. The state of the store passed three times over the link to the other region with six data centres, and owners could be 12 ms away with others at 1.4 ms.

Change, with several regions only: owners and detours of the database's region come first; one instance of each region gets the state from another region and the other first instances of its data centres get it from that one. If it fails, one other takes its part.

Tests of internal/primacy pass.

--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -105,6 +105,7 @@
 		Log:                cfg.Log.With().Str("part", "primacy").Logger(),
 		OnStoreUnavailable: func() { i.topology.StoreUnavailable(clock.SinceBoot()) },
 		Listings:           i.syncer,
+		Regions:            cfg.Regions,
 	})
 	i.syncer.OnListing = i.primacy.NotifyListing
 	i.proxy = proxy.New(proxy.Config{
--- a/internal/primacy/owners.go
+++ b/internal/primacy/owners.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/ownership"
 )
 
@@ -26,20 +27,32 @@
 // stays free for instances that restart while the database still counts their
 // former connections. Instances of the database's data centre are preferred.
 func Owners(registered []Registration, self, id, dataCentre string, limit int) ([]ownership.Instance, bool) {
-	var local, remote []ownership.Instance
+	return ownersIn(nil, registered, self, id, dataCentre, limit)
+}
+
+// ownersIn is Owners for data centres in regions. If the database's data centre has too
+// few instances, those of its region are preferred to all others. regions may be nil.
+func ownersIn(regions distance.Regions, registered []Registration, self, id, dataCentre string, limit int) ([]ownership.Instance, bool) {
+	var local, near, remote []ownership.Instance
 	for _, reg := range registered {
 		if reg.Address == "" {
 			continue
 		}
 		i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
-		if reg.DataCentre == dataCentre {
+		switch {
+		case reg.DataCentre == dataCentre:
 			local = append(local, i)
-		} else {
+		case regions.Tier(reg.DataCentre, dataCentre) == distance.SameRegion:
+			near = append(near, i)
+		default:
 			remote = append(remote, i)
 		}
 	}
 	n := min(max(limit/2/ownerConnections, minOwners), maxOwners)
 	owners := ownership.Order(id, local)
+	if len(owners) < minOwners {
+		owners = append(owners, ownership.Order(id, near)...)
+	}
 	if len(owners) < minOwners {
 		owners = append(owners, ownership.Order(id, remote)...)
 	}
@@ -57,7 +70,13 @@
 // reach itself: those of its own data centre, which answer soonest whether they do,
 // then those of the database's.
 func Detours(registered []Registration, self, id, ownDataCentre, dataCentre string) []ownership.Instance {
-	var own, near, other []ownership.Instance
+	return detoursIn(nil, registered, self, id, ownDataCentre, dataCentre)
+}
+
+// detoursIn is Detours for data centres in regions. After those of the database's data
+// centre come those of its region. regions may be nil.
+func detoursIn(regions distance.Regions, registered []Registration, self, id, ownDataCentre, dataCentre string) []ownership.Instance {
+	var own, near, region, other []ownership.Instance
 	for _, reg := range registered {
 		i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
 		switch {
@@ -66,6 +85,8 @@
 			own = append(own, i)
 		case reg.DataCentre == dataCentre:
 			near = append(near, i)
+		case regions.Tier(reg.DataCentre, dataCentre) == distance.SameRegion:
+			region = append(region, i)
 		default:
 			other = append(other, i)
 		}
@@ -74,6 +95,7 @@
 	detours := ownership.Order(key, own)
 	detours = detours[:min(len(detours), maxDetours/2)]
 	detours = append(detours, ownership.Order(key, near)...)
+	detours = append(detours, ownership.Order(key, region)...)
 	detours = append(detours, ownership.Order(key, other)...)
 	return detours[:min(len(detours), maxDetours)]
 }
@@ -83,7 +105,7 @@
 func (r *Runner) Detours(id, dataCentre string) []ownership.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Detours(r.knownInstances, r.cfg.Instance, id, r.cfg.DataCentre, dataCentre)
+	return detoursIn(r.cfg.Regions, r.knownInstances, r.cfg.Instance, id, r.cfg.DataCentre, dataCentre)
 }
 
 // directShare is the part of a connection limit that is open to instances which reach
@@ -142,7 +164,7 @@
 	defer r.mu.Unlock()
 	o, ok := r.ownersCache[id]
 	if !ok || o.dataCentre != dataCentre || o.limit != limit {
-		owners, self := Owners(r.knownInstances, r.cfg.Instance, id, dataCentre, limit)
+		owners, self := ownersIn(r.cfg.Regions, r.knownInstances, r.cfg.Instance, id, dataCentre, limit)
 		o = cachedOwners{dataCentre, limit, owners, self, MayConnect(r.knownInstances, r.cfg.Instance, id, limit), r.rankAt(id)}
 		r.ownersCache[id] = o
 	}
--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -202,7 +202,7 @@
 	r.instanceCount = max(1, len(registered))
 	r.knownInstances = registered
 	clear(r.ownersCache)
-	ordered := Upstreams(registered, r.cfg.Instance, r.cfg.DataCentre)
+	ordered := upstreamsIn(r.cfg.Regions, registered, r.cfg.Instance, r.cfg.DataCentre)
 	changed := first || !slices.Equal(ordered, r.upstreams.ordered)
 	relayed := r.upstreams.set(ordered)
 	r.roleKnown = true
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumbeam/internal/contain"
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/topology"
@@ -205,6 +206,10 @@
 		if upstream.DataCentre != r.cfg.DataCentre {
 			maxAge = headMaxAge
 		}
+		if r.cfg.Regions.Tier(upstream.DataCentre, r.cfg.DataCentre) == distance.SameRegion {
+			// The upstream may wait for an instance of another region itself.
+			maxAge = (headMaxAge + relayMaxAge) / 2
+		}
 		q.Wait = maxAge - age
 		if failedBefore || attempt > 0 || q.Wait <= 0 {
 			q = SnapshotQuery{} // does not wait
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -8,9 +8,10 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/contain"
+	"geraniumbeam/internal/distance"
 )
 
-// Config holds the dependencies of a Runner. All fields are required.
+// Config holds the dependencies of a Runner. All fields but Regions are required.
 type Config struct {
 	Instance    string
 	DataCentre  string
@@ -25,6 +26,7 @@
 	Now         func() time.Duration // includes time spent suspended
 	Log         zerolog.Logger
 	Listings    Listings
+	Regions     distance.Regions // nil in a deployment of one region
 	// OnStoreUnavailable is called when a renewal request to the store fails.
 	OnStoreUnavailable func()
 }
--- a/internal/primacy/upstream.go
+++ b/internal/primacy/upstream.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/ownership"
 )
 
@@ -21,6 +22,13 @@
 // store, in the order in which it should try them. It returns nil if the instance
 // must query the store itself.
 func Upstreams(registered []Registration, self, dataCentre string) []ownership.Instance {
+	return upstreamsIn(nil, registered, self, dataCentre)
+}
+
+// upstreamsIn is Upstreams for data centres in regions. One instance of each region, the
+// first of those that stand first in their data centres, gets the state from another
+// region; it passes once over each link between regions. regions may be nil.
+func upstreamsIn(regions distance.Regions, registered []Registration, self, dataCentre string) []ownership.Instance {
 	byDataCentre := make(map[string][]ownership.Instance)
 	for _, reg := range registered {
 		if reg.Address != "" {
@@ -38,13 +46,14 @@
 	var upstreams []ownership.Instance
 	switch {
 	case position < 0 && len(local) == 0: // not listed yet
-		upstreams = heads
+		upstreams = nearestFirst(regions, heads, dataCentre)
 	case position < 0:
 		upstreams = []ownership.Instance{parentOf(local, len(local)), local[0]}
 	case position == 0:
-		upstreams = heads[:slices.IndexFunc(heads, func(i ownership.Instance) bool { return i.Name == self })]
+		before := heads[:slices.IndexFunc(heads, func(i ownership.Instance) bool { return i.Name == self })]
+		upstreams = nearestFirst(regions, before, dataCentre)
 	case position == 1:
-		upstreams = []ownership.Instance{local[0], heads[0]}
+		upstreams = []ownership.Instance{local[0], secondSource(regions, heads, local[0])}
 	default:
 		parent := parentOf(local, position)
 		backup := local[0]
@@ -56,6 +65,32 @@
 	return withoutRepeats(upstreams)
 }
 
+// nearestFirst returns the instances with those of the data centre's region first, and
+// otherwise in the given order.
+func nearestFirst(regions distance.Regions, instances []ownership.Instance, dataCentre string) []ownership.Instance {
+	var near, other []ownership.Instance
+	for _, i := range instances {
+		if regions.Tier(i.DataCentre, dataCentre) == distance.OtherRegion {
+			other = append(other, i)
+		} else {
+			near = append(near, i)
+		}
+	}
+	return append(near, other...)
+}
+
+// secondSource returns where an instance gets the state if head, the first of its data
+// centre, fails: from another head of its region if there is one, otherwise from the top
+// of the tree.
+func secondSource(regions distance.Regions, heads []ownership.Instance, head ownership.Instance) ownership.Instance {
+	for _, i := range heads {
+		if regions.Tier(i.DataCentre, head.DataCentre) == distance.SameRegion {
+			return i
+		}
+	}
+	return heads[0]
+}
+
 // treeOrder returns the instances of a data centre in the order in which they stand
 // in the tree, the first one at its top.
 func treeOrder(dataCentre string, members []ownership.Instance) []ownership.Instance {
