--- a/internal/dbpool/atowners_test.go
+++ b/internal/dbpool/atowners_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
 	"geraniumbeam/internal/clock"
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/statement"
@@ -67,22 +70,52 @@
 // Guards against an instance that opens direct connections to a busy database because
 // all of its owners are slow, and against one that never does although none answers.
 func TestSlowOwnersAreNotBypassed(t *testing.T) {
-	for _, atOwners := range []bool{false, true} {
+	for _, c := range []struct {
+		atOwners     bool
+		organisation string
+	}{{false, ""}, {true, ""}, {false, "acme"}, {true, "acme"}} {
 		x := newOversubscribedSet(t)
+		atOwners := c.atOwners
 		x.set.pools["db-1"].queueAtOwners = atOwners
 		now := time.Hour
 		for _, p := range x.set.pools["db-1"].owners {
 			p.now = func() time.Duration { return now }
 			p.health.begin(now)
 		}
-		through := func() string { p, _ := x.set.Pool("db-1"); return p.Owner() }
+		through := func() string { p, _ := x.set.Pool("db-1", c.organisation); return p.Owner() }
 		now += stallTimeout + ms
 		if got := through() != ""; got != atOwners {
-			t.Errorf("with QueueAtOwners %v: a slow owner is used: %v", atOwners, got)
+			t.Errorf("with %+v: a slow owner is used: %v", c, got)
 		}
 		now += slowOwnerLimit
 		if got := through(); got != "" {
-			t.Errorf("after a second without progress: through %q, want a direct connection", got)
+			t.Errorf("with %+v, after a second without progress: through %q, want a direct connection", c, got)
+		}
+	}
+}
+
+// Guards against the organisations of slow owners that all move to the first owner, which
+// then closes connections of others for them, and against an owner that prefers its own
+// connections while they are as slow as those of the others.
+func TestOrganisationsStayWithSlowOwners(t *testing.T) {
+	for _, self := range []bool{false, true} {
+		x := newOversubscribedSet(t)
+		x.set.cfg.Topology.Apply(topology.Configuration{Version: 1, Organisations: []organisation.Organisation{{Name: "any"}}})
+		if self {
+			x.set.cfg.Instance, x.self = "o1", true
+		}
+		x.reconcile()
+		p := x.set.pools["db-1"]
+		p.queueAtOwners = true
+		before := x.ownersOf(t, 40)
+		now := time.Hour
+		for _, pool := range append(slices.Concat(p.owners, p.peers), p.direct) {
+			pool.now = func() time.Duration { return now }
+			pool.health.begin(now)
+		}
+		now += stallTimeout + ms
+		if after := x.ownersOf(t, 40); !maps.Equal(before, after) {
+			t.Errorf("with self %v: owners %v of slow owners, before %v", self, after, before)
 		}
 	}
 }
--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -211,6 +211,7 @@
 	began := p.now()
 	p.mu.Lock()
 	p.health.begin(began)
+	l.conn.exchanging = true
 	p.mu.Unlock()
 	answers, err := l.conn.Do(deadline, commands)
 	for i, a := range answers {
@@ -228,6 +229,7 @@
 	p.observePhase(phase, ended-began)
 	queued := p.queue.Queued()
 	p.mu.Lock()
+	l.conn.exchanging, l.conn.usedAt = false, ended
 	l.recordEnd(began, ended, err, withStatement)
 	p.learn(l.conn.Conn, answers, ended-began, ended, queued)
 	switch {
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -5,19 +5,31 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"geraniumbeam/internal/ownership"
 )
 
 // ownerSizing is the size of a pool of connections to an owner, which do not count
 // against the database's limit.
 var ownerSizing = Sizing{MaxOpen: maxOpenPerInstance, IdleTimeout: idleTimeoutDefault, ViaOwner: true}
 
+// ownerIdleTimeoutPerOrganisation applies to connections to owners in a deployment with
+// organisations. There an instance uses all owners of a database instead of one: with 79
+// instances, 24 databases and 7 owners, it sends one request to an owner every 14 s. A
+// connection takes 71 KB on both sides together.
+const ownerIdleTimeoutPerOrganisation = 60 * time.Second
+
 // paths holds the pools through which an instance reaches one database: one for
 // each owner or, while the direct connections fail, for each instance that may still
 // reach the database, in order of preference, and one of direct connections. Set.mu
 // protects all fields except lastAnsweredControl.
 type paths struct {
 	owners              []*Pool
+	peers               []*Pool // of the other owners, if this instance is one and organisations are in force
+	detours             bool    // the owners are instances that may still reach the database
 	direct              *Pool
+	database            string
+	instance            string        // this one
 	isOwner             bool          // this instance is an owner of the database's connections
 	detourAt            time.Duration // when a detour was last needed; 0: never
 	detourSince         time.Duration // since when owners are detours, because the direct connections fail; 0: they are not
@@ -26,6 +38,51 @@
 	lastAnsweredControl atomic.Int64  // sending time of the last control command that the database answered
 }
 
+// pickFor returns the pool for the requests of an organisation. The owners of a database,
+// of which this instance may be one, share the organisations by rendezvous hashing: the
+// requests of an organisation meet at one owner and find its connections there. With
+// queueAtOwners, that also holds among owners that are only slow, if no other is usable.
+func (p *paths) pickFor(organisation string) *Pool {
+	candidates := p.owners
+	if p.isOwner {
+		candidates = p.peers
+	}
+	if organisation == "" || len(candidates) == 0 || (p.detours && !p.isOwner) {
+		return p.pick()
+	}
+	if pool := p.pickAmong(candidates, organisation, (*Pool).usable); pool != nil {
+		return pool
+	}
+	if p.queueAtOwners && p.detourSince == 0 {
+		if pool := p.pickAmong(candidates, organisation, (*Pool).onlySlow); pool != nil {
+			return pool
+		}
+	}
+	return p.pick()
+}
+
+// pickAmong returns the first pool in the order of an organisation among those of the
+// owners, this instance included if it is one, for which eligible returns true. It returns
+// nil if there is none.
+func (p *paths) pickAmong(owners []*Pool, organisation string, eligible func(*Pool) bool) *Pool {
+	var (
+		pools []*Pool
+		names []string
+	)
+	if p.isOwner && eligible(p.direct) {
+		pools, names = append(pools, p.direct), append(names, p.instance)
+	}
+	for _, pool := range owners {
+		if eligible(pool) {
+			pools, names = append(pools, pool), append(names, pool.owner)
+		}
+	}
+	if at := ownership.Pick(p.database+" "+organisation, names); at >= 0 {
+		return pools[at]
+	}
+	return nil
+}
+
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
 // is usable and this instance may not connect itself, it returns the first owner's. With
 // queueAtOwners, an owner that is only slow is preferred to the direct pool, and of failed
@@ -99,13 +156,13 @@
 }
 
 func (p *paths) close() {
-	for _, pool := range p.owners {
+	for _, pool := range slices.Concat(p.owners, p.peers) {
 		pool.Close()
 	}
 	if p.direct != nil {
 		p.direct.Close()
 	}
-	p.owners, p.direct = nil, nil
+	p.owners, p.peers, p.direct = nil, nil, nil
 }
 
 // usable reports whether the pool's last exchange did not fail and none is stalled.
--- a/internal/dbpool/report.go
+++ b/internal/dbpool/report.go
@@ -41,14 +41,14 @@
 		return p.shared.report, now - p.shared.reportAt
 	}
 	return balance.Report{
-		Queued: queued, InUse: p.open - len(p.idle), Limit: p.sizing.MaxOpen, Busy: p.shared.busy, Mean: p.latency.at(now),
+		Queued: queued, InUse: p.open - len(p.idle), Limit: p.concurrency(), Busy: p.shared.busy, Mean: p.latency.at(now),
 	}, 0
 }
 
 // learn takes over the owner's report and the refusals for a full queue in the answers of
 // an exchange, and tells OnRoundTrip the time on the way. p.mu is held.
 func (p *Pool) learn(c Conn, answers []statement.Answer, took, now time.Duration, queued int) {
-	load := float64(p.open-len(p.idle)+queued) / float64(max(1, p.sizing.MaxOpen))
+	load := float64(p.open-len(p.idle)+queued) / float64(max(1, p.concurrency()))
 	p.shared.busy += (load - p.shared.busy) * busyWeight
 	for _, a := range answers {
 		if a.Err != nil && a.Err.Code == result.Overloaded {
--- a/internal/dbpool/report_test.go
+++ b/internal/dbpool/report_test.go
@@ -65,6 +65,10 @@
 	if r := p.Load().Report; r.Limit != ampleSizing.MaxOpen || r.InUse != 1 {
 		t.Errorf("report %+v", r)
 	}
+	perOrganisation, _ := newPool(&fakeDatabase{}, Sizing{MaxOpen: 8, Concurrency: 3, IdleTimeout: idleTimeoutDefault})
+	if r := perOrganisation.Load().Report; r.Limit != 3 {
+		t.Errorf("an owner with 8 connections that runs 3 requests at a time reports %+v", r)
+	}
 	if p.DataCentre() != "" || New(Config{Database: topology.Database{}, DataCentre: "a", Now: p.now}).DataCentre() != "a" {
 		t.Error("wrong data centre")
 	}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -38,30 +38,32 @@
 	load     *balance.Report   // in the latest reply; nil once it has been taken
 	progress func()            // called for each report of progress; may be nil
 	inOrder  bool              // the owner sends no command before the answers of those that it relies on
-	// reportUnsent is set if an incompletely sent request is reported as not sent.
+	// reportUnsent is DialOptions.ReportUnsent.
 	reportUnsent bool
+	// organisations is set if the messages are organisationRequests.
+	organisations bool
 }
 
-// Dial connects to the owner at address for requests to the database with the id.
-// It fails if that instance does not own the database; the pool then reports
-// result.DatabaseDown.
-func Dial(ctx context.Context, address, id string) (dbpool.Conn, error) {
-	return dial(ctx, address, id, false)
+// DialOptions are the properties of a connection to an owner.
+type DialOptions struct {
+	// Organisations allows requests to have an organisation. An owner that does not know
+	// organisations is refused.
+	Organisations bool
+	// ReportUnsent makes the connection fail with a dbpool.NotSentError if a request can't
+	// be sent completely: the owner runs nothing of an incomplete message.
+	ReportUnsent bool
 }
 
-// DialReportingUnsent is like Dial. If a request can't be sent completely, the connection
-// fails with a dbpool.NotSentError: the owner runs nothing of an incomplete message.
-func DialReportingUnsent(ctx context.Context, address, id string) (dbpool.Conn, error) {
-	return dial(ctx, address, id, true)
-}
-
-func dial(ctx context.Context, address, id string, reportUnsent bool) (dbpool.Conn, error) {
+// Dial connects to the owner at address for requests to the database with the id. It
+// fails if that instance does not own the database or refuses the options; the pool then
+// reports result.DatabaseDown.
+func Dial(ctx context.Context, address, id string, o DialOptions) (dbpool.Conn, error) {
 	var d net.Dialer
 	netConn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to owner at %s: %w", address, err)
 	}
-	c := &ownerConn{conn: netConn, reportUnsent: reportUnsent, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn)}
+	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn), organisations: o.Organisations, reportUnsent: o.ReportUnsent}
 	if err := c.handshake(ctx, address, id); err != nil {
 		_ = netConn.Close() // no request was sent on it
 		return nil, err
@@ -82,6 +84,9 @@
 		Method: http.MethodGet, Host: address, URL: &url.URL{Path: Path, RawQuery: url.Values{"id": {id}, progressParam: {"1"}}.Encode()},
 		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {upgrade}},
 	}
+	if c.organisations {
+		req.Header.Set(organisationsHeader, "1")
+	}
 	if err := req.Write(c.w); err != nil {
 		return fmt.Errorf("send handshake to owner at %s: %w", address, err)
 	}
@@ -95,6 +100,9 @@
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		return fmt.Errorf("owner at %s refused the handshake: status %d", address, resp.StatusCode)
 	}
+	if c.organisations && resp.Header.Get(organisationsHeader) == "" {
+		return fmt.Errorf("owner at %s does not know organisations", address)
+	}
 	c.inOrder = resp.Header.Get(inOrderHeader) != ""
 	c.enc, c.dec = gob.NewEncoder(c.w), gob.NewDecoder(c.r)
 	return nil
@@ -154,7 +162,10 @@
 	if err := c.conn.SetDeadline(replyBy); err != nil {
 		return rep, fmt.Errorf("exchange with owner: %w", err)
 	}
-	err := c.enc.Encode(request{
+	if c.priority.Organisation != "" && !c.organisations {
+		return rep, &dbpool.NotSentError{Cause: errNoOrganisations}
+	}
+	err := c.send(request{
 		ID: c.priority.ID, Class: c.priority.Class, Caller: c.priority.Caller, Rank: c.priority.Rank,
 		Remaining: time.Until(deadline), RemainingTarget: remainingTarget(c.priority), Commands: commands,
 	})
@@ -176,6 +187,18 @@
 	return rep, nil
 }
 
+// errNoOrganisations refuses requests of organisations on a connection that was opened
+// before the deployment had any.
+var errNoOrganisations = result.Errorf(result.DatabaseDown, "the connection to the owner carries no organisations")
+
+// send writes a request to the buffer.
+func (c *ownerConn) send(r request) error {
+	if !c.organisations {
+		return c.enc.Encode(r)
+	}
+	return c.enc.Encode(organisationRequest{Organisation: c.priority.Organisation, Request: r})
+}
+
 func remainingTarget(r admission.Request) time.Duration {
 	if r.Target.IsZero() {
 		return 0
--- a/internal/hop/load_test.go
+++ b/internal/hop/load_test.go
@@ -90,7 +90,7 @@
 func TestUnsentRequestIsReported(t *testing.T) {
 	for _, report := range []bool{false, true} {
 		o := newOwner(t, 2)
-		c, err := dial(t.Context(), o.address, "db-1", report)
+		c, err := Dial(t.Context(), o.address, "db-1", DialOptions{ReportUnsent: report})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -80,13 +80,14 @@
 		records: primacy.NewRecordCache(incarnation, primacy.InitialValidity, clock.SinceBoot),
 	}
 	i.syncer = topology.NewSyncer(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
-	dialOwner := hop.Dial
+	dialOwner := func(ctx context.Context, address, id string, organisations bool) (dbpool.Conn, error) {
+		return hop.Dial(ctx, address, id, hop.DialOptions{Organisations: organisations, ReportUnsent: cfg.Regions != nil})
+	}
 	if cfg.Regions != nil {
-		dialOwner = hop.DialReportingUnsent
 		i.distances = distance.NewTimes(cfg.Regions, cfg.DataCentre)
 	}
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
-		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
+		Instance: cfg.Instance, Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
 		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: dialOwner,
 		QueueAtOwners: cfg.Regions != nil, OnRoundTrip: i.observeRoundTrip,
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
@@ -206,7 +207,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.closeIdleWhileIsolated} {
+	for _, run := range []func(context.Context) error{i.syncer.Run, i.pools.Run, i.primacy.Run, i.proxy.Run, i.closeIdleWhileIsolated} {
 		wg.Go(func() {
 			contain.Loop(ctx, log, "background task", func(ctx context.Context) {
 				if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/proxy/balance.go
+++ b/internal/proxy/balance.go
@@ -74,6 +74,6 @@
 	if s.srv.cfg.Distances == nil || req.acquireFailures >= maxPaths {
 		return false
 	}
-	pool, ok := s.srv.cfg.Pools.Pool(t.pool.Database().ID)
+	pool, ok := s.srv.cfg.Pools.Pool(t.pool.Database().ID, req.organisation)
 	return ok && pool != t.pool && !pool.Load().Down
 }
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -53,7 +53,7 @@
 		if d.Leaving || (!isPrimary && !provable) || req.attemptsByDatabase[d.ID] >= maxAttemptsPerDatabase {
 			continue
 		}
-		pool, ok := srv.cfg.Pools.Pool(d.ID)
+		pool, ok := srv.cfg.Pools.Pool(d.ID, req.organisation)
 		if !ok {
 			continue
 		}
@@ -67,7 +67,7 @@
 		}
 		options = append(options, option{
 			target: t, load: load, dataCentre: d.DataCentre, required: required,
-			extra: pool.SetupTime(s.variables) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty,
+			extra: pool.SetupTime(req.organisation, s.variables) + time.Duration(req.attemptsByDatabase[d.ID])*repeatPenalty,
 		})
 	}
 	if srv.cfg.Distances != nil {
@@ -133,7 +133,7 @@
 // unreachable or has been leaving for longer than LeavingPrimaryTimeout.
 func (s *session) primaryTarget(req *request, p primacy.Primary) (target, bool) {
 	srv := s.srv
-	pool, ok := srv.cfg.Pools.Pool(p.ID)
+	pool, ok := srv.cfg.Pools.Pool(p.ID, req.organisation)
 	if !ok {
 		return target{}, false
 	}
--- a/internal/proxy/owners_lost_test.go
+++ b/internal/proxy/owners_lost_test.go
@@ -44,7 +44,7 @@
 	return c.harnessConn.Do(deadline, commands)
 }
 
-func (x *lostOwners) dial(ctx context.Context, address, id string) (dbpool.Conn, error) {
+func (x *lostOwners) dial(ctx context.Context, address, id string, _ bool) (dbpool.Conn, error) {
 	c := &ownerConn{harnessConn: harnessConn{x.h, id}, x: x, dying: address == "o1" || address == "o2"}
 	switch {
 	case c.lost() && x.silent:
@@ -76,7 +76,7 @@
 
 // openConnections opens n connections to the first owner.
 func (x *lostOwners) openConnections(n int) {
-	pool, _ := x.h.server.cfg.Pools.Pool("db-1")
+	pool, _ := x.h.server.cfg.Pools.Pool("db-1", "")
 	var leases []*dbpool.Lease
 	for range n {
 		r := admission.Request{ID: "warm", Class: "c", Rank: catalog.RankNormal, Deadline: time.Now().Add(time.Minute)}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -25,9 +25,11 @@
 	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/freshness"
 	"geraniumbeam/internal/measure"
+	"geraniumbeam/internal/organisation"
 	"geraniumbeam/internal/primacy"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/retry"
+	"geraniumbeam/internal/sockets"
 	"geraniumbeam/internal/statement"
 	"geraniumbeam/internal/topology"
 )
@@ -35,13 +37,16 @@
 // CallerConn is a connection from a caller. It implements the wire protocol.
 type CallerConn interface {
 	// ReadStartup reads the startup message and returns the name of the requested
-	// database.
-	ReadStartup() (string, error)
+	// database and the digest of the caller's key.
+	ReadStartup() (database string, key organisation.Digest, err error)
 	// ReadStatement reads the next statement. It returns io.EOF if the caller has
 	// ended the session.
 	ReadStatement() (statement.Statement, error)
 	// Pending reports whether part of a message has arrived.
 	Pending() bool
+	// Peek looks at the connection without blocking and without reading from it. It may
+	// be called while another method runs.
+	Peek() sockets.State
 	// SetReadDeadline bounds the wait of ReadStartup and ReadStatement.
 	SetReadDeadline(t time.Time) error
 	// SendReady tells the caller that the session is open.
@@ -52,7 +57,7 @@
 	Close() error
 }
 
-// Config holds what a Server needs. All fields but Distances are required.
+// Config holds what a Server needs. All fields but Distances and Limiter are required.
 type Config struct {
 	DataCentre    string
 	Topology      *topology.Topology
@@ -70,6 +75,8 @@
 	// Distances is nil if the deployment has one region. Otherwise reads are spread over
 	// the databases by distance and free capacity.
 	Distances *distance.Times
+	// Limiter enforces the limits of organisations; nil means that there are none.
+	Limiter Limiter
 }
 
 // stage is the progress of a shutdown.
@@ -93,6 +100,7 @@
 	// limitWarnings limits the rate of warnings about connections beyond
 	// MaxSessions.
 	limitWarnings rate.Sometimes
+	organisations organisationCounts
 
 	mu        sync.Mutex
 	sessions  map[*session]struct{}
