--- a/cmd/geraniumbeam-platformd/run.go
+++ b/cmd/geraniumbeam-platformd/run.go
@@ -64,13 +64,13 @@
 		Dial: func(ctx context.Context, address, service, id, organisation string) (dbpool.Conn, error) {
 			return platform.DialDatabase(ctx, address, service, id, organisation, s.Instance)
 		},
-		NewCallerConn: func(c net.Conn) proxy.CallerConn { return platform.NewCallerConn(c) },
-		Log:           log,
-		MaxSessions:   max(1, s.MaxOpenFiles-reservedFiles),
-		GracePeriod:   time.Duration(s.GracePeriod),
-		DrainTime:     time.Duration(s.DrainTime),
-
+		NewCallerConn:      func(c net.Conn) proxy.CallerConn { return platform.NewCallerConn(c) },
+		Log:                log,
+		MaxSessions:        max(1, s.MaxOpenFiles-reservedFiles),
+		GracePeriod:        time.Duration(s.GracePeriod),
+		DrainTime:          time.Duration(s.DrainTime),
 		OrganisationLimits: limitWindow(s.OrganisationLimits),
+		Regions:            regions(s),
 	})
 	return instance.Run(stop, listeners, platform.ReadinessHandler(instance.Ready), innerHandler(instance, store, log))
 }
@@ -84,6 +84,14 @@
 	return &quota.Window{Length: time.Duration(l.Window), Overage: l.Overage, Slack: l.Slack}
 }
 
+// regions returns the regions of the data centres, or nil if there are not several.
+func regions(s platform.Settings) map[string]string {
+	if !s.HasRegions() {
+		return nil
+	}
+	return s.Regions
+}
+
 func listen(s platform.Settings) (platformd.Listeners, error) {
 	var l platformd.Listeners
 	for _, x := range []struct {
--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -227,9 +227,11 @@
 		phase = phaseExchange
 	}
 	p.observePhase(phase, ended-began)
+	queued := p.queue.Queued()
 	p.mu.Lock()
 	l.conn.exchanging, l.conn.usedAt = false, ended
-	p.health.end(began, ended, err == nil || ownerRefused(err))
+	l.recordEnd(began, ended, err, withStatement)
+	p.learn(l.conn.Conn, answers, ended-began, ended, queued)
 	switch {
 	case err != nil:
 	case withStatement:
--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -37,12 +38,14 @@
 	detourAt            time.Duration // when a detour was last needed; 0: never
 	detourSince         time.Duration // since when owners are detours, because the direct connections fail; 0: they are not
 	mayConnect          bool          // direct connections are allowed while no owner is usable
+	queueAtOwners       bool          // SetConfig.QueueAtOwners
 	lastAnsweredControl atomic.Int64  // sending time of the last control command that the database answered
 }
 
 // pickFor returns the pool for the requests of an organisation. The owners of a database,
 // of which this instance may be one, share the organisations by rendezvous hashing: the
-// requests of an organisation meet at one owner and find its connections there.
+// requests of an organisation meet at one owner and find its connections there. With
+// queueAtOwners, that also holds among owners that are only slow, if no other is usable.
 func (p *paths) pickFor(organisation string) *Pool {
 	candidates := p.owners
 	if p.isOwner {
@@ -51,26 +54,15 @@
 	if organisation == "" || len(candidates) == 0 || (p.detours && !p.isOwner) {
 		return p.pick()
 	}
-	key := p.database + " " + organisation
-	pools, names := make([]*Pool, 0, len(candidates)+1), make([]string, 0, len(candidates)+1)
-	if p.isOwner && p.direct.usable() {
-		pools, names = append(pools, p.direct), append(names, p.instance)
-	}
-	for _, pool := range candidates {
-		if pool.usable() {
-			pools, names = append(pools, pool), append(names, pool.owner)
-		}
+	if pool := p.pickAmong(candidates, organisation, (*Pool).usable); pool != nil {
+		return pool
 	}
-	for skip := p.skip(organisation, len(pools)); ; skip-- {
-		at := ownership.Pick(key, names)
-		switch {
-		case at < 0:
-			return p.pick()
-		case skip <= 0:
-			return pools[at]
+	if p.queueAtOwners && p.detourSince == 0 {
+		if pool := p.pickAmong(candidates, organisation, (*Pool).onlySlow); pool != nil {
+			return pool
 		}
-		pools, names = slices.Delete(pools, at, at+1), slices.Delete(names, at, at+1)
 	}
+	return p.pick()
 }
 
 // skip returns how many owners a request of an organisation passes over. It is more than
@@ -84,17 +76,57 @@
 	return rand.IntN(placement.Spread(inUse, owners))
 }
 
+// pickAmong returns a pool among those of the owners, this instance included if it is one,
+// for which eligible returns true: the first one in the order of the organisation, unless
+// skip passes over it. It returns nil if there is none.
+func (p *paths) pickAmong(owners []*Pool, organisation string, eligible func(*Pool) bool) *Pool {
+	var (
+		pools []*Pool
+		names []string
+	)
+	if p.isOwner && eligible(p.direct) {
+		pools, names = append(pools, p.direct), append(names, p.instance)
+	}
+	for _, pool := range owners {
+		if eligible(pool) {
+			pools, names = append(pools, pool), append(names, pool.owner)
+		}
+	}
+	for skip := p.skip(organisation, len(pools)); ; skip-- {
+		at := ownership.Pick(p.database+" "+organisation, names)
+		switch {
+		case at < 0:
+			return nil
+		case skip <= 0:
+			return pools[at]
+		}
+		pools, names = slices.Delete(pools, at, at+1), slices.Delete(names, at, at+1)
+	}
+}
+
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
-// is usable and this instance may not connect itself, it returns the first owner's.
+// is usable and this instance may not connect itself, it returns the first owner's. With
+// queueAtOwners, an owner that is only slow is preferred to the direct pool, and of failed
+// owners the one that may be tried first is returned.
 func (p *paths) pick() *Pool {
 	for _, pool := range p.owners {
 		if pool.usable() {
 			return pool
 		}
 	}
+	if p.queueAtOwners && p.detourSince == 0 {
+		for _, pool := range p.owners {
+			if pool.onlySlow() {
+				return pool
+			}
+		}
+	}
 	if len(p.owners) == 0 || p.mayConnect {
 		return p.direct
 	}
+	if p.queueAtOwners {
+		return slices.MinFunc(p.owners, func(a, b *Pool) int { return cmp.Compare(a.retryAt(), b.retryAt()) })
+	}
 	return p.owners[0]
 }
 
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/result"
@@ -56,6 +57,11 @@
 	clock   clock.Clock
 	queue   *admission.Queue
 	metrics *measure.Registry
+	// queueAtOwners is Config.QueueAtOwners.
+	queueAtOwners bool
+	dataCentre    string
+	ownerAddress  string
+	onRoundTrip   func(time.Duration)
 
 	maintaining atomic.Bool
 
@@ -74,6 +80,8 @@
 	latency      decayingMean       // of exchanges with a statement
 	setupLatency decayingMean       // of exchanges that only bring the session into the right state
 	statuses     statusQueries
+	shared       sharedLoad
+	waiting      waiting
 	assigned     assignment
 	occupation   *occupation // nil if the database is reached directly
 }
@@ -85,11 +93,22 @@
 	// Occupation records the use of connections to an owner by organisations; nil if Owner
 	// is empty or the deployment has no organisations.
 	Occupation *occupation
-	Dial       Dial
-	Clock      clock.Clock
-	Now        func() time.Duration // a clock that advances while the machine is suspended
-	Sizing     Sizing
-	Metrics    *measure.Registry // may be nil
+	// OwnerAddress is the address of the owner, which changes if it restarts elsewhere.
+	OwnerAddress string
+	Dial         Dial
+	Clock        clock.Clock
+	Now          func() time.Duration // a clock that advances while the machine is suspended
+	Sizing       Sizing
+	Metrics      *measure.Registry // may be nil
+	// QueueAtOwners keeps the statements that a database holds within the concurrency of
+	// its owners: a statement that was given up counts until the database has probably
+	// run it, and a request that passed its own deadline is no failure of the database.
+	QueueAtOwners bool
+	// DataCentre is the place of the database or, with Owner, of the owner.
+	DataCentre string
+	// OnRoundTrip gets the time that an exchange with an owner spent on the way. It may be
+	// nil.
+	OnRoundTrip func(took time.Duration)
 }
 
 // New returns a pool without connections.
@@ -98,16 +117,20 @@
 		cfg.Clock = clock.Real{}
 	}
 	return &Pool{
-		db:          cfg.Database,
-		owner:       cfg.Owner,
-		occupation:  cfg.Occupation,
-		dial:        cfg.Dial,
-		now:         cfg.Now,
-		clock:       cfg.Clock,
-		sizing:      cfg.Sizing,
-		metrics:     cfg.Metrics,
-		warmUpAfter: cfg.Now() + rand.N(warmUpJitter),
-		queue:       admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.concurrency(), FixedConcurrency: true}),
+		db:            cfg.Database,
+		owner:         cfg.Owner,
+		occupation:    cfg.Occupation,
+		dial:          cfg.Dial,
+		now:           cfg.Now,
+		clock:         cfg.Clock,
+		sizing:        cfg.Sizing,
+		metrics:       cfg.Metrics,
+		queueAtOwners: cfg.QueueAtOwners,
+		dataCentre:    cfg.DataCentre,
+		ownerAddress:  cfg.OwnerAddress,
+		onRoundTrip:   cfg.OnRoundTrip,
+		warmUpAfter:   cfg.Now() + rand.N(warmUpJitter),
+		queue:         admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: cfg.Sizing.concurrency(), FixedConcurrency: true}),
 	}
 }
 
@@ -146,6 +169,13 @@
 	Lagging bool
 	// MeanLatency is the smoothed round-trip time of an exchange.
 	MeanLatency time.Duration
+	// Report is what the owner reported with its latest reply, which is ReportAge old. On
+	// a direct connection it is the load of this instance's own pool.
+	Report    balance.Report
+	ReportAge time.Duration
+	// RefusedFor is how long the database should get no reads, because it refused some for
+	// a full queue. It is 0 if it has not lately.
+	RefusedFor time.Duration
 }
 
 // MarkLagging records that the database lacked a log position that a read
@@ -162,7 +192,11 @@
 	now := p.now() // a system call, made before the lock is taken
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	report, age := p.reportAt(now, queued)
 	return Load{
+		Report:         report,
+		ReportAge:      age,
+		RefusedFor:     p.shared.refusals.Remaining(now),
 		InUse:          p.open - len(p.idle),
 		Queued:         queued,
 		MaxOpen:        p.sizing.concurrency(),
@@ -182,6 +216,7 @@
 	conn        *pooledConn
 	ticket      *admission.Ticket
 	serviceTime time.Duration // sum of the lease's exchanges
+	abandoned   bool          // a statement was sent and not answered by its deadline
 
 	organisation string        // whose use of an owner is recorded; empty if it is not
 	began        time.Duration // valid with organisation
@@ -191,7 +226,7 @@
 // given variables. If it fails, nothing was sent to the database.
 func (p *Pool) Acquire(ctx context.Context, r admission.Request, variables map[string]string) (*Lease, error) {
 	began := p.now()
-	ticket, err := p.queue.Acquire(ctx, r)
+	ticket, err := p.awaitTurn(ctx, r)
 	p.observePhase(phaseQueue, p.now()-began)
 	if err != nil {
 		return nil, err
@@ -400,7 +435,7 @@
 		}
 		return
 	}
-	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), dialBackoffMax)
+	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), p.maxBackoff())
 	p.dialAfter = now + p.dialBackoff
 }
 
@@ -447,6 +482,10 @@
 func (l *Lease) Discard() {
 	l.recordOccupation()
 	l.pool.discard(l.conn)
+	if hold := l.holdTime(); hold > 0 {
+		time.AfterFunc(hold, func() { l.ticket.Release(0) })
+		return
+	}
 	l.ticket.Release(0)
 }
 
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -63,6 +63,13 @@
 	// given id. If organisations is set, requests may have an organisation; an owner
 	// that does not know them is refused.
 	DialOwner func(ctx context.Context, address, id string, organisations bool) (Conn, error)
+	// QueueAtOwners makes requests wait at the owners of a database rather than in the
+	// database, also under load. Owners then also serve databases whose limit has room
+	// for a single connection of each instance.
+	QueueAtOwners bool
+	// OnRoundTrip gets the time that an exchange with an owner in a data centre spent on
+	// the way. It may be nil.
+	OnRoundTrip func(dataCentre string, took time.Duration)
 }
 
 // Set holds the pools of all known databases. It is safe for concurrent use.
@@ -85,6 +92,7 @@
 	for {
 		changed := s.cfg.Topology.Changed()
 		for _, p := range s.sync() {
+			p.releaseWaiting()
 			if p.needsMaintenance() {
 				p.startMaintain(ctx)
 			}
@@ -132,7 +140,8 @@
 		self          bool
 	)
 	organisations := s.organisationsInForce()
-	if s.cfg.Owners != nil && oversubscribed(limit, instances) {
+	hasOwners := oversubscribed(limit, instances) || (s.cfg.QueueAtOwners && scarce(limit, instances))
+	if s.cfg.Owners != nil && hasOwners {
 		owners, self = s.cfg.Owners(d, limit)
 	}
 	rank := limit
@@ -146,10 +155,12 @@
 			sizing, peers = sizing.perOrganisation(limit, len(owners)), s.others(owners)
 		}
 		owners = nil
+	} else if s.cfg.QueueAtOwners && len(owners) > 0 {
+		sizing = besideOwnersSizing
 	}
 	p, ok := s.pools[d.ID]
 	if !ok {
-		p = &paths{database: d.ID}
+		p = &paths{database: d.ID, queueAtOwners: s.cfg.QueueAtOwners}
 		s.pools[d.ID] = p
 	}
 	p.isOwner, p.instance, p.instances = self, s.cfg.Instance, instances
@@ -159,7 +170,7 @@
 	p.mayConnect = len(owners) == 0 || s.cfg.MayConnect == nil || s.cfg.MayConnect(d, limit)
 	if p.direct == nil || !sameDatabase(p.direct.db, d) {
 		p.close()
-		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
+		p.direct = s.newPool(Config{Database: d, DataCentre: d.DataCentre, Dial: s.cfg.Dial, Sizing: sizing})
 	}
 	p.direct.SetSizing(sizing)
 	p.detours = len(owners) == 0
@@ -207,7 +218,7 @@
 	}
 	unused := slices.Clone(old)
 	for _, o := range owners {
-		if i := slices.IndexFunc(unused, func(p *Pool) bool { return p.owner == o.Name }); i >= 0 {
+		if i := slices.IndexFunc(unused, func(p *Pool) bool { return p.owner == o.Name && p.ownerAddress == o.Address }); i >= 0 {
 			unused[i].SetSizing(sizing)
 			pools = append(pools, unused[i])
 			unused = slices.Delete(unused, i, i+1)
@@ -216,7 +227,7 @@
 		dial := func(ctx context.Context, _, _, id, _ string) (Conn, error) {
 			return s.cfg.DialOwner(ctx, o.Address, id, s.organisationsInForce())
 		}
-		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, Dial: dial, Sizing: sizing, Occupation: occupation}))
+		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, OwnerAddress: o.Address, DataCentre: o.DataCentre, Dial: dial, Sizing: sizing, Occupation: occupation}))
 	}
 	for _, p := range unused {
 		p.Close()
@@ -225,7 +236,10 @@
 }
 
 func (s *Set) newPool(cfg Config) *Pool {
-	cfg.Clock, cfg.Now, cfg.Metrics = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics
+	cfg.Clock, cfg.Now, cfg.Metrics, cfg.QueueAtOwners = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics, s.cfg.QueueAtOwners
+	if s.cfg.OnRoundTrip != nil {
+		cfg.OnRoundTrip = func(took time.Duration) { s.cfg.OnRoundTrip(cfg.DataCentre, took) }
+	}
 	return New(cfg)
 }
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/sockets"
@@ -34,23 +35,35 @@
 	enc      *gob.Encoder
 	dec      *gob.Decoder
 	priority admission.Request // of the next requests
+	load     *balance.Report   // in the latest reply; nil once it has been taken
 	progress func()            // called for each report of progress; may be nil
 	inOrder  bool              // the owner sends no command before the answers of those that it relies on
+	// reportUnsent is DialOptions.ReportUnsent.
+	reportUnsent bool
 	// organisations is set if the messages are organisationRequests.
 	organisations bool
 }
 
-// Dial connects to the owner at address for requests to the database with the id. If
-// organisations is set, the requests may have an organisation. It fails if that instance
-// does not own the database or does not know organisations; the pool then reports
-// result.DatabaseDown.
-func Dial(ctx context.Context, address, id string, organisations bool) (dbpool.Conn, error) {
+// DialOptions are the properties of a connection to an owner.
+type DialOptions struct {
+	// Organisations allows requests to have an organisation. An owner that does not know
+	// organisations is refused.
+	Organisations bool
+	// ReportUnsent makes the connection fail with a dbpool.NotSentError if a request can't
+	// be sent completely: the owner runs nothing of an incomplete message.
+	ReportUnsent bool
+}
+
+// Dial connects to the owner at address for requests to the database with the id. It
+// fails if that instance does not own the database or refuses the options; the pool then
+// reports result.DatabaseDown.
+func Dial(ctx context.Context, address, id string, o DialOptions) (dbpool.Conn, error) {
 	var d net.Dialer
 	netConn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to owner at %s: %w", address, err)
 	}
-	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn), organisations: organisations}
+	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn), organisations: o.Organisations, reportUnsent: o.ReportUnsent}
 	if err := c.handshake(ctx, address, id); err != nil {
 		_ = netConn.Close() // no request was sent on it
 		return nil, err
@@ -104,6 +117,9 @@
 	if err != nil {
 		return localAnswers(commands, rep.Answers), err
 	}
+	if rep.Lost != "" && rep.Answering {
+		return rep.Answers, &dbpool.ExpiredError{Cause: errors.New(rep.Lost)}
+	}
 	if rep.Lost != "" {
 		return rep.Answers, errors.New(rep.Lost)
 	}
@@ -156,6 +172,9 @@
 	if err == nil {
 		err = c.w.Flush()
 	}
+	if err != nil && c.reportUnsent {
+		return rep, &dbpool.NotSentError{Cause: result.Errorf(result.DatabaseDown, "send a request to the owner: %w", err)}
+	}
 	if err == nil {
 		rep, err = c.receive()
 	}
@@ -192,6 +211,7 @@
 	for {
 		var rep reply // gob leaves fields unchanged that were not sent
 		if err := c.dec.Decode(&rep); err != nil || !rep.Waiting {
+			c.load = rep.Load
 			return rep, err
 		}
 		if c.progress != nil {
@@ -200,6 +220,16 @@
 	}
 }
 
+// TakeReport implements dbpool.LoadReporter.
+func (c *ownerConn) TakeReport() (balance.Report, bool) {
+	if c.load == nil {
+		return balance.Report{}, false
+	}
+	r := *c.load
+	c.load = nil
+	return r, true
+}
+
 // OnProgress implements dbpool.ProgressReporter.
 func (c *ownerConn) OnProgress(f func()) { c.progress = f }
 
@@ -216,4 +246,5 @@
 	_ dbpool.Prioritizer      = (*ownerConn)(nil)
 	_ dbpool.ProgressReporter = (*ownerConn)(nil)
 	_ dbpool.Sequencer        = (*ownerConn)(nil)
+	_ dbpool.LoadReporter     = (*ownerConn)(nil)
 )
--- a/internal/hop/fleet_test.go
+++ b/internal/hop/fleet_test.go
@@ -51,7 +51,10 @@
 		name := fmt.Sprint("instance-", i)
 		set := dbpool.NewSet(dbpool.SetConfig{
 			Instance: name, Dial: f.db.dial, Topology: top, Clock: clock.Real{}, Now: clock.SinceBoot,
-			Instances: func() int { return instances }, DialOwner: Dial,
+			Instances: func() int { return instances },
+			DialOwner: func(ctx context.Context, address, id string, organisations bool) (dbpool.Conn, error) {
+				return Dial(ctx, address, id, DialOptions{Organisations: organisations})
+			},
 			Owners:     func(topology.Database, int) ([]ownership.Instance, bool) { return f.addresses[:2], i < 2 },
 			MayConnect: func(topology.Database, int) bool { return false },
 		})
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -149,7 +149,7 @@
 	return dbpool.New(dbpool.Config{
 		Database: topology.Database{ID: "db-1", Service: "ledger"}, Owner: "owner", Clock: clock.Real{}, Now: clock.SinceBoot,
 		Dial: func(ctx context.Context, _, _, id, _ string) (dbpool.Conn, error) {
-			return Dial(ctx, o.address, id, organisations)
+			return Dial(ctx, o.address, id, DialOptions{Organisations: organisations})
 		},
 		Sizing: dbpool.Sizing{MaxOpen: 8, IdleTimeout: time.Minute, ViaOwner: true},
 	})
@@ -430,11 +430,11 @@
 	if a, err := open.Run(dbpool.Exchange{Statement: statement.Statement{Kind: statement.Commit, Text: "COMMIT"}, Deadline: testDeadline()}); err != nil || a.State != statement.TxIdle {
 		t.Errorf("commit of an open transaction at a draining owner: %+v, %v", a, err)
 	}
-	if _, err := Dial(t.Context(), o.address, "db-1", false); err == nil {
+	if _, err := Dial(t.Context(), o.address, "db-1", DialOptions{}); err == nil {
 		t.Error("a draining owner accepted a connection")
 	}
 	o2 := newOwner(t, 2)
-	if _, err := Dial(t.Context(), o2.address, "db-2", false); err == nil {
+	if _, err := Dial(t.Context(), o2.address, "db-2", DialOptions{}); err == nil {
 		t.Error("an instance accepted a connection for a database that it does not own")
 	}
 }
@@ -544,7 +544,7 @@
 		time.Sleep(r.Remaining + late)
 		return reply{NotSent: errNotOwner}
 	})
-	c, err := Dial(t.Context(), address, "db-1", false)
+	c, err := Dial(t.Context(), address, "db-1", DialOptions{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/result"
@@ -55,6 +56,8 @@
 type Server struct {
 	Pools Pools
 	Log   zerolog.Logger
+	// QueueAtOwners is dbpool.SetConfig.QueueAtOwners.
+	QueueAtOwners bool
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -168,8 +171,10 @@
 	}()
 	for r := range requests {
 		p.startProgress()
+		began := time.Now()
 		rep := p.handle(ctx, r.Organisation, r.Request)
 		p.stopProgress()
+		rep.Load = p.server.load(p.id, time.Since(began))
 		if p.send(rep) != nil || rep.Lost != "" {
 			return // the peer reconnects
 		}
@@ -313,7 +318,7 @@
 		if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
 			return reply{NotSent: withoutCause(result.From(notSent.Cause)), Answers: answers}
 		}
-		return reply{Lost: err.Error()}
+		return reply{Lost: err.Error(), Answering: p.server.QueueAtOwners && answering(pool, owned)}
 	}
 	if results[len(results)-1].State == statement.TxIdle {
 		p.lease.Release()
@@ -374,3 +379,27 @@
 	}
 	return reply{Status: &s}
 }
+
+// answering reports whether the database answers this instance.
+func answering(pool *dbpool.Pool, owned bool) bool {
+	if !owned {
+		return false
+	}
+	_, unresponsive := pool.UnresponsiveSince()
+	return !unresponsive
+}
+
+// load returns the load of a database for a reply to a request that took the given time,
+// or nil if this instance does not report it.
+func (s *Server) load(id string, took time.Duration) *balance.Report {
+	if !s.QueueAtOwners {
+		return nil
+	}
+	pool, owned := s.Pools.Owned(id)
+	if !owned {
+		return nil
+	}
+	l := pool.Load()
+	l.Report.RefusedFor, l.Report.Took = l.RefusedFor, took
+	return &l.Report
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -269,6 +269,10 @@
 		req.attemptsByDatabase[t.pool.Database().ID]++
 		return o, true
 	}
+	if s.hasOtherPath(req, t) {
+		req.acquireFailures++
+		return o, true
+	}
 	if req.needsPrimary() || req.acquireFailures > 0 {
 		waitNoDatabaseDelay(s.srv.cfg.Records.Changed(), req.deadline)
 	}
@@ -384,7 +388,9 @@
 		req.attemptsByDatabase[id] = maxAttemptsPerDatabase
 		return o, true
 	case result.Overloaded:
-		time.Sleep(min(overloadedDelay, time.Until(req.deadline)))
+		if s.srv.cfg.Distances == nil || req.needsPrimary() || req.attemptsByDatabase[id] > 1 {
+			time.Sleep(min(overloadedDelay, time.Until(req.deadline)))
+		}
 		return o, req.attemptsByDatabase[id] < maxAttemptsPerDatabase || !req.needsPrimary()
 	case result.NotPrimary:
 		waitUntil(s.srv.cfg.Records.Changed(), earlier(req.deadline, time.Now().Add(notPrimaryDelay)))
