dbpool, primacy: substitutes while all owners of a database are lost

Cause: with half of the instances lost, one of 16 databases with four owners loses all of them. Of the rest, only instances among the first quarter of the limit may connect themselves; the others refused requests until an owner had started again.

Change, with several regions only: while none of its owner connections works, an instance that may not connect asks up to six instances that may, which run its statements on their one direct connection. The bound on the sum of connections is as before.

Tests of internal/dbpool, internal/hop, internal/proxy and the ownership and tree tests of internal/primacy pass; TestHostedPathWithScarceConnections, OnACalmDay, StoreOutageStopsNothing and GracefulStop pass.

--- a/internal/dbpool/atowners.go
+++ b/internal/dbpool/atowners.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/topology"
 )
 
 // The functions of this file keep requests in the queues of a database's owners, where
@@ -156,3 +159,26 @@
 		p.waiting = waiting{}
 	}
 }
+
+// withSubstitutes returns the owners of a database and, while none of them is reached,
+// instances that may connect to it without being owners. When half of the instances are
+// lost, one of 16 databases with four owners loses all of them, and most instances may
+// not connect themselves. s.mu is held.
+func (s *Set) withSubstitutes(d topology.Database, limit int, p *paths, owners []ownership.Instance) []ownership.Instance {
+	if !s.cfg.QueueAtOwners || s.cfg.Substitutes == nil || p.mayConnect {
+		return owners
+	}
+	for _, o := range owners {
+		i := slices.IndexFunc(p.owners, func(pool *Pool) bool { return pool.owner == o.Name })
+		if i < 0 || p.owners[i].usable() || p.owners[i].onlySlow() {
+			return owners
+		}
+	}
+	all := slices.Clone(owners)
+	for _, substitute := range s.cfg.Substitutes(d, limit) {
+		if !slices.ContainsFunc(owners, func(o ownership.Instance) bool { return o.Name == substitute.Name }) {
+			all = append(all, substitute)
+		}
+	}
+	return all
+}
--- a/internal/dbpool/atowners_test.go
+++ b/internal/dbpool/atowners_test.go
@@ -167,3 +167,45 @@
 		t.Errorf("through %q, %v, %d connections to the new address", owner, err, x.owners["o1:2"].dialed)
 	}
 }
+
+// Guards against a database that only few instances reach because all of its owners are
+// lost at once, and against substitutes that are used while an owner answers.
+func TestSubstitutesServeWhileAllOwnersAreLost(t *testing.T) {
+	x := newOversubscribedSet(t)
+	x.set.cfg.QueueAtOwners = true
+	x.set.pools["db-1"].queueAtOwners = true
+	x.set.cfg.MayConnect = func(topology.Database, int) bool { return false }
+	x.owners["s:1"] = &fakeDatabase{}
+	x.set.cfg.Substitutes = func(topology.Database, int) []ownership.Instance {
+		return []ownership.Instance{{Name: "o2", Address: "o2:1"}, {Name: "s", Address: "s:1"}}
+	}
+	x.reconcile()
+	if _, ok := x.set.Owned("db-1"); ok {
+		t.Error("an instance that may not connect offers connections")
+	}
+	setError(x.owners["o1:1"], errBroken)
+	for range 3 {
+		if _, err := x.use(t); err != nil {
+			x.reconcile()
+		}
+	}
+	if owner, err := x.use(t); owner != "o2" || err != nil {
+		t.Errorf("through %q, %v, want the other owner", owner, err)
+	}
+	setError(x.owners["o2:1"], errBroken)
+	for range 3 {
+		if _, err := x.use(t); err != nil {
+			x.reconcile()
+		}
+	}
+	if owner, err := x.use(t); owner != "s" || err != nil {
+		t.Errorf("through %q, %v, want the substitute", owner, err)
+	}
+	x.set.cfg.MayConnect = func(topology.Database, int) bool { return true }
+	if x.reconcile(); len(x.set.pools["db-1"].owners) != 2 {
+		t.Error("an instance that may connect itself uses substitutes")
+	}
+	if _, ok := x.set.Owned("db-1"); !ok {
+		t.Error("an instance that may connect does not offer its connection")
+	}
+}
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -65,6 +65,10 @@
 	// database, also under load. Owners then also serve databases whose limit has room
 	// for a single connection of each instance.
 	QueueAtOwners bool
+	// Substitutes returns instances that may connect to an oversubscribed database which
+	// they do not own, in order of preference. They are used with QueueAtOwners while no
+	// owner is reached. If it is nil, there are none.
+	Substitutes func(d topology.Database, limit int) []ownership.Instance
 	// OnRoundTrip gets the time that an exchange with an owner in a data centre spent on
 	// the way. It may be nil.
 	OnRoundTrip func(dataCentre string, took time.Duration)
@@ -165,6 +169,8 @@
 	p.direct.SetSizing(sizing)
 	if len(owners) == 0 {
 		owners = s.detours(d, p)
+	} else {
+		owners = s.withSubstitutes(d, limit, p, owners)
 	}
 	p.owners = s.reconcileOwners(d, p.owners, owners)
 	return append(slices.Clone(p.owners), p.direct)
@@ -232,11 +238,15 @@
 }
 
 // Owned returns the direct pool of a database if this instance is one of its owners,
-// or if the database has none and this instance reaches it.
+// or if the database has none and this instance reaches it. With QueueAtOwners it also
+// does so if this instance may connect itself while no owner is usable.
 func (s *Set) Owned(id string) (*Pool, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	p, ok := s.pools[id]
+	if ok && p.queueAtOwners && p.mayConnect && p.direct != nil && p.direct.usable() {
+		return p.direct, true
+	}
 	if !ok || p.direct == nil || (!p.isOwner && (len(p.owners) > 0 || !p.direct.usable())) {
 		return nil, false
 	}
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -89,6 +89,7 @@
 		Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
 		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: dialOwner,
 		QueueAtOwners: cfg.Regions != nil, OnRoundTrip: i.observeRoundTrip,
+		Substitutes: func(d topology.Database, limit int) []ownership.Instance { return i.primacy.Substitutes(d.ID, limit) },
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
 		},
--- a/internal/primacy/owners.go
+++ b/internal/primacy/owners.go
@@ -120,6 +120,35 @@
 	return listed && rankOf(self, "direct "+id, namesOf(registered)) < max(1, limit/directShare)
 }
 
+// maxSubstitutes bounds the instances through which one tries to reach a database whose
+// owners it does not reach. With half of the instances lost, six of them are all lost in
+// one of 64 cases.
+const maxSubstitutes = 6
+
+// Substitutes returns instances for which MayConnect is true, in the order in which the
+// instance self should ask them to run statements while it reaches no owner.
+func Substitutes(registered []Registration, self, id string, limit int) []ownership.Instance {
+	var others []ownership.Instance
+	for _, reg := range registered {
+		if reg.Address != "" {
+			others = append(others, ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre})
+		}
+	}
+	allowed := ownership.Order("direct "+id, others)
+	allowed = allowed[:min(len(allowed), max(1, limit/directShare))]
+	allowed = slices.DeleteFunc(allowed, func(i ownership.Instance) bool { return i.Name == self })
+	order := ownership.Order(self+" "+id, allowed)
+	return order[:min(len(order), maxSubstitutes)]
+}
+
+// Substitutes calls the function Substitutes for this instance and the instances that it
+// knows.
+func (r *Runner) Substitutes(id string, limit int) []ownership.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Substitutes(r.knownInstances, r.cfg.Instance, id, limit)
+}
+
 // cachedOwners holds the arguments and the result of a call of Owners.
 type cachedOwners struct {
 	dataCentre string
--- a/internal/primacy/regions_test.go
+++ b/internal/primacy/regions_test.go
@@ -75,3 +75,25 @@
 		t.Errorf("owners %v, want those of the other region if there are no others", owners)
 	}
 }
+
+// Guards against instances that ask others which may not connect to the database, and
+// against all of them asking the same one first.
+func TestSubstitutesMayConnect(t *testing.T) {
+	all := newFleet(67, 6)
+	first := make(map[string]int)
+	for _, reg := range all {
+		substitutes := Substitutes(all, reg.Instance, "db-1", 46)
+		if len(substitutes) != maxSubstitutes {
+			t.Fatalf("%d substitutes, want %d", len(substitutes), maxSubstitutes)
+		}
+		for _, s := range substitutes {
+			if s.Name == reg.Instance || !MayConnect(all, s.Name, "db-1", 46) {
+				t.Errorf("%s asks %s", reg.Instance, s.Name)
+			}
+		}
+		first[substitutes[0].Name]++
+	}
+	if len(first) < 8 {
+		t.Errorf("only %d of 11 instances are asked first", len(first))
+	}
+}
--- a/test/hosted_cluster_test.go
+++ b/test/hosted_cluster_test.go
@@ -33,6 +33,7 @@
 	instances       []*process
 	callerAddresses []string // one for each instance
 	innerAddresses  []string // for peers and metrics, one for each instance
+	settings        string   // lines that all instances have in their settings besides the usual ones
 }
 
 func startHosted(t *testing.T, instances, services int) *hostedCluster {
@@ -51,7 +52,14 @@
 // instance to the store, or without links if links is nil.
 func startHostedWithLinks(t *testing.T, links *links, instances, services, limit int) *hostedCluster {
 	t.Helper()
-	h := &hostedCluster{t: t, store: hosted.NewStore(), links: links}
+	return startHostedWithSettings(t, "", links, instances, services, limit)
+}
+
+// startHostedWithSettings starts a deployment whose instances have further lines in their
+// settings.
+func startHostedWithSettings(t *testing.T, settings string, links *links, instances, services, limit int) *hostedCluster {
+	t.Helper()
+	h := &hostedCluster{t: t, store: hosted.NewStore(), links: links, settings: settings}
 	t.Cleanup(h.store.Close)
 	var routes []hosted.Route
 	limits := make(map[string]int)
@@ -117,7 +125,7 @@
 	callers, inner := freeAddress(t), freeAddress(t)
 	settings := fmt.Sprintf("instance: %s\ndata_centre: z%d\nlisten_callers: %s\nlisten_ready: %s\nlisten_inner: %s\nstore: %s\n"+
 		"promotions: %s\nmemory_mb: 128\nmax_open_files: 1024\ngrace_period: 3s\ndrain_time: 7s\n",
-		name, i%3, callers, freeAddress(t), inner, store, promotions)
+		name, i%3, callers, freeAddress(t), inner, store, promotions) + h.settings
 	path := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
