dbpool: requests keep their place at an owner that is only slow

Cause: an instance without processor time for 250 ms sees all owners as stalled. Since it then ended the wait of all its requests, which lost their places in the queue without another path to take.

Change: the wait ends only if another owner is usable or this one has failed.

--- a/internal/dbpool/atowners.go
+++ b/internal/dbpool/atowners.go
@@ -146,12 +146,8 @@
 	return ticket, err
 }
 
-// releaseWaiting ends the wait of all requests if the pool leads to an owner that has
-// ceased to answer.
+// releaseWaiting ends the wait of all requests in the pool's queue.
 func (p *Pool) releaseWaiting() {
-	if p.owner == "" || !p.queueAtOwners || p.usable() {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.waiting.cancel != nil {
@@ -160,6 +156,24 @@
 	}
 }
 
+// releaseWaiting ends the wait of requests for connections to owners that have ceased to
+// answer. An owner that is only slow keeps them while no other one is usable.
+func (s *Set) releaseWaiting() {
+	if !s.cfg.QueueAtOwners {
+		return
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, p := range s.pools {
+		usable := slices.ContainsFunc(p.owners, (*Pool).usable)
+		for _, pool := range p.owners {
+			if !pool.usable() && (usable || !pool.onlySlow()) {
+				pool.releaseWaiting()
+			}
+		}
+	}
+}
+
 // withSubstitutes returns the owners of a database and, while none of them is reached,
 // instances that may connect to it without being owners. When half of the instances are
 // lost, one of 16 databases with four owners loses all of them, and most instances may
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -94,11 +94,11 @@
 	for {
 		changed := s.cfg.Topology.Changed()
 		for _, p := range s.sync() {
-			p.releaseWaiting()
 			if p.needsMaintenance() {
 				p.startMaintain(ctx)
 			}
 		}
+		s.releaseWaiting()
 		t := time.NewTimer(maintainInterval)
 		select {
 		case <-changed:
