--- a/internal/dbpool/atowners.go
+++ b/internal/dbpool/atowners.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/ownership"
 	"geraniumbeam/internal/result"
+	"geraniumbeam/internal/topology"
 )
 
 // The functions of this file keep requests in the queues of a database's owners, where
@@ -143,12 +146,8 @@
 	return ticket, err
 }
 
-// releaseWaiting ends the wait of all requests if the pool leads to an owner that has
-// ceased to answer.
+// releaseWaiting ends the wait of all requests in the pool's queue.
 func (p *Pool) releaseWaiting() {
-	if p.owner == "" || !p.queueAtOwners || p.usable() {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.waiting.cancel != nil {
@@ -156,3 +155,44 @@
 		p.waiting = waiting{}
 	}
 }
+
+// releaseWaiting ends the wait of requests for connections to owners that have ceased to
+// answer. An owner that is only slow keeps them while no other one is usable.
+func (s *Set) releaseWaiting() {
+	if !s.cfg.QueueAtOwners {
+		return
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, p := range s.pools {
+		usable := slices.ContainsFunc(p.owners, (*Pool).usable)
+		for _, pool := range p.owners {
+			if !pool.usable() && (usable || !pool.onlySlow()) {
+				pool.releaseWaiting()
+			}
+		}
+	}
+}
+
+// withSubstitutes returns the owners of a database and, while none of them is reached,
+// instances that may connect to it without being owners. When half of the instances are
+// lost, one of 16 databases with four owners loses all of them, and most instances may
+// not connect themselves. s.mu is held.
+func (s *Set) withSubstitutes(d topology.Database, limit int, p *paths, owners []ownership.Instance) []ownership.Instance {
+	if !s.cfg.QueueAtOwners || s.cfg.Substitutes == nil || p.mayConnect {
+		return owners
+	}
+	for _, o := range owners {
+		i := slices.IndexFunc(p.owners, func(pool *Pool) bool { return pool.owner == o.Name })
+		if i < 0 || p.owners[i].usable() || p.owners[i].onlySlow() {
+			return owners
+		}
+	}
+	all := slices.Clone(owners)
+	for _, substitute := range s.cfg.Substitutes(d, limit) {
+		if !slices.ContainsFunc(owners, func(o ownership.Instance) bool { return o.Name == substitute.Name }) {
+			all = append(all, substitute)
+		}
+	}
+	return all
+}
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -67,6 +67,10 @@
 	// database, also under load. Owners then also serve databases whose limit has room
 	// for a single connection of each instance.
 	QueueAtOwners bool
+	// Substitutes returns instances that may connect to an oversubscribed database which
+	// they do not own, in order of preference. They are used with QueueAtOwners while no
+	// owner is reached. If it is nil, there are none.
+	Substitutes func(d topology.Database, limit int) []ownership.Instance
 	// OnRoundTrip gets the time that an exchange with an owner in a data centre spent on
 	// the way. It may be nil.
 	OnRoundTrip func(dataCentre string, took time.Duration)
@@ -92,11 +96,11 @@
 	for {
 		changed := s.cfg.Topology.Changed()
 		for _, p := range s.sync() {
-			p.releaseWaiting()
 			if p.needsMaintenance() {
 				p.startMaintain(ctx)
 			}
 		}
+		s.releaseWaiting()
 		t := time.NewTimer(maintainInterval)
 		select {
 		case <-changed:
@@ -176,6 +180,8 @@
 	p.detours = len(owners) == 0
 	if p.detours {
 		owners = s.detours(d, p)
+	} else {
+		owners = s.withSubstitutes(d, limit, p, owners)
 	}
 	p.owners = s.reconcileOwners(d, p.owners, owners, p.occupation)
 	p.peers = s.reconcileOwners(d, p.peers, peers, p.occupation)
@@ -260,13 +266,17 @@
 }
 
 // Owned returns the direct pool of a database if this instance is one of its owners,
-// or if the database has none and this instance reaches it. It does not depend on the
-// organisation: if two instances disagree about the order of the owners, a request must
-// not be sent on by the one that receives it.
+// or if the database has none and this instance reaches it. With QueueAtOwners it also
+// does so if this instance may connect itself while no owner is usable. It does not depend
+// on the organisation: if two instances disagree about the order of the owners, a request
+// must not be sent on by the one that receives it.
 func (s *Set) Owned(id string) (*Pool, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	p, ok := s.pools[id]
+	if ok && p.queueAtOwners && p.mayConnect && p.direct != nil && p.direct.usable() {
+		return p.direct, true
+	}
 	if !ok || p.direct == nil || (!p.isOwner && (len(p.owners) > 0 || !p.direct.usable())) {
 		return nil, false
 	}
--- a/test/hosted_cluster_test.go
+++ b/test/hosted_cluster_test.go
@@ -33,7 +33,7 @@
 	instances       []*process
 	callerAddresses []string // one for each instance
 	innerAddresses  []string // for peers and metrics, one for each instance
-	settings        string   // further lines of each instance's settings
+	settings        string   // lines that all instances have in their settings besides the usual ones
 }
 
 func startHosted(t *testing.T, instances, services int) *hostedCluster {
@@ -52,7 +52,14 @@
 // instance to the store, or without links if links is nil.
 func startHostedWithLinks(t *testing.T, links *links, instances, services, limit int) *hostedCluster {
 	t.Helper()
-	h := &hostedCluster{t: t, links: links}
+	return startHostedWithSettings(t, "", links, instances, services, limit)
+}
+
+// startHostedWithSettings starts a deployment whose instances have further lines in their
+// settings.
+func startHostedWithSettings(t *testing.T, settings string, links *links, instances, services, limit int) *hostedCluster {
+	t.Helper()
+	h := &hostedCluster{t: t, links: links, settings: settings}
 	h.start(instances, services, limit)
 	return h
 }
