primacy: query silent instances directly in fleets of hundreds

Cause: a promoter queries the instances that have not confirmed the replacement in the store only if at most 64 are missing. In a fleet of 300, up to 100 instances that the store refuses were therefore excluded. An excluded instance must register again before it uses a primary, which the store refuses as well, so its callers were not served until then.

Ruled out: a limit for the reason given at maxDirectQueries, that the store then fails for all. The promoter has just written the record.

Change: at most 64 queries are in flight at a time, in random order. More than 64 instances first get 300 ms to confirm in the store, so that a fleet that the store answers sends no additional query.

TestManySilentInstancesAreQueriedInTurns.

--- a/internal/primacy/peer_vote.go
+++ b/internal/primacy/peer_vote.go
@@ -16,9 +16,14 @@
 	// centres takes 5 ms, and a busy instance answers within 50 ms.
 	voteTimeout = 150 * time.Millisecond
 	// maxDirectQueries is the largest number of instances that are queried
-	// directly. If more of them have not published their vote in the store, the
-	// store fails for all instances and no replacement can be agreed anyway.
+	// directly at a time. If more of them have not published a suspicion in the store,
+	// the store fails for all instances and no replacement can be agreed anyway.
 	maxDirectQueries = 64
+	// storeConfirmTime is how long more instances than that have to confirm in the store
+	// that they stopped, before they are queried directly. Those that the store answers
+	// get the record within 50 ms; without the query the others would be excluded, and
+	// could not serve the service until the store answers them.
+	storeConfirmTime = 300 * time.Millisecond
 	// voteSampleSize is how many instances are asked about a suspicion first. The
 	// others are asked only if at least a quarter of the sample shares it; below
 	// that a majority is unlikely.
@@ -173,13 +178,14 @@
 // stopTracker collects the incarnations that confirmed directly that they have
 // stopped using the primary that a token replaces.
 type stopTracker struct {
+	began   time.Duration // when the instances were first asked to stop
 	mu      sync.Mutex
 	pending map[string]bool // incarnations with a request in flight
 	stopped map[string]bool // incarnations
 }
 
-func newStopTracker() *stopTracker {
-	return &stopTracker{pending: make(map[string]bool), stopped: make(map[string]bool)}
+func newStopTracker(now time.Duration) *stopTracker {
+	return &stopTracker{began: now, pending: make(map[string]bool), stopped: make(map[string]bool)}
 }
 
 // missing returns the registrations of instances that have confirmed neither
@@ -192,12 +198,12 @@
 	})
 }
 
-// startQuery reports whether a request to the incarnation may be sent. At most
-// one is in flight at a time.
+// startQuery reports whether a request to the incarnation may be sent. At most one is in
+// flight at a time, and at most maxDirectQueries in all.
 func (s *stopTracker) startQuery(incarnation string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pending[incarnation] {
+	if s.pending[incarnation] || len(s.pending) >= maxDirectQueries {
 		return false
 	}
 	s.pending[incarnation] = true
@@ -218,7 +224,11 @@
 // answers.
 func (r *Runner) requestStops(ctx context.Context, rec Record, missing []Registration, s *stopTracker) {
 	if len(missing) > maxDirectQueries {
-		return
+		if r.cfg.Now()-s.began < storeConfirmTime {
+			return
+		}
+		// Those out of reach must not keep the others from being queried.
+		rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	}
 	for _, reg := range missing {
 		if !r.canQuery(reg, rec) || !s.startQuery(reg.Incarnation) {
--- a/internal/primacy/peer_vote_test.go
+++ b/internal/primacy/peer_vote_test.go
@@ -1,7 +1,11 @@
 package primacy
 
 import (
+	"context"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"geraniumbeam/internal/clock"
@@ -150,3 +154,56 @@
 		}
 	}
 }
+
+// Guards against instances that the store refuses and that are excluded from a service
+// until it answers them, because a promoter of a fleet of hundreds asked none of them
+// directly, and against a query to all instances at once.
+func TestManySilentInstancesAreQueriedInTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		now := func() time.Duration { return time.Since(began) }
+		peers := &votingPeers{}
+		r := NewRunner(Config{Instance: "self", Peers: peers, Now: now, Log: zerolog.Nop()})
+		rec := Record{Service: "ledger", Revision: revision.Revision{Number: 5}, Token: 2, Phase: Replacing}
+		registered, tracker := newRegistrations(100, "x"), newStopTracker(now())
+		for missing := registered; len(missing) > 0; missing = tracker.missing(registered, rec) {
+			if now() > validity {
+				t.Fatalf("%d instances were not queried within the validity", len(missing))
+			}
+			if now() < storeConfirmTime && peers.asked > 0 {
+				t.Fatal("instances are queried before they could confirm in the store")
+			}
+			r.requestStops(t.Context(), rec, missing, tracker)
+			time.Sleep(confirmPollInterval)
+		}
+		if peers.most > maxDirectQueries {
+			t.Errorf("%d queries at once, want at most %d", peers.most, maxDirectQueries)
+		}
+	})
+}
+
+// votingPeers stop for each record, and count the votes that are requested.
+type votingPeers struct {
+	mu                  sync.Mutex
+	asked, atOnce, most int
+}
+
+func (p *votingPeers) FetchSnapshot(context.Context, string, SnapshotQuery) (StoreSnapshot, error) {
+	return StoreSnapshot{}, errNetwork
+}
+
+func (p *votingPeers) Vote(_ context.Context, address string, rec Record) (Vote, error) {
+	p.count(1)
+	defer p.count(-1)
+	time.Sleep(100 * ms)
+	return Vote{Incarnation: strings.TrimSuffix(address, ":1"), Stopped: rec.Token}, nil
+}
+
+// count notes the begin (1) or the end (-1) of a request.
+func (p *votingPeers) count(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.atOnce += n
+	p.asked += max(n, 0)
+	p.most = max(p.most, p.atOnce)
+}
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -147,7 +147,7 @@
 // revokePrimary waits until no instance uses the former primary any more. It
 // returns the incarnations to exclude because they did not confirm that.
 func (r *Runner) revokePrimary(ctx context.Context, rec Record) ([]string, error) {
-	direct := newStopTracker()
+	direct := newStopTracker(r.cfg.Now())
 	if rec.Planned {
 		missing, err := r.awaitStopped(ctx, rec, direct, func(time.Duration) time.Duration { return switchoverConfirmTimeout })
 		if err != nil {
