platformd: show the loss of a primary and the detour in metrics

Cause: nothing showed an operator that the callers of some instances depend on the detours through one other instance.

--- a/internal/platformd/metrics.go
+++ b/internal/platformd/metrics.go
@@ -15,6 +15,8 @@
 	metricRecordAge     = "geraniumbeam_record_age_microseconds"
 	metricRecordToken   = "geraniumbeam_record_token"
 	metricPrimaryUsable = "geraniumbeam_primary_usable"
+	metricPrimaryLost   = "geraniumbeam_primary_lost_microseconds"
+	metricDetourAge     = "geraniumbeam_primary_detour_age_microseconds"
 	metricStoreEra      = "geraniumbeam_store_era"
 	metricVersion       = "geraniumbeam_configuration_version"
 	metricInstances     = "geraniumbeam_instances"
@@ -73,10 +75,32 @@
 				return err
 			}
 		}
+		if err := i.writeReach(w, service, rec.Primary); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// writeReach writes since when this instance has not reached a primary, and the age of
+// the latest answer through another instance. The second line is left out while the
+// primary is reached, so that it does not show detours of the past.
+func (i *Instance) writeReach(w io.Writer, service, primary string) error {
+	reach, now := i.pools.Reach(service, primary), clock.SinceBoot()
+	labels := measure.Labels{{Name: "service", Value: service}}
+	if !reach.Lost() {
+		return measure.WriteValue(w, metricPrimaryLost, labels, 0)
+	}
+	if err := measure.WriteValue(w, metricPrimaryLost, labels, (now - reach.LostSince).Microseconds()); err != nil {
+		return err
+	}
+	if reach.DetourAnswered < reach.LostSince {
+		return nil
+	}
+	labels[1] = measure.Label{Name: "through", Value: reach.Detour}
+	return measure.WriteValue(w, metricDetourAge, labels, (now - reach.DetourAnswered).Microseconds())
+}
+
 func boolToInt(b bool) int64 {
 	if b {
 		return 1
