--- a/internal/quota/audit_test.go
+++ b/internal/quota/audit_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"sort"
+	"time"
 )
 
 // audit compares what exists at this moment with the limit: the rates of all shares and
@@ -71,3 +73,40 @@
 	}
 	return max
 }
+
+// check returns a description of the first window over the limit, or "".
+func (f *fleet) check() string {
+	if f.violation != "" {
+		return f.violation
+	}
+	w := f.window.Length
+	for _, o := range f.orgs {
+		sort.Slice(o.runs, func(i, j int) bool { return o.runs[i] < o.runs[j] })
+		first := 0
+		for i, end := range o.runs {
+			for o.runs[first] <= end-w {
+				first++
+			}
+			if got, bound := i-first+1, f.bound(o, o.runs[first], end); float64(got) > bound+1e-6 {
+				return fmt.Sprintf("organisation %s: %d operations from %v to %v, bound %.1f", o.name, got, o.runs[first], end, bound)
+			}
+		}
+	}
+	return ""
+}
+
+// bound returns the number of operations that may run in a window. A limit that was
+// lowered less than 5 s before its start does not bind it yet.
+func (f *fleet) bound(o *simOrg, start, end time.Duration) float64 {
+	l := o.limitAt(end - f.window.Length - configTime)
+	bound := f.window.Bound(l.rate, l.burst)
+	for _, l := range o.limits {
+		if l.at > end-f.window.Length-configTime && l.at <= end {
+			bound = math.Max(bound, f.window.Bound(l.rate, l.burst))
+		}
+	}
+	return bound
+}
+
+// configTime is the time within which a configuration is in force at all instances.
+const configTime = 5 * time.Second
--- a/internal/quota/calm_test.go
+++ b/internal/quota/calm_test.go
@@ -76,6 +76,9 @@
 		f.runLoad(20*time.Second, l)
 		f.admitted, f.requests = 0, 0
 		span := 60 * time.Second
+		if c.rate > 10 {
+			span = 25 * time.Second // there are enough operations, and the race detector is slow
+		}
 		f.runLoad(span, l)
 		part := float64(f.admitted) / (c.rate * span.Seconds())
 		t.Logf("rate %v, demand x%v, Zipf %v: admitted %.3f of the limit, %.0f requests/s", c.rate, c.factor, c.exponent, part, float64(f.requests)/span.Seconds())
@@ -97,6 +100,9 @@
 		f.run(8 * time.Second)
 		l := &load{f: f, org: o, rate: c.rate * 0.6, weights: zipf(f.rng, 79, c.exponent), next: f.now}
 		span := 120 * time.Second
+		if c.rate > 10 {
+			span = 40 * time.Second
+		}
 		f.requests = 0
 		f.runLoad(span, l)
 		t.Logf("rate %v, Zipf %v: %d admitted, %d waited, %d refused, %.0f requests/s", c.rate, c.exponent, f.admitted, f.waits, f.refused, float64(f.requests)/span.Seconds())
