topology: end a list that the store refuses when others provide a current listing

An instance that once got a listing older than 1.5 s wants to list the store. If the store refuses it, it went on trying about once a second until the store served it, although its upstream provided current listings meanwhile.

A current listing of another instance now ends the want in an instance that is relayed. One that lists the store for others keeps it. TestRelayedListingEndsAWantedList covers both.

--- a/internal/topology/listing.go
+++ b/internal/topology/listing.go
@@ -91,8 +91,11 @@
 	confirmed.DatabasesRevision = revision.Max(confirmed.DatabasesRevision, l.DatabasesRevision)
 	s.listing = &confirmed
 	s.currentAt = max(s.currentAt, at)
-	if s.Now()-s.currentAt > maxRelayedAge {
+	switch {
+	case s.Now()-s.currentAt > maxRelayedAge:
 		s.requestList()
+	case s.relayed:
+		s.needed = false // a list that the store refused is no longer wanted
 	}
 }
 
--- a/internal/topology/listing_test.go
+++ b/internal/topology/listing_test.go
@@ -153,6 +153,28 @@
 	}
 }
 
+// Guards against an instance that once lagged behind and calls a store that refuses it
+// again and again, although others provide current listings meanwhile.
+func TestRelayedListingEndsAWantedList(t *testing.T) {
+	l := newTestSyncer().listed(t)
+	for _, relayed := range []bool{true, false} {
+		s := newTestSyncer()
+		s.SetRelayed(true)
+		s.Adopt(l, s.now)
+		s.SetRelayed(relayed)
+		s.now += maxRelayedAge + time.Millisecond
+		s.ObserveRevision(rev(99), s.now)
+		s.source.err = errors.New("refused")
+		if err := s.list(t.Context()); err == nil || !s.needed {
+			t.Fatalf("error %v, needed %v: want a list that the store refuses", err, s.needed)
+		}
+		s.Adopt(l, s.now)
+		if s.needed == relayed {
+			t.Errorf("relayed %v: the store is listed: %v", relayed, s.needed)
+		}
+	}
+}
+
 // Guards against an instance that lists the store for ever or never, when its first
 // listing fails.
 func TestFirstListingIsRepeatedUntilItSucceeds(t *testing.T) {
