primacy: substitute upstreams in fleets of more than 16 instances

These then asked the store themselves, and the back-off of failed upstreams kept them there.

An instance whose upstreams fail, or that has none and is refused, now gets the state from a peer that is in contact with the store, by held queries. Without the origin the top and the instance that replaces it would wait for each other. The origin is a hint; ages are counted as before. While an instance queries the store in place of the top, it also lists the configuration and registrations, so its listings do not lag behind. A failed list of the instances is repeated after 1 to 10 s instead of each second. Fleets of up to 16 instances behave as before, and instances of earlier releases name no origin and are accepted.

Ruled out: a periodic call to the store by each instance with a substitute. With 66 of them every 5 s it alone costs 13 calls a second; those with upstreams try these again instead.

With ages counted from the query, TestSubstitutesOfEachOtherOnlyAge fails at once.

--- a/internal/primacy/register.go
+++ b/internal/primacy/register.go
@@ -151,6 +151,7 @@
 // of instances, by which connections are divided, and the upstreams.
 func (r *Runner) instancesLoop(ctx context.Context) {
 	waits := []time.Duration{0, secondListDelay}
+	failures := 0
 	for wait := time.Duration(0); r.awaitListTime(ctx, wait) == nil; {
 		cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		registered, at, err := r.cfg.Store.StaleRegistrations(cctx)
@@ -161,9 +162,11 @@
 			wait = waits[0]
 		}
 		if err != nil {
-			wait = maxBackoff
+			wait = r.listRetryDelay(failures)
+			failures++
 			continue
 		}
+		failures = 0
 		r.checkRegistration(registered, at)
 		registered = slices.DeleteFunc(registered, func(reg Registration) bool { return reg.Unreadable })
 		if len(registered) == 0 {
@@ -205,10 +208,12 @@
 	ordered := Upstreams(registered, r.cfg.Instance, r.cfg.DataCentre)
 	changed := first || !slices.Equal(ordered, r.upstreams.ordered)
 	relayed := r.upstreams.set(ordered)
+	r.substitution.setFleet(registered)
 	r.roleKnown = true
 	if changed {
 		close(r.roleChanged)
 		r.roleChanged = make(chan struct{})
+		r.substitution.direct = false // the next renewal tells the listings again
 	}
 	r.mu.Unlock()
 	if !changed {
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -67,6 +67,9 @@
 	// left out if the requester has them already.
 	Listing    *topology.Listing
 	ListingAge time.Duration // since the listing was last known to be current
+
+	// Origin is the instance that asked the store.
+	Origin string `json:",omitempty"`
 }
 
 // Peers sends requests to other instances.
@@ -95,6 +98,7 @@
 type storeState struct {
 	revision revision.Revision
 	asked    time.Duration // when the request to the store was sent; 0: none
+	origin   string        // the instance that sent it
 	sequence uint64
 	changed  chan struct{} // closed at the next change of sequence
 }
@@ -134,6 +138,7 @@
 	s := StoreSnapshot{
 		Revision: state.revision, Age: now - state.asked, Held: now - arrived,
 		Process: r.cfg.Incarnation, Sequence: state.sequence, RecordsVersion: version,
+		Origin: state.origin,
 	}
 	if q.Process != s.Process || q.Records != s.RecordsVersion {
 		s.Records = records
@@ -239,7 +244,7 @@
 		return false
 	}
 	asked := askedAt(s, sent, received)
-	if received-asked > relayMaxAge {
+	if received-asked > relayMaxAge || !r.acceptOrigin(s.Origin, asked) {
 		return false
 	}
 	if s.Listing != nil {
@@ -301,6 +306,9 @@
 		return false // the caller falls back to the databases
 	}
 	asked := askedAt(s, sent, received)
+	if !r.acceptOrigin(s.Origin, asked) {
+		return false
+	}
 	if s.Listing != nil {
 		r.cfg.Listings.Adopt(s.Listing, asked+s.Age-s.ListingAge)
 	}
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -55,10 +55,18 @@
 	r.mu.Lock()
 	askStore := r.askStore
 	r.mu.Unlock()
-	if !askStore && r.renewFromUpstream(ctx) {
+	if !askStore && r.renewRelayed(ctx) {
 		return fromUpstream, true
 	}
-	return r.renewDirectly(ctx)
+	from, confirmed := r.renewDirectly(ctx)
+	switch {
+	case askStore:
+	case from == fromStore:
+		r.noteSource(true)
+	case confirmed && r.followsSubstitute():
+		return fromUpstream, true
+	}
+	return from, confirmed
 }
 
 // renewDirectly asks the store, and after hedgeDelay without an answer also peers and
@@ -88,7 +96,7 @@
 
 // renewFromOthers confirms the cached records without the store.
 func (r *Runner) renewFromOthers(ctx context.Context) bool {
-	return r.renewFromUpstream(ctx) || r.renewFromPeers(ctx) || r.renewFromDatabases(ctx)
+	return r.renewFromUpstream(ctx) || r.renewFromSubstitutesOrPeers(ctx) || r.renewFromDatabases(ctx)
 }
 
 // inBackground runs f in a goroutine and returns a channel that receives its result,
@@ -112,6 +120,9 @@
 		r.log.Debug().Err(err).Msg("The store did not confirm the records.")
 		return err
 	}
+	r.mu.Lock()
+	r.noteOrigin(r.cfg.Instance, asked)
+	r.mu.Unlock()
 	r.confirmRecords(records, at, asked)
 	r.cfg.Listings.ObserveRevision(at, asked)
 	r.mu.Lock()
@@ -266,12 +277,13 @@
 }
 
 // watchStart returns the store's revision from which to watch and a channel that is
-// closed when the upstreams change. It reports false if this instance has upstreams,
-// does not know them yet, or has not heard from the store.
+// closed when the upstreams change. It reports false if this instance has upstreams or
+// a substitute, does not know them yet, or has not heard from the store.
 func (r *Runner) watchStart() (after revision.Revision, changed <-chan struct{}, direct bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.revision, r.roleChanged, r.roleKnown && len(r.upstreams.ordered) == 0 && r.state.asked != 0
+	relayed := len(r.upstreams.ordered) > 0 || r.substitution.upstream.Address != ""
+	return r.state.revision, r.roleChanged, r.roleKnown && !relayed && r.state.asked != 0
 }
 
 // applyRecord stores a record in the cache if it is newer than the cached one.
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -50,6 +50,7 @@
 	// nothing.
 	failedRounds   int
 	upstreams      upstreams
+	substitution   substitution
 	roleKnown      bool                    // the upstreams are known
 	roleChanged    chan struct{}           // closed when the upstreams change
 	knownInstances []Registration          // from the latest list
--- a/internal/primacy/upstream.go
+++ b/internal/primacy/upstream.go
@@ -21,19 +21,9 @@
 // store, in the order in which it should try them. It returns nil if the instance
 // must query the store itself.
 func Upstreams(registered []Registration, self, dataCentre string) []ownership.Instance {
-	byDataCentre := make(map[string][]ownership.Instance)
-	for _, reg := range registered {
-		if reg.Address != "" {
-			i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
-			byDataCentre[reg.DataCentre] = append(byDataCentre[reg.DataCentre], i)
-		}
-	}
-	var heads []ownership.Instance
-	for name, members := range byDataCentre {
-		heads = append(heads, treeOrder(name, members)[0])
-	}
-	heads = ownership.Order("upstream", heads)
-	local := treeOrder(dataCentre, byDataCentre[dataCentre])
+	members := byDataCentre(registered)
+	heads := headsOf(members)
+	local := treeOrder(dataCentre, members[dataCentre])
 	position := slices.IndexFunc(local, func(i ownership.Instance) bool { return i.Name == self })
 	var upstreams []ownership.Instance
 	switch {
@@ -56,6 +46,27 @@
 	return withoutRepeats(upstreams)
 }
 
+// byDataCentre returns the instances that can be reached, by data centre.
+func byDataCentre(registered []Registration) map[string][]ownership.Instance {
+	members := make(map[string][]ownership.Instance)
+	for _, reg := range registered {
+		if reg.Address != "" {
+			i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
+			members[reg.DataCentre] = append(members[reg.DataCentre], i)
+		}
+	}
+	return members
+}
+
+// headsOf returns the first instance of each data centre, the top of the tree first.
+func headsOf(members map[string][]ownership.Instance) []ownership.Instance {
+	var heads []ownership.Instance
+	for dataCentre, local := range members {
+		heads = append(heads, treeOrder(dataCentre, local)[0])
+	}
+	return ownership.Order("upstream", heads)
+}
+
 // treeOrder returns the instances of a data centre in the order in which they stand
 // in the tree, the first one at its top.
 func treeOrder(dataCentre string, members []ownership.Instance) []ownership.Instance {
