primacy: no data race in the test of substitutes of each other

The race detector reported that the test's clock is advanced while another candidate is asked; the code under test is not concerned.

--- a/internal/primacy/substitute_test.go
+++ b/internal/primacy/substitute_test.go
@@ -181,7 +181,7 @@
 // delayedPeers passes queries between runners and lets time pass on the way. Queries
 // are not held.
 type delayedPeers struct {
-	now     *time.Duration
+	now     *atomic.Int64
 	delay   func() time.Duration
 	runners map[string]*Runner
 }
@@ -192,9 +192,9 @@
 		return StoreSnapshot{}, errNetwork
 	}
 	q.Wait = 0
-	*p.now += p.delay()
+	p.now.Add(int64(p.delay()))
 	s, ok := r.Snapshot(ctx, q)
-	*p.now += p.delay()
+	p.now.Add(int64(p.delay()))
 	if !ok {
 		return StoreSnapshot{}, errStoreDown
 	}
@@ -222,9 +222,10 @@
 	a, b := fleet[1], fleet[len(fleet)-1]
 	rapid.Check(t, func(t *rapid.T) {
 		asked := time.Hour
-		now := asked
+		var now atomic.Int64 // candidates are asked concurrently
+		now.Store(int64(asked))
 		peers := delayedPeers{&now, func() time.Duration { return time.Duration(rapid.IntRange(0, 150).Draw(t, "delay")) * ms }, map[string]*Runner{}}
-		clock := func() time.Duration { return now }
+		clock := func() time.Duration { return time.Duration(now.Load()) }
 		pair := []*Runner{newSubstitutedRunner(a.Instance, fleet, peers, clock), newSubstitutedRunner(b.Instance, fleet, peers, clock)}
 		peers.runners[a.Address], peers.runners[b.Address] = pair[0], pair[1]
 		rec := Record{Service: "ledger", Revision: revision.Revision{Number: 5}, Token: 1, Phase: Serving, Primary: "db-1", Term: 1}
@@ -234,11 +235,11 @@
 			r.confirmRecords([]Record{rec}, rec.Revision, asked)
 		}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * ms
+			now.Add(int64(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * ms))
 			i := rapid.IntRange(0, 1).Draw(t, "instance")
 			r, other := pair[i], []Registration{b, a}[i]
 			r.setSubstitute(instanceOf(other))
-			began := now
+			began := clock()
 			if r.renewFromSubstitute(t.Context()) && began-asked > headMaxAge {
 				t.Fatalf("a state of age %v does not make the instance leave its substitute", began-asked)
 			}
@@ -249,8 +250,8 @@
 				if _, confirmed, _ := r.cfg.Cache.Record("ledger"); confirmed > asked || r.state.asked > asked {
 					t.Fatalf("confirmed at %v by a request to the store at %v", confirmed, asked)
 				}
-				if _, ok := r.cfg.Cache.Primary("ledger"); ok && now-asked >= InitialValidity {
-					t.Fatalf("the primary is used %v after the request to the store", now-asked)
+				if _, ok := r.cfg.Cache.Primary("ledger"); ok && clock()-asked >= InitialValidity {
+					t.Fatalf("the primary is used %v after the request to the store", clock()-asked)
 				}
 			}
 		}
