--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -75,6 +75,9 @@
 	// ConfigurationVersion is not 0 if the configuration of the listing, or all of the
 	// listing, is left out because the configuration has organisations.
 	ConfigurationVersion uint64 `json:",omitempty"`
+
+	// Origin is the instance that asked the store.
+	Origin string `json:",omitempty"`
 }
 
 // Peers sends requests to other instances.
@@ -103,6 +106,7 @@
 type storeState struct {
 	revision revision.Revision
 	asked    time.Duration // when the request to the store was sent; 0: none
+	origin   string        // the instance that sent it
 	sequence uint64
 	changed  chan struct{} // closed at the next change of sequence
 }
@@ -142,6 +146,7 @@
 	s := StoreSnapshot{
 		Revision: state.revision, Age: now - state.asked, Held: now - arrived,
 		Process: r.cfg.Incarnation, Sequence: state.sequence, RecordsVersion: version,
+		Origin: state.origin,
 	}
 	if q.Process != s.Process || q.Records != s.RecordsVersion {
 		s.Records = records
@@ -244,7 +249,7 @@
 		return false
 	}
 	asked := askedAt(s, sent, received)
-	if received-asked > relayMaxAge {
+	if received-asked > relayMaxAge || !r.acceptOrigin(s.Origin, asked) {
 		return false
 	}
 	r.adoptListing(ctx, upstream.Address, s, asked)
@@ -301,6 +306,9 @@
 		return false // the caller falls back to the databases
 	}
 	asked := askedAt(s, sent, received)
+	if !r.acceptOrigin(s.Origin, asked) {
+		return false
+	}
 	r.adoptListing(context.WithoutCancel(ctx), address, s, asked) // ctx ends with the round of queries
 	r.confirmRecords(s.Records, s.Revision, asked)
 	return s.Age <= storeContactMaxAge
