dbpool: a cancelled dial is no failure of the database

Cause: connect dials with the context of Acquire. When the scan for disconnected callers cancelled that context, the dial was recorded as an exchange that the database did not answer: UnresponsiveSince and Load.Down became true after one cancelled dial, and a back-off refused other requests. A request that was cancelled before connect also closed an idle connection of another organisation.

Change: a dial that fails after its context was cancelled ends without a result for the health and the back-off. It gives up its place; the database may still count the connection, so the place settles as after a close. A refusal by the database and a dial that passes the request's deadline are recorded as before. connect reserves nothing for a cancelled request. Maintenance and Control open connections of a pool by the same function; Control's dial outside the pool records no failure, which was checked by reading.

--- a/internal/dbpool/health.go
+++ b/internal/dbpool/health.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// cancel ends an exchange that was given up before it could fail.
+func (h *health) cancel() { h.outstanding-- }
+
 // answered records an answer of the database, or of the owner on its way.
 func (h *health) answered(now time.Duration) {
 	h.lastAnswer, h.waitingSince = now, now
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -320,6 +320,9 @@
 
 // connect opens a connection of the organisation.
 func (p *Pool) connect(ctx context.Context, organisation string) (*pooledConn, error) {
+	if isCancelled(ctx) { // otherwise another organisation could lose a connection for it
+		return nil, errCancelled(p.db.ID)
+	}
 	p.mu.Lock()
 	now := p.now()
 	if !p.closed && now < p.dialAfter && p.dialBackoff == 0 {
@@ -357,10 +360,14 @@
 	if p.owner != "" {
 		timeout = ownerDialTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID, organisation)
+	conn, err := p.dial(dialCtx, p.db.Address, p.db.Service, p.db.ID, organisation)
 
+	if err != nil && isCancelled(ctx) && !isAnswer(err) {
+		p.dialCancelled()
+		return nil, errCancelled(p.db.ID)
+	}
 	p.countConnect(err)
 	ended := p.now()
 	p.observePhase(phaseConnect, ended-now)
