hop, proxy: withdraw requests of disconnected callers from an owner's queue

Cause: the proxy looks for disconnected callers only until Lease.Run. A request that waits in the queue of an owner kept its place until the deadline, and the owner ran it.

Change: the client side of the hop closes the sending side of its connection when the request's context ends. The owner's reader then ends the wait for a connection, and its reply still arrives: NotSent, or the answers of a request that it had started. So the outcome is known and no field was added to the protocol; owners of earlier releases end the wait in the same way. The owner now closes such a connection without a reset, which could discard the reply, and starts nothing for a peer that disconnected while it got a connection. A connection with a withdrawn request is not used again: a transaction whose first statement had been started ends with it and is rolled back, and its commit counts as not sent. Without organisations the context never ends, and nothing changes on the client's side.

Ruled out: a progress report that says waits or runs. It arrives up to 80 ms late, so a request that is cancelled in between would have an unknown outcome.

--- a/internal/dbpool/exchange.go
+++ b/internal/dbpool/exchange.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -23,6 +24,10 @@
 	Statement statement.Statement
 	WaitFor   statement.Position // log position that the database must have reached
 	Deadline  time.Time
+	// Context ends when the caller no longer waits for the answer; it may be nil. An owner
+	// that has not started the exchange by then does not run it: NotSentError. One that
+	// runs is not cancelled.
+	Context context.Context
 }
 
 // Run performs an exchange and returns the answer to its statement. If the database
@@ -37,6 +42,10 @@
 		run.command.WaitFor = statement.Position{}
 		steps = []step{{command: begin}, run}
 	}
+	if c, ok := l.conn.Conn.(Withdrawer); ok && x.Context != nil {
+		c.WithdrawAfter(x.Context)
+		defer c.WithdrawAfter(context.Background())
+	}
 	answers, err := l.runSteps(x.Deadline, x.Variables, steps)
 	if err != nil {
 		return statement.Answer{}, err
--- a/internal/dbpool/owner.go
+++ b/internal/dbpool/owner.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"context"
 	"errors"
 
 	"geraniumbeam/internal/admission"
@@ -37,6 +38,14 @@
 	Prioritize(r admission.Request)
 }
 
+// Withdrawer is a connection to an owner that can withdraw a request which the owner has
+// not started.
+type Withdrawer interface {
+	// WithdrawAfter makes the next exchanges end with a NotSentError if ctx ends before
+	// the owner has started them.
+	WithdrawAfter(ctx context.Context)
+}
+
 // ProgressReporter is a connection to an owner that reports while a request waits
 // in the owner's queue or runs, so that an owner that is only slow does not count as
 // failed.
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -38,6 +38,10 @@
 	inOrder  bool              // the owner sends no command before the answers of those that it relies on
 	// organisations is set if the messages are organisationRequests.
 	organisations bool
+	// withdrawAfter is the context after which requests that the owner has not started
+	// are withdrawn; nil if they are not.
+	withdrawAfter context.Context
+	withdrawn     bool // nothing more can be sent
 }
 
 // Dial connects to the owner at address for requests to the database with the id. If
@@ -149,6 +153,9 @@
 	if c.priority.Organisation != "" && !c.organisations {
 		return rep, &dbpool.NotSentError{Cause: errNoOrganisations}
 	}
+	if c.withdrawn {
+		return rep, &dbpool.NotSentError{Cause: errWithdrawn}
+	}
 	err := c.send(request{
 		ID: c.priority.ID, Class: c.priority.Class, Caller: c.priority.Caller, Rank: c.priority.Rank,
 		Remaining: time.Until(deadline), RemainingTarget: remainingTarget(c.priority), Commands: commands,
@@ -157,17 +164,52 @@
 		err = c.w.Flush()
 	}
 	if err == nil {
+		stop := c.startWithdrawal()
 		rep, err = c.receive()
+		stop()
 	}
 	if err != nil {
 		return rep, fmt.Errorf("exchange with owner: %w", err)
 	}
+	if rep.NotSent != nil && c.withdrawn {
+		return rep, &dbpool.NotSentError{Cause: errWithdrawn}
+	}
 	if rep.NotSent != nil {
 		return rep, &dbpool.NotSentError{Cause: rep.NotSent}
 	}
 	return rep, nil
 }
 
+// errWithdrawn is the outcome of a request that the owner had not started when its caller
+// stopped waiting.
+var errWithdrawn = result.Errorf(result.Cancelled, "the request was withdrawn before the owner started it")
+
+// startWithdrawal withdraws the request that was sent when withdrawAfter ends, until stop is
+// called. It closes the sending side of the connection, after which owners of all releases
+// end the wait for a connection to the database. The owner's reply still arrives: it says
+// that nothing was run, or has the answers if the request had been started.
+func (c *ownerConn) startWithdrawal() (stop func()) {
+	if c.withdrawAfter == nil || c.withdrawAfter.Done() == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	cancel := context.AfterFunc(c.withdrawAfter, func() {
+		defer close(done)
+		if tcp, ok := c.conn.(*net.TCPConn); ok {
+			c.withdrawn = true
+			_ = tcp.CloseWrite() // if it fails, so does the exchange
+		}
+	})
+	return func() {
+		if !cancel() {
+			<-done // otherwise a later request could be withdrawn
+		}
+	}
+}
+
+// WithdrawAfter implements dbpool.Withdrawer.
+func (c *ownerConn) WithdrawAfter(ctx context.Context) { c.withdrawAfter = ctx }
+
 // errNoOrganisations refuses requests of organisations on a connection that was opened
 // before the deployment had any.
 var errNoOrganisations = result.Errorf(result.DatabaseDown, "the connection to the owner carries no organisations")
@@ -204,7 +246,9 @@
 func (c *ownerConn) OnProgress(f func()) { c.progress = f }
 
 // Alive implements dbpool.Conn.
-func (c *ownerConn) Alive() bool { return c.r.Buffered() == 0 && sockets.Reusable(c.raw) }
+func (c *ownerConn) Alive() bool {
+	return !c.withdrawn && c.r.Buffered() == 0 && sockets.Reusable(c.raw)
+}
 
 // Close implements dbpool.Conn.
 func (c *ownerConn) Close() error { return c.conn.Close() }
@@ -216,4 +260,5 @@
 	_ dbpool.Prioritizer      = (*ownerConn)(nil)
 	_ dbpool.ProgressReporter = (*ownerConn)(nil)
 	_ dbpool.Sequencer        = (*ownerConn)(nil)
+	_ dbpool.Withdrawer       = (*ownerConn)(nil)
 )
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -110,7 +110,10 @@
 		variables: make(map[string]string), prepared: make(map[string]dbpool.PreparedStatement),
 		reportsProgress: req.URL.Query().Has(progressParam), organisations: organisations,
 	}
-	p.serve()
+	if p.serve() {
+		_ = c.Close() // the last reply still reaches a peer that has closed its sending side
+		return
+	}
 	_ = sockets.Reset(c) // data in transit is no longer needed
 }
 
@@ -150,9 +153,10 @@
 	organisation string
 }
 
-// serve handles requests until the peer disconnects, which also ends the wait for
-// a connection to the database.
-func (p *peerConn) serve() {
+// serve handles requests until the peer disconnects or closes its sending side, which also
+// ends the wait for a connection to the database. It reports false if it ends the
+// connection itself.
+func (p *peerConn) serve() bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	requests := make(chan organisationRequest)
 	go func() {
@@ -171,9 +175,10 @@
 		rep := p.handle(ctx, r.Organisation, r.Request)
 		p.stopProgress()
 		if p.send(rep) != nil || rep.Lost != "" {
-			return // the peer reconnects
+			return false // the peer reconnects
 		}
 	}
+	return true
 }
 
 // readRequests passes on the peer's requests until it disconnects or ctx ends.
@@ -290,14 +295,18 @@
 	}
 	if p.lease == nil {
 		acquireDeadline := deadline.Add(-answerMargin)
-		ctx, cancel := context.WithDeadline(ctx, acquireDeadline)
+		acquireCtx, cancel := context.WithDeadline(ctx, acquireDeadline)
 		defer cancel()
-		lease, err := pool.Acquire(ctx, admission.Request{
+		lease, err := pool.Acquire(acquireCtx, admission.Request{
 			ID: r.ID, Class: r.Class, Caller: r.Caller, Organisation: organisation, Rank: r.Rank, Deadline: acquireDeadline, Target: targetOf(r),
 		}, p.variables)
 		if err != nil {
 			return reply{NotSent: withoutCause(result.From(err)), Answers: answers}
 		}
+		if ctx.Err() != nil {
+			lease.Release()
+			return reply{NotSent: errWithdrawn, Answers: answers}
+		}
 		p.lease, p.organisation = lease, organisation
 	}
 	results, err := p.lease.RunCommands(deadline, p.variables, p.prepared, forwarded)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -187,7 +187,10 @@
 		s.endUnused(lease, begun)
 		return failure(result.Errorf(result.NoPrimary, "the primary of service %s is being replaced", req.route.Service), "", t), true
 	}
-	s.endWait()
+	withdrawable := t.pool.Owner() != "" && !begun // the owner has a queue of its own
+	if !withdrawable {
+		s.endWait()
+	}
 	if req.ctx.Err() != nil {
 		return s.giveUp(t, lease, begun)
 	}
@@ -199,14 +202,22 @@
 	}
 	sentBefore := req.charge.setSent(true)
 	sentAt := s.srv.cfg.Now()
-	a, err := lease.Run(dbpool.Exchange{
+	x := dbpool.Exchange{
 		Variables: s.variables, Prepared: req.preparedStmt, Begin: begin, Statement: req.st, WaitFor: t.waitFor, Deadline: deadline,
-	})
+	}
+	if withdrawable {
+		x.Context = req.ctx
+	}
+	a, err := lease.Run(x)
+	s.endWait()
 	if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
 		lease.ReleaseNotSent(notSent)
 		if result.From(notSent.Cause).Code != result.DatabaseDown {
 			req.charge.setSent(sentBefore) // the owner refused the request before it had a connection
 		}
+		if req.ctx.Err() != nil {
+			return callerGone(t), false
+		}
 		return s.handleNotSent(req, t, notSent)
 	}
 	if err != nil {
