--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -100,6 +100,7 @@
 			pools, names = append(pools, pool), append(names, pool.owner)
 		}
 	}
+	pools, names = withoutBusy(pools, names)
 	for skip := p.skip(organisation, len(pools)); ; skip-- {
 		at := ownership.Pick(p.database+" "+organisation, names)
 		switch {
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -42,6 +42,10 @@
 	reportUnsent bool
 	// organisations is set if the messages are organisationRequests.
 	organisations bool
+	// withdrawAfter is the context after which requests that the owner has not started
+	// are withdrawn; nil if they are not.
+	withdrawAfter context.Context
+	withdrawn     bool // nothing more can be sent
 }
 
 // DialOptions are the properties of a connection to an owner.
@@ -165,6 +169,9 @@
 	if c.priority.Organisation != "" && !c.organisations {
 		return rep, &dbpool.NotSentError{Cause: errNoOrganisations}
 	}
+	if c.withdrawn {
+		return rep, &dbpool.NotSentError{Cause: errWithdrawn}
+	}
 	err := c.send(request{
 		ID: c.priority.ID, Class: c.priority.Class, Caller: c.priority.Caller, Rank: c.priority.Rank,
 		Remaining: time.Until(deadline), RemainingTarget: remainingTarget(c.priority), Commands: commands,
@@ -176,17 +183,52 @@
 		return rep, &dbpool.NotSentError{Cause: result.Errorf(result.DatabaseDown, "send a request to the owner: %w", err)}
 	}
 	if err == nil {
+		stop := c.startWithdrawal()
 		rep, err = c.receive()
+		stop()
 	}
 	if err != nil {
 		return rep, fmt.Errorf("exchange with owner: %w", err)
 	}
+	if rep.NotSent != nil && c.withdrawn {
+		return rep, &dbpool.NotSentError{Cause: errWithdrawn}
+	}
 	if rep.NotSent != nil {
 		return rep, &dbpool.NotSentError{Cause: rep.NotSent}
 	}
 	return rep, nil
 }
 
+// errWithdrawn is the outcome of a request that the owner had not started when its caller
+// stopped waiting.
+var errWithdrawn = result.Errorf(result.Cancelled, "the request was withdrawn before the owner started it")
+
+// startWithdrawal withdraws the request that was sent when withdrawAfter ends, until stop is
+// called. It closes the sending side of the connection, after which owners of all releases
+// end the wait for a connection to the database. The owner's reply still arrives: it says
+// that nothing was run, or has the answers if the request had been started.
+func (c *ownerConn) startWithdrawal() (stop func()) {
+	if c.withdrawAfter == nil || c.withdrawAfter.Done() == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	cancel := context.AfterFunc(c.withdrawAfter, func() {
+		defer close(done)
+		if tcp, ok := c.conn.(*net.TCPConn); ok {
+			c.withdrawn = true
+			_ = tcp.CloseWrite() // if it fails, so does the exchange
+		}
+	})
+	return func() {
+		if !cancel() {
+			<-done // otherwise a later request could be withdrawn
+		}
+	}
+}
+
+// WithdrawAfter implements dbpool.Withdrawer.
+func (c *ownerConn) WithdrawAfter(ctx context.Context) { c.withdrawAfter = ctx }
+
 // errNoOrganisations refuses requests of organisations on a connection that was opened
 // before the deployment had any.
 var errNoOrganisations = result.Errorf(result.DatabaseDown, "the connection to the owner carries no organisations")
@@ -234,7 +276,9 @@
 func (c *ownerConn) OnProgress(f func()) { c.progress = f }
 
 // Alive implements dbpool.Conn.
-func (c *ownerConn) Alive() bool { return c.r.Buffered() == 0 && sockets.Reusable(c.raw) }
+func (c *ownerConn) Alive() bool {
+	return !c.withdrawn && c.r.Buffered() == 0 && sockets.Reusable(c.raw)
+}
 
 // Close implements dbpool.Conn.
 func (c *ownerConn) Close() error { return c.conn.Close() }
@@ -247,4 +291,5 @@
 	_ dbpool.ProgressReporter = (*ownerConn)(nil)
 	_ dbpool.Sequencer        = (*ownerConn)(nil)
 	_ dbpool.LoadReporter     = (*ownerConn)(nil)
+	_ dbpool.Withdrawer       = (*ownerConn)(nil)
 )
