--- a/internal/dbpool/paths.go
+++ b/internal/dbpool/paths.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -23,54 +24,53 @@
 // paths holds the pools through which an instance reaches one database: one for
 // each owner or, while the direct connections fail, for each instance that may still
 // reach the database, in order of preference, and one of direct connections. Set.mu
-// protects all fields except lastAnsweredControl.
+// protects all fields except the atomic ones and probes.
 type paths struct {
 	owners              []*Pool
 	peers               []*Pool // of the other owners, if this instance is one and organisations are in force
-	detours             bool    // the owners are instances that may still reach the database
 	direct              *Pool
 	database            string
 	instance            string        // this one
 	instances           int           // that use the database
 	occupation          *occupation   // nil without organisations
 	isOwner             bool          // this instance is an owner of the database's connections
+	detoured            bool          // owners are detours, because the direct connections fail
 	detourAt            time.Duration // when a detour was last needed; 0: never
-	detourSince         time.Duration // since when owners are detours, because the direct connections fail; 0: they are not
+	detourSince         time.Duration // since when detours are needed; 0: they are not
 	mayConnect          bool          // direct connections are allowed while no owner is usable
-	lastAnsweredControl atomic.Int64  // sending time of the last control command that the database answered
+	queueAtOwners       bool          // SetConfig.QueueAtOwners
+	lastAnsweredControl atomic.Int64  // sending time of the last control command that the database answered, other than through a detour
+	detourAnswer        atomic.Pointer[detourAnswer]
+	probes              probes
+}
+
+// detourAnswer is an answer of a database through a detour.
+type detourAnswer struct {
+	sent    time.Duration // when the query was sent
+	through string        // the other instance
 }
 
 // pickFor returns the pool for the requests of an organisation. The owners of a database,
 // of which this instance may be one, share the organisations by rendezvous hashing: the
-// requests of an organisation meet at one owner and find its connections there.
+// requests of an organisation meet at one owner and find its connections there. With
+// queueAtOwners, that also holds among owners that are only slow, if no other is usable.
 func (p *paths) pickFor(organisation string) *Pool {
 	candidates := p.owners
 	if p.isOwner {
 		candidates = p.peers
 	}
-	if organisation == "" || len(candidates) == 0 || (p.detours && !p.isOwner) {
+	if organisation == "" || len(candidates) == 0 || (p.detoured && !p.isOwner) {
 		return p.pick()
 	}
-	key := p.database + " " + organisation
-	pools, names := make([]*Pool, 0, len(candidates)+1), make([]string, 0, len(candidates)+1)
-	if p.isOwner && p.direct.usable() {
-		pools, names = append(pools, p.direct), append(names, p.instance)
+	if pool := p.pickAmong(candidates, organisation, (*Pool).usable); pool != nil {
+		return pool
 	}
-	for _, pool := range candidates {
-		if pool.usable() {
-			pools, names = append(pools, pool), append(names, pool.owner)
-		}
-	}
-	for skip := p.skip(organisation, len(pools)); ; skip-- {
-		at := ownership.Pick(key, names)
-		switch {
-		case at < 0:
-			return p.pick()
-		case skip <= 0:
-			return pools[at]
+	if p.queueAtOwners && p.detourSince == 0 {
+		if pool := p.pickAmong(candidates, organisation, (*Pool).onlySlow); pool != nil {
+			return pool
 		}
-		pools, names = slices.Delete(pools, at, at+1), slices.Delete(names, at, at+1)
 	}
+	return p.pick()
 }
 
 // skip returns how many owners a request of an organisation passes over. It is more than
@@ -84,32 +84,70 @@
 	return rand.IntN(placement.Spread(inUse, owners))
 }
 
+// pickAmong returns a pool among those of the owners, this instance included if it is one,
+// for which eligible returns true: the first one in the order of the organisation, unless
+// skip passes over it. It returns nil if there is none.
+func (p *paths) pickAmong(owners []*Pool, organisation string, eligible func(*Pool) bool) *Pool {
+	var (
+		pools []*Pool
+		names []string
+	)
+	if p.isOwner && eligible(p.direct) {
+		pools, names = append(pools, p.direct), append(names, p.instance)
+	}
+	for _, pool := range owners {
+		if eligible(pool) {
+			pools, names = append(pools, pool), append(names, pool.owner)
+		}
+	}
+	pools, names = withoutBusy(pools, names)
+	for skip := p.skip(organisation, len(pools)); ; skip-- {
+		at := ownership.Pick(p.database+" "+organisation, names)
+		switch {
+		case at < 0:
+			return nil
+		case skip <= 0:
+			return pools[at]
+		}
+		pools, names = slices.Delete(pools, at, at+1), slices.Delete(names, at, at+1)
+	}
+}
+
 // pick returns the pool of the first usable owner, or the direct pool. If no owner
-// is usable and this instance may not connect itself, it returns the first owner's.
+// is usable and this instance may not connect itself, it returns the first owner's. With
+// queueAtOwners, an owner that is only slow is preferred to the direct pool, and of failed
+// owners the one that may be tried first is returned.
 func (p *paths) pick() *Pool {
 	for _, pool := range p.owners {
 		if pool.usable() {
 			return pool
 		}
 	}
+	if p.queueAtOwners && p.detourSince == 0 {
+		for _, pool := range p.owners {
+			if pool.onlySlow() {
+				return pool
+			}
+		}
+	}
 	if len(p.owners) == 0 || p.mayConnect {
 		return p.direct
 	}
+	if p.queueAtOwners {
+		return slices.MinFunc(p.owners, func(a, b *Pool) int { return cmp.Compare(a.retryAt(), b.retryAt()) })
+	}
 	return p.owners[0]
 }
 
 // forStatus returns the pools through which a status query may be sent, in order.
-func (p *paths) forStatus(now time.Duration) []*Pool {
-	if p.detourSince != 0 && now-p.detourSince > maxDetourTime {
-		return []*Pool{p.direct}
-	}
+func (p *paths) forStatus() []*Pool {
 	var pools []*Pool
 	for _, pool := range p.owners {
 		if pool.usable() {
 			pools = append(pools, pool)
 		}
 	}
-	if p.mayConnect && p.detourSince == 0 || len(p.owners) == 0 {
+	if p.mayConnect && !p.detoured || len(p.owners) == 0 {
 		pools = append(pools, p.direct)
 	}
 	if len(pools) == 0 {
@@ -118,20 +156,26 @@
 	return pools
 }
 
-// recordControl records that the database answered a control command that was sent
-// at the given time.
-func (p *paths) recordControl(sent time.Duration) { p.lastAnsweredControl.Store(int64(sent)) }
+// recordControl records that the database answered a control command through a pool.
+// The command was sent at the given time.
+func (p *paths) recordControl(through *Pool, detoured bool, sent time.Duration) {
+	if detoured && through.owner != "" {
+		p.detourAnswer.Store(&detourAnswer{sent, through.owner})
+		return
+	}
+	p.lastAnsweredControl.Store(int64(sent))
+}
 
-// unresponsiveSince returns the time since which a pool has failed, if it failed
-// after the last answered control command was sent. A failing owner alone does not
-// mean that the database fails.
+// unresponsiveSince returns since when requests have failed on the instance's own
+// connections, or else through the owners: then if a pool failed after the last answered
+// control command was sent. A failing owner alone does not mean that the database fails.
 func (p *paths) unresponsiveSince() (time.Duration, bool) {
-	if len(p.owners) == 0 {
-		return p.direct.UnresponsiveSince()
-	}
-	if p.detourSince != 0 {
-		since, last, failed := p.direct.failure()
-		return since, failed && last > time.Duration(p.lastAnsweredControl.Load())
+	if p.detoured || len(p.owners) == 0 {
+		since, failed := p.direct.UnresponsiveSince()
+		if p.detourSince > time.Duration(p.lastAnsweredControl.Load()) {
+			since = min(since, p.detourSince)
+		}
+		return since, failed
 	}
 	var since time.Duration
 	failed := false
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/measure"
 	"geraniumbeam/internal/result"
@@ -56,6 +57,11 @@
 	clock   clock.Clock
 	queue   *admission.Queue
 	metrics *measure.Registry
+	// queueAtOwners is Config.QueueAtOwners.
+	queueAtOwners bool
+	dataCentre    string
+	ownerAddress  string
+	onRoundTrip   func(time.Duration)
 
 	maintaining atomic.Bool
 
@@ -74,9 +80,12 @@
 	latency      decayingMean       // of exchanges with a statement
 	setupLatency decayingMean       // of exchanges that only bring the session into the right state
 	statuses     statusQueries
+	shared       sharedLoad
+	waiting      waiting
 	assigned     assignment
-	occupation   *occupation // nil if the database is reached directly
-	pace         *pacer      // nil if the concurrency is fixed
+	occupation   *occupation   // nil if the database is reached directly
+	busyUntil    time.Duration // until when requests of organisations prefer another owner
+	pace         *pacer        // nil if the concurrency is fixed
 }
 
 // Config configures a Pool.
@@ -86,11 +95,22 @@
 	// Occupation records the use of connections to an owner by organisations; nil if Owner
 	// is empty or the deployment has no organisations.
 	Occupation *occupation
-	Dial       Dial
-	Clock      clock.Clock
-	Now        func() time.Duration // a clock that advances while the machine is suspended
-	Sizing     Sizing
-	Metrics    *measure.Registry // may be nil
+	// OwnerAddress is the address of the owner, which changes if it restarts elsewhere.
+	OwnerAddress string
+	Dial         Dial
+	Clock        clock.Clock
+	Now          func() time.Duration // a clock that advances while the machine is suspended
+	Sizing       Sizing
+	Metrics      *measure.Registry // may be nil
+	// QueueAtOwners keeps the statements that a database holds within the concurrency of
+	// its owners: a statement that was given up counts until the database has probably
+	// run it, and a request that passed its own deadline is no failure of the database.
+	QueueAtOwners bool
+	// DataCentre is the place of the database or, with Owner, of the owner.
+	DataCentre string
+	// OnRoundTrip gets the time that an exchange with an owner spent on the way. It may be
+	// nil.
+	OnRoundTrip func(took time.Duration)
 	// AdaptivePace limits the concurrency of a direct pool by how the database answers.
 	AdaptivePace bool
 }
@@ -102,17 +122,21 @@
 	}
 	pacer := newPacer(cfg)
 	return &Pool{
-		pace:        pacer,
-		db:          cfg.Database,
-		owner:       cfg.Owner,
-		occupation:  cfg.Occupation,
-		dial:        cfg.Dial,
-		now:         cfg.Now,
-		clock:       cfg.Clock,
-		sizing:      cfg.Sizing,
-		metrics:     cfg.Metrics,
-		warmUpAfter: cfg.Now() + rand.N(warmUpJitter),
-		queue:       admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: pacer.limit(cfg.Sizing.concurrency()), FixedConcurrency: true}),
+		pace:          pacer,
+		db:            cfg.Database,
+		owner:         cfg.Owner,
+		occupation:    cfg.Occupation,
+		dial:          cfg.Dial,
+		now:           cfg.Now,
+		clock:         cfg.Clock,
+		sizing:        cfg.Sizing,
+		metrics:       cfg.Metrics,
+		queueAtOwners: cfg.QueueAtOwners,
+		dataCentre:    cfg.DataCentre,
+		ownerAddress:  cfg.OwnerAddress,
+		onRoundTrip:   cfg.OnRoundTrip,
+		warmUpAfter:   cfg.Now() + rand.N(warmUpJitter),
+		queue:         admission.New(admission.Config{Clock: cfg.Clock, MaxConcurrency: pacer.limit(cfg.Sizing.concurrency()), FixedConcurrency: true}),
 	}
 }
 
@@ -151,6 +175,13 @@
 	Lagging bool
 	// MeanLatency is the smoothed round-trip time of an exchange.
 	MeanLatency time.Duration
+	// Report is what the owner reported with its latest reply, which is ReportAge old. On
+	// a direct connection it is the load of this instance's own pool.
+	Report    balance.Report
+	ReportAge time.Duration
+	// RefusedFor is how long the database should get no reads, because it refused some for
+	// a full queue. It is 0 if it has not lately.
+	RefusedFor time.Duration
 }
 
 // MarkLagging records that the database lacked a log position that a read
@@ -167,7 +198,11 @@
 	now := p.now() // a system call, made before the lock is taken
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	report, age := p.reportAt(now, queued)
 	return Load{
+		Report:         report,
+		ReportAge:      age,
+		RefusedFor:     p.shared.refusals.Remaining(now),
 		InUse:          p.open - len(p.idle),
 		Queued:         queued,
 		MaxOpen:        p.sizing.concurrency(),
@@ -187,6 +222,7 @@
 	conn        *pooledConn
 	ticket      *admission.Ticket
 	serviceTime time.Duration // sum of the lease's exchanges
+	abandoned   bool          // a statement was sent and not answered by its deadline
 
 	organisation string        // whose use of an owner is recorded; empty if it is not
 	began        time.Duration // valid with organisation
@@ -199,7 +235,7 @@
 // given variables. If it fails, nothing was sent to the database.
 func (p *Pool) Acquire(ctx context.Context, r admission.Request, variables map[string]string) (*Lease, error) {
 	began := p.now()
-	ticket, err := p.queue.Acquire(ctx, r)
+	ticket, err := p.awaitTurn(ctx, r)
 	p.observePhase(phaseQueue, p.now()-began)
 	if err != nil {
 		return nil, err
@@ -208,6 +244,7 @@
 	p.recordUse(organisation)
 	conn, err := p.takeConn(ctx, organisation, variables)
 	if err != nil {
+		p.observeRefusal(organisation, err)
 		ticket.Release(0)
 		return nil, err
 	}
@@ -328,6 +365,9 @@
 
 // connect opens a connection of the organisation.
 func (p *Pool) connect(ctx context.Context, organisation string) (*pooledConn, error) {
+	if isCancelled(ctx) { // otherwise another organisation could lose a connection for it
+		return nil, errCancelled(p.db.ID)
+	}
 	p.mu.Lock()
 	now := p.now()
 	if !p.closed && now < p.dialAfter && p.dialBackoff == 0 {
@@ -365,10 +405,14 @@
 	if p.owner != "" {
 		timeout = ownerDialTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := p.dial(ctx, p.db.Address, p.db.Service, p.db.ID, organisation)
+	conn, err := p.dial(dialCtx, p.db.Address, p.db.Service, p.db.ID, organisation)
 
+	if err != nil && isCancelled(ctx) && !isAnswer(err) {
+		p.dialCancelled()
+		return nil, errCancelled(p.db.ID)
+	}
 	p.countConnect(err)
 	ended := p.now()
 	p.observePhase(phaseConnect, ended-now)
@@ -411,7 +455,7 @@
 	if p.dialBackoff == 0 {
 		p.restartPace()
 	}
-	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), dialBackoffMax)
+	p.dialBackoff = min(max(2*p.dialBackoff, dialBackoffMin), p.maxBackoff())
 	p.dialAfter = now + p.dialBackoff
 }
 
@@ -460,6 +504,10 @@
 	l.recordOccupation()
 	l.endHold()
 	l.pool.discard(l.conn)
+	if hold := l.holdTime(); hold > 0 {
+		time.AfterFunc(hold, func() { l.ticket.Release(0) })
+		return
+	}
 	l.ticket.Release(0)
 }
 
--- a/internal/dbpool/set.go
+++ b/internal/dbpool/set.go
@@ -26,10 +26,6 @@
 	// an instance reaches, so without it the callers of an instance that is cut off
 	// from a primary are refused until the cut ends.
 	detourDelay = 50 * time.Millisecond
-	// maxDetourTime is how long a detour keeps a primary from being suspected. A
-	// primary that a majority of the instances does not reach for longer is replaced:
-	// it may be cut off from its replicas as well, which then lack its commits.
-	maxDetourTime = 10 * time.Second
 	// detourMemory is how long the direct connections must work before a later
 	// failure counts as another cut.
 	detourMemory = 3 * time.Second
@@ -65,6 +61,17 @@
 	DialOwner func(ctx context.Context, address, id string, organisations bool) (Conn, error)
 	// AdaptivePace limits the concurrency of direct pools by how the databases answer.
 	AdaptivePace bool
+	// QueueAtOwners makes requests wait at the owners of a database rather than in the
+	// database, also under load. Owners then also serve databases whose limit has room
+	// for a single connection of each instance.
+	QueueAtOwners bool
+	// Substitutes returns instances that may connect to an oversubscribed database which
+	// they do not own, in order of preference. They are used with QueueAtOwners while no
+	// owner is reached. If it is nil, there are none.
+	Substitutes func(d topology.Database, limit int) []ownership.Instance
+	// OnRoundTrip gets the time that an exchange with an owner in a data centre spent on
+	// the way. It may be nil.
+	OnRoundTrip func(dataCentre string, took time.Duration)
 }
 
 // Set holds the pools of all known databases. It is safe for concurrent use.
@@ -91,6 +98,8 @@
 				p.startMaintain(ctx)
 			}
 		}
+		s.releaseWaiting()
+		s.probeDetoured(ctx)
 		t := time.NewTimer(maintainInterval)
 		select {
 		case <-changed:
@@ -134,7 +143,8 @@
 		self          bool
 	)
 	organisations := s.organisationsInForce()
-	if s.cfg.Owners != nil && oversubscribed(limit, instances) {
+	hasOwners := oversubscribed(limit, instances) || (s.cfg.QueueAtOwners && scarce(limit, instances))
+	if s.cfg.Owners != nil && hasOwners {
 		owners, self = s.cfg.Owners(d, limit)
 	}
 	rank := limit
@@ -148,10 +158,12 @@
 			sizing, peers = sizing.perOrganisation(limit, len(owners)), s.others(owners)
 		}
 		owners = nil
+	} else if s.cfg.QueueAtOwners && len(owners) > 0 {
+		sizing = besideOwnersSizing
 	}
 	p, ok := s.pools[d.ID]
 	if !ok {
-		p = &paths{database: d.ID}
+		p = &paths{database: d.ID, queueAtOwners: s.cfg.QueueAtOwners}
 		s.pools[d.ID] = p
 	}
 	p.isOwner, p.instance, p.instances = self, s.cfg.Instance, instances
@@ -161,13 +173,16 @@
 	p.mayConnect = len(owners) == 0 || s.cfg.MayConnect == nil || s.cfg.MayConnect(d, limit)
 	if p.direct == nil || !sameDatabase(p.direct.db, d) {
 		p.close()
-		p.direct = s.newPool(Config{Database: d, Dial: s.cfg.Dial, Sizing: sizing})
+		p.direct = s.newPool(Config{Database: d, DataCentre: d.DataCentre, Dial: s.cfg.Dial, Sizing: sizing})
 	}
 	p.direct.setPrimary(d.Primary)
 	p.direct.SetSizing(sizing)
-	p.detours = len(owners) == 0
-	if p.detours {
+	p.detoured = false
+	if len(owners) == 0 {
 		owners = s.detours(d, p)
+		p.detoured = len(owners) > 0
+	} else {
+		owners = s.withSubstitutes(d, limit, p, owners)
 	}
 	p.owners = s.reconcileOwners(d, p.owners, owners, p.occupation)
 	p.peers = s.reconcileOwners(d, p.peers, peers, p.occupation)
@@ -210,7 +225,7 @@
 	}
 	unused := slices.Clone(old)
 	for _, o := range owners {
-		if i := slices.IndexFunc(unused, func(p *Pool) bool { return p.owner == o.Name }); i >= 0 {
+		if i := slices.IndexFunc(unused, func(p *Pool) bool { return p.owner == o.Name && p.ownerAddress == o.Address }); i >= 0 {
 			unused[i].SetSizing(sizing)
 			pools = append(pools, unused[i])
 			unused = slices.Delete(unused, i, i+1)
@@ -219,7 +234,7 @@
 		dial := func(ctx context.Context, _, _, id, _ string) (Conn, error) {
 			return s.cfg.DialOwner(ctx, o.Address, id, s.organisationsInForce())
 		}
-		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, Dial: dial, Sizing: sizing, Occupation: occupation}))
+		pools = append(pools, s.newPool(Config{Database: d, Owner: o.Name, OwnerAddress: o.Address, DataCentre: o.DataCentre, Dial: dial, Sizing: sizing, Occupation: occupation}))
 	}
 	for _, p := range unused {
 		p.Close()
@@ -228,7 +243,10 @@
 }
 
 func (s *Set) newPool(cfg Config) *Pool {
-	cfg.Clock, cfg.Now, cfg.Metrics, cfg.AdaptivePace = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics, s.cfg.AdaptivePace
+	cfg.Clock, cfg.Now, cfg.Metrics, cfg.QueueAtOwners, cfg.AdaptivePace = s.cfg.Clock, s.cfg.Now, s.cfg.Metrics, s.cfg.QueueAtOwners, s.cfg.AdaptivePace
+	if s.cfg.OnRoundTrip != nil {
+		cfg.OnRoundTrip = func(took time.Duration) { s.cfg.OnRoundTrip(cfg.DataCentre, took) }
+	}
 	return New(cfg)
 }
 
@@ -249,13 +267,17 @@
 }
 
 // Owned returns the direct pool of a database if this instance is one of its owners,
-// or if the database has none and this instance reaches it. It does not depend on the
-// organisation: if two instances disagree about the order of the owners, a request must
-// not be sent on by the one that receives it.
+// or if the database has none and this instance reaches it. With QueueAtOwners it also
+// does so if this instance may connect itself while no owner is usable. It does not depend
+// on the organisation: if two instances disagree about the order of the owners, a request
+// must not be sent on by the one that receives it.
 func (s *Set) Owned(id string) (*Pool, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	p, ok := s.pools[id]
+	if ok && p.queueAtOwners && p.mayConnect && p.direct != nil && p.direct.usable() {
+		return p.direct, true
+	}
 	if !ok || p.direct == nil || (!p.isOwner && (len(p.owners) > 0 || !p.direct.usable())) {
 		return nil, false
 	}
@@ -285,10 +307,11 @@
 	s.mu.RLock()
 	p, ok := s.pools[id]
 	var pools []*Pool
+	detoured := false
 	if ok {
-		pools = []*Pool{p.direct}
+		pools, detoured = []*Pool{p.direct}, p.detoured
 		if c.Op == statement.OpStatus {
-			pools = p.forStatus(s.cfg.Now())
+			pools = p.forStatus()
 		}
 	}
 	s.mu.RUnlock()
@@ -296,37 +319,30 @@
 		return statement.Status{}, result.Errorf(result.DatabaseDown, "database %s is not in the topology", id)
 	}
 	began := s.cfg.Now()
-	var (
-		st  statement.Status
-		err error
-	)
+	st, through, err := s.controlThrough(ctx, pools, c, timeout)
+	if err == nil {
+		p.recordControl(through, detoured, began)
+	}
+	return st, err
+}
+
+// controlThrough runs a control command through the first of the pools that answers,
+// and returns that pool.
+func (s *Set) controlThrough(ctx context.Context, pools []*Pool, c statement.Command, timeout time.Duration) (st statement.Status, through *Pool, err error) {
+	began := s.cfg.Now()
 	for i, pool := range pools {
 		left := timeout - (s.cfg.Now() - began)
 		if i < len(pools)-1 {
 			left = min(left, timeout/2)
 		}
 		if st, err = pool.Control(ctx, c, left); err == nil {
-			p.recordControl(began)
-			return st, nil
+			return st, pool, nil
 		}
 		if s.cfg.Now()-began >= timeout {
 			break
 		}
 	}
-	return st, err
-}
-
-// UnresponsiveSince implements primacy.Databases. A database counts as unresponsive
-// if exchanges through one of its pools fail and it has answered no control command
-// since.
-func (s *Set) UnresponsiveSince(_, id string) (time.Duration, bool) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	p, ok := s.pools[id]
-	if !ok {
-		return 0, false
-	}
-	return p.unresponsiveSince()
+	return st, nil, err
 }
 
 // Members implements primacy.Databases.
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/result"
 	"geraniumbeam/internal/sockets"
@@ -34,23 +35,39 @@
 	enc      *gob.Encoder
 	dec      *gob.Decoder
 	priority admission.Request // of the next requests
+	load     *balance.Report   // in the latest reply; nil once it has been taken
 	progress func()            // called for each report of progress; may be nil
 	inOrder  bool              // the owner sends no command before the answers of those that it relies on
+	// reportUnsent is DialOptions.ReportUnsent.
+	reportUnsent bool
 	// organisations is set if the messages are organisationRequests.
 	organisations bool
+	// withdrawAfter is the context after which requests that the owner has not started
+	// are withdrawn; nil if they are not.
+	withdrawAfter context.Context
+	withdrawn     bool // nothing more can be sent
 }
 
-// Dial connects to the owner at address for requests to the database with the id. If
-// organisations is set, the requests may have an organisation. It fails if that instance
-// does not own the database or does not know organisations; the pool then reports
-// result.DatabaseDown.
-func Dial(ctx context.Context, address, id string, organisations bool) (dbpool.Conn, error) {
+// DialOptions are the properties of a connection to an owner.
+type DialOptions struct {
+	// Organisations allows requests to have an organisation. An owner that does not know
+	// organisations is refused.
+	Organisations bool
+	// ReportUnsent makes the connection fail with a dbpool.NotSentError if a request can't
+	// be sent completely: the owner runs nothing of an incomplete message.
+	ReportUnsent bool
+}
+
+// Dial connects to the owner at address for requests to the database with the id. It
+// fails if that instance does not own the database or refuses the options; the pool then
+// reports result.DatabaseDown.
+func Dial(ctx context.Context, address, id string, o DialOptions) (dbpool.Conn, error) {
 	var d net.Dialer
 	netConn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to owner at %s: %w", address, err)
 	}
-	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn), organisations: organisations}
+	c := &ownerConn{conn: netConn, r: bufio.NewReader(netConn), w: bufio.NewWriter(netConn), organisations: o.Organisations, reportUnsent: o.ReportUnsent}
 	if err := c.handshake(ctx, address, id); err != nil {
 		_ = netConn.Close() // no request was sent on it
 		return nil, err
@@ -104,6 +121,9 @@
 	if err != nil {
 		return localAnswers(commands, rep.Answers), err
 	}
+	if rep.Lost != "" && rep.Answering {
+		return rep.Answers, &dbpool.ExpiredError{Cause: errors.New(rep.Lost)}
+	}
 	if rep.Lost != "" {
 		return rep.Answers, errors.New(rep.Lost)
 	}
@@ -149,6 +169,9 @@
 	if c.priority.Organisation != "" && !c.organisations {
 		return rep, &dbpool.NotSentError{Cause: errNoOrganisations}
 	}
+	if c.withdrawn {
+		return rep, &dbpool.NotSentError{Cause: errWithdrawn}
+	}
 	err := c.send(request{
 		ID: c.priority.ID, Class: c.priority.Class, Caller: c.priority.Caller, Rank: c.priority.Rank,
 		Remaining: time.Until(deadline), RemainingTarget: remainingTarget(c.priority), Commands: commands,
@@ -156,18 +179,56 @@
 	if err == nil {
 		err = c.w.Flush()
 	}
+	if err != nil && c.reportUnsent {
+		return rep, &dbpool.NotSentError{Cause: result.Errorf(result.DatabaseDown, "send a request to the owner: %w", err)}
+	}
 	if err == nil {
+		stop := c.startWithdrawal()
 		rep, err = c.receive()
+		stop()
 	}
 	if err != nil {
 		return rep, fmt.Errorf("exchange with owner: %w", err)
 	}
+	if rep.NotSent != nil && c.withdrawn {
+		return rep, &dbpool.NotSentError{Cause: errWithdrawn}
+	}
 	if rep.NotSent != nil {
 		return rep, &dbpool.NotSentError{Cause: rep.NotSent}
 	}
 	return rep, nil
 }
 
+// errWithdrawn is the outcome of a request that the owner had not started when its caller
+// stopped waiting.
+var errWithdrawn = result.Errorf(result.Cancelled, "the request was withdrawn before the owner started it")
+
+// startWithdrawal withdraws the request that was sent when withdrawAfter ends, until stop is
+// called. It closes the sending side of the connection, after which owners of all releases
+// end the wait for a connection to the database. The owner's reply still arrives: it says
+// that nothing was run, or has the answers if the request had been started.
+func (c *ownerConn) startWithdrawal() (stop func()) {
+	if c.withdrawAfter == nil || c.withdrawAfter.Done() == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	cancel := context.AfterFunc(c.withdrawAfter, func() {
+		defer close(done)
+		if tcp, ok := c.conn.(*net.TCPConn); ok {
+			c.withdrawn = true
+			_ = tcp.CloseWrite() // if it fails, so does the exchange
+		}
+	})
+	return func() {
+		if !cancel() {
+			<-done // otherwise a later request could be withdrawn
+		}
+	}
+}
+
+// WithdrawAfter implements dbpool.Withdrawer.
+func (c *ownerConn) WithdrawAfter(ctx context.Context) { c.withdrawAfter = ctx }
+
 // errNoOrganisations refuses requests of organisations on a connection that was opened
 // before the deployment had any.
 var errNoOrganisations = result.Errorf(result.DatabaseDown, "the connection to the owner carries no organisations")
@@ -192,6 +253,7 @@
 	for {
 		var rep reply // gob leaves fields unchanged that were not sent
 		if err := c.dec.Decode(&rep); err != nil || !rep.Waiting {
+			c.load = rep.Load
 			return rep, err
 		}
 		if c.progress != nil {
@@ -200,11 +262,23 @@
 	}
 }
 
+// TakeReport implements dbpool.LoadReporter.
+func (c *ownerConn) TakeReport() (balance.Report, bool) {
+	if c.load == nil {
+		return balance.Report{}, false
+	}
+	r := *c.load
+	c.load = nil
+	return r, true
+}
+
 // OnProgress implements dbpool.ProgressReporter.
 func (c *ownerConn) OnProgress(f func()) { c.progress = f }
 
 // Alive implements dbpool.Conn.
-func (c *ownerConn) Alive() bool { return c.r.Buffered() == 0 && sockets.Reusable(c.raw) }
+func (c *ownerConn) Alive() bool {
+	return !c.withdrawn && c.r.Buffered() == 0 && sockets.Reusable(c.raw)
+}
 
 // Close implements dbpool.Conn.
 func (c *ownerConn) Close() error { return c.conn.Close() }
@@ -216,4 +290,6 @@
 	_ dbpool.Prioritizer      = (*ownerConn)(nil)
 	_ dbpool.ProgressReporter = (*ownerConn)(nil)
 	_ dbpool.Sequencer        = (*ownerConn)(nil)
+	_ dbpool.LoadReporter     = (*ownerConn)(nil)
+	_ dbpool.Withdrawer       = (*ownerConn)(nil)
 )
--- a/internal/hop/organisations_test.go
+++ b/internal/hop/organisations_test.go
@@ -61,7 +61,7 @@
 	if _, err := l.Run(dbpool.Exchange{Begin: &begin, Statement: readStatement("one"), Deadline: testDeadline()}); err != nil {
 		t.Fatal(err)
 	}
-	conn, err := Dial(t.Context(), o.address, "db-1", true)
+	conn, err := Dial(t.Context(), o.address, "db-1", DialOptions{Organisations: true})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/admission"
+	"geraniumbeam/internal/balance"
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
 	"geraniumbeam/internal/result"
@@ -55,6 +56,8 @@
 type Server struct {
 	Pools Pools
 	Log   zerolog.Logger
+	// QueueAtOwners is dbpool.SetConfig.QueueAtOwners.
+	QueueAtOwners bool
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -110,7 +113,10 @@
 		variables: make(map[string]string), prepared: make(map[string]dbpool.PreparedStatement),
 		reportsProgress: req.URL.Query().Has(progressParam), organisations: organisations,
 	}
-	p.serve()
+	if p.serve() {
+		_ = c.Close() // the last reply still reaches a peer that has closed its sending side
+		return
+	}
 	_ = sockets.Reset(c) // data in transit is no longer needed
 }
 
@@ -150,9 +156,10 @@
 	organisation string
 }
 
-// serve handles requests until the peer disconnects, which also ends the wait for
-// a connection to the database.
-func (p *peerConn) serve() {
+// serve handles requests until the peer disconnects or closes its sending side, which also
+// ends the wait for a connection to the database. It reports false if it ends the
+// connection itself.
+func (p *peerConn) serve() bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	requests := make(chan organisationRequest)
 	go func() {
@@ -168,12 +175,15 @@
 	}()
 	for r := range requests {
 		p.startProgress()
+		began := time.Now()
 		rep := p.handle(ctx, r.Organisation, r.Request)
 		p.stopProgress()
+		rep.Load = p.server.load(p.id, time.Since(began))
 		if p.send(rep) != nil || rep.Lost != "" {
-			return // the peer reconnects
+			return false // the peer reconnects
 		}
 	}
+	return true
 }
 
 // readRequests passes on the peer's requests until it disconnects or ctx ends.
@@ -290,14 +300,18 @@
 	}
 	if p.lease == nil {
 		acquireDeadline := deadline.Add(-answerMargin)
-		ctx, cancel := context.WithDeadline(ctx, acquireDeadline)
+		acquireCtx, cancel := context.WithDeadline(ctx, acquireDeadline)
 		defer cancel()
-		lease, err := pool.Acquire(ctx, admission.Request{
+		lease, err := pool.Acquire(acquireCtx, admission.Request{
 			ID: r.ID, Class: r.Class, Caller: r.Caller, Organisation: organisation, Rank: r.Rank, Deadline: acquireDeadline, Target: targetOf(r),
 		}, p.variables)
 		if err != nil {
 			return reply{NotSent: withoutCause(result.From(err)), Answers: answers}
 		}
+		if ctx.Err() != nil {
+			lease.Release()
+			return reply{NotSent: errWithdrawn, Answers: answers}
+		}
 		p.lease, p.organisation = lease, organisation
 	}
 	results, err := p.lease.RunCommands(deadline, p.variables, p.prepared, forwarded)
@@ -313,7 +327,7 @@
 		if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
 			return reply{NotSent: withoutCause(result.From(notSent.Cause)), Answers: answers}
 		}
-		return reply{Lost: err.Error()}
+		return reply{Lost: err.Error(), Answering: p.server.QueueAtOwners && answering(pool, owned)}
 	}
 	if results[len(results)-1].State == statement.TxIdle {
 		p.lease.Release()
@@ -374,3 +388,27 @@
 	}
 	return reply{Status: &s}
 }
+
+// answering reports whether the database answers this instance.
+func answering(pool *dbpool.Pool, owned bool) bool {
+	if !owned {
+		return false
+	}
+	_, unresponsive := pool.UnresponsiveSince()
+	return !unresponsive
+}
+
+// load returns the load of a database for a reply to a request that took the given time,
+// or nil if this instance does not report it.
+func (s *Server) load(id string, took time.Duration) *balance.Report {
+	if !s.QueueAtOwners {
+		return nil
+	}
+	pool, owned := s.Pools.Owned(id)
+	if !owned {
+		return nil
+	}
+	l := pool.Load()
+	l.Report.RefusedFor, l.Report.Took = l.RefusedFor, took
+	return &l.Report
+}
--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -25,6 +25,7 @@
 	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/contain"
 	"geraniumbeam/internal/dbpool"
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/hop"
 	"geraniumbeam/internal/limits"
 	"geraniumbeam/internal/measure"
@@ -36,7 +37,8 @@
 	"geraniumbeam/internal/topology"
 )
 
-// Config holds what an instance needs. All fields but OrganisationLimits and AdaptivePace are required.
+// Config holds what an instance needs. All fields but OrganisationLimits, AdaptivePace and
+// Regions are required.
 type Config struct {
 	Instance      string
 	DataCentre    string
@@ -57,21 +59,25 @@
 	OrganisationLimits *quota.Window
 	// AdaptivePace limits the concurrency of databases by how they answer.
 	AdaptivePace bool
+	// Regions maps each data centre to its region. It is nil in a deployment of one
+	// region, in which demand is not balanced.
+	Regions distance.Regions
 }
 
 // Instance is a proxy instance.
 type Instance struct {
-	cfg      Config
-	topology *topology.Topology
-	records  *primacy.RecordCache
-	primacy  *primacy.Runner
-	pools    *dbpool.Set
-	proxy    *proxy.Server
-	metrics  *measure.Registry
-	syncer   *topology.Syncer
-	hop      *hop.Server
-	limits   *limits.Limiter // nil if organisations have no limits
-	stopping atomic.Bool
+	cfg       Config
+	topology  *topology.Topology
+	records   *primacy.RecordCache
+	primacy   *primacy.Runner
+	pools     *dbpool.Set
+	proxy     *proxy.Server
+	metrics   *measure.Registry
+	syncer    *topology.Syncer
+	hop       *hop.Server
+	limits    *limits.Limiter // nil if organisations have no limits
+	distances *distance.Times // nil in a deployment of one region
+	stopping  atomic.Bool
 }
 
 // New returns an instance. Run starts it.
@@ -82,9 +88,17 @@
 		records: primacy.NewRecordCache(incarnation, primacy.InitialValidity, clock.SinceBoot),
 	}
 	i.syncer = topology.NewSyncer(i.topology, cfg.Source, clock.SinceBoot, cfg.Log.With().Str("part", "topology").Logger())
+	dialOwner := func(ctx context.Context, address, id string, organisations bool) (dbpool.Conn, error) {
+		return hop.Dial(ctx, address, id, hop.DialOptions{Organisations: organisations, ReportUnsent: cfg.Regions != nil})
+	}
+	if cfg.Regions != nil {
+		i.distances = distance.NewTimes(cfg.Regions, cfg.DataCentre)
+	}
 	i.pools = dbpool.NewSet(dbpool.SetConfig{
 		Instance: cfg.Instance, Dial: cfg.Dial, Topology: i.topology, Clock: clock.Real{}, Now: clock.SinceBoot,
-		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: hop.Dial, AdaptivePace: cfg.AdaptivePace,
+		Instances: func() int { return i.primacy.Instances() }, Metrics: i.metrics, DialOwner: dialOwner,
+		QueueAtOwners: cfg.Regions != nil, AdaptivePace: cfg.AdaptivePace, OnRoundTrip: i.observeRoundTrip,
+		Substitutes: func(d topology.Database, limit int) []ownership.Instance { return i.primacy.Substitutes(d.ID, limit) },
 		Owners: func(d topology.Database, limit int) ([]ownership.Instance, bool) {
 			return i.primacy.Owners(d.ID, d.DataCentre, limit)
 		},
@@ -94,13 +108,14 @@
 			return i.primacy.MayConnect(d.ID, d.DataCentre, limit)
 		},
 	})
-	i.hop = &hop.Server{Pools: i.pools, Log: cfg.Log.With().Str("part", "hop").Logger()}
+	i.hop = &hop.Server{Pools: i.pools, QueueAtOwners: cfg.Regions != nil, Log: cfg.Log.With().Str("part", "hop").Logger()}
 	i.primacy = primacy.NewRunner(primacy.Config{
 		Instance: cfg.Instance, DataCentre: cfg.DataCentre, Address: cfg.Address, Peers: peer.NewClient(), Incarnation: incarnation, Store: cfg.Store, Databases: i.pools,
 		Promotions: cfg.Promotions, Cache: i.records, Services: i.services, Now: clock.SinceBoot,
 		Log:                cfg.Log.With().Str("part", "primacy").Logger(),
 		OnStoreUnavailable: func() { i.topology.StoreUnavailable(clock.SinceBoot()) },
 		Listings:           i.syncer,
+		Regions:            cfg.Regions,
 	})
 	i.syncer.OnListing = i.primacy.NotifyListing
 	var limiter proxy.Limiter
@@ -112,7 +127,8 @@
 		DataCentre: cfg.DataCentre, MaxSessions: cfg.MaxSessions, Topology: i.topology, Records: i.records,
 		Pools: i.pools, Now: clock.SinceBoot, Log: cfg.Log.With().Str("part", "proxy").Logger(),
 		NewCallerConn: cfg.NewCallerConn, Metrics: i.metrics, LeavingPrimaryTimeout: cfg.DrainTime * leavingPrimaryPercent / 100,
-		Limiter: limiter,
+		Limiter:   limiter,
+		Distances: i.distances,
 	})
 	return i
 }
@@ -126,6 +142,12 @@
 	})
 }
 
+func (i *Instance) observeRoundTrip(dataCentre string, took time.Duration) {
+	if i.distances != nil {
+		i.distances.Observe(dataCentre, took, clock.SinceBoot())
+	}
+}
+
 // leavingPrimaryPercent is the share of the drain time, in percent, during which a
 // leaving primary still gets work. The rest covers the delay until the instance
 // learns from the store that the database is leaving.
--- a/internal/primacy/owners.go
+++ b/internal/primacy/owners.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/ownership"
 )
 
@@ -26,20 +27,32 @@
 // stays free for instances that restart while the database still counts their
 // former connections. Instances of the database's data centre are preferred.
 func Owners(registered []Registration, self, id, dataCentre string, limit int) ([]ownership.Instance, bool) {
-	var local, remote []ownership.Instance
+	return ownersIn(nil, registered, self, id, dataCentre, limit)
+}
+
+// ownersIn is Owners for data centres in regions. If the database's data centre has too
+// few instances, those of its region are preferred to all others. regions may be nil.
+func ownersIn(regions distance.Regions, registered []Registration, self, id, dataCentre string, limit int) ([]ownership.Instance, bool) {
+	var local, near, remote []ownership.Instance
 	for _, reg := range registered {
 		if reg.Address == "" {
 			continue
 		}
 		i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
-		if reg.DataCentre == dataCentre {
+		switch {
+		case reg.DataCentre == dataCentre:
 			local = append(local, i)
-		} else {
+		case regions.Tier(reg.DataCentre, dataCentre) == distance.SameRegion:
+			near = append(near, i)
+		default:
 			remote = append(remote, i)
 		}
 	}
 	n := min(max(limit/2/ownerConnections, minOwners), maxOwners)
 	owners := ownership.Order(id, local)
+	if len(owners) < minOwners {
+		owners = append(owners, ownership.Order(id, near)...)
+	}
 	if len(owners) < minOwners {
 		owners = append(owners, ownership.Order(id, remote)...)
 	}
@@ -57,7 +70,13 @@
 // reach itself: those of its own data centre, which answer soonest whether they do,
 // then those of the database's.
 func Detours(registered []Registration, self, id, ownDataCentre, dataCentre string) []ownership.Instance {
-	var own, near, other []ownership.Instance
+	return detoursIn(nil, registered, self, id, ownDataCentre, dataCentre)
+}
+
+// detoursIn is Detours for data centres in regions. After those of the database's data
+// centre come those of its region. regions may be nil.
+func detoursIn(regions distance.Regions, registered []Registration, self, id, ownDataCentre, dataCentre string) []ownership.Instance {
+	var own, near, region, other []ownership.Instance
 	for _, reg := range registered {
 		i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
 		switch {
@@ -66,6 +85,8 @@
 			own = append(own, i)
 		case reg.DataCentre == dataCentre:
 			near = append(near, i)
+		case regions.Tier(reg.DataCentre, dataCentre) == distance.SameRegion:
+			region = append(region, i)
 		default:
 			other = append(other, i)
 		}
@@ -74,6 +95,7 @@
 	detours := ownership.Order(key, own)
 	detours = detours[:min(len(detours), maxDetours/2)]
 	detours = append(detours, ownership.Order(key, near)...)
+	detours = append(detours, ownership.Order(key, region)...)
 	detours = append(detours, ownership.Order(key, other)...)
 	return detours[:min(len(detours), maxDetours)]
 }
@@ -83,7 +105,7 @@
 func (r *Runner) Detours(id, dataCentre string) []ownership.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Detours(r.knownInstances, r.cfg.Instance, id, r.cfg.DataCentre, dataCentre)
+	return detoursIn(r.cfg.Regions, r.knownInstances, r.cfg.Instance, id, r.cfg.DataCentre, dataCentre)
 }
 
 // directShare is the part of a connection limit that is open to instances which reach
@@ -98,6 +120,35 @@
 	return listed && rankOf(self, "direct "+id, namesOf(registered)) < max(1, limit/directShare)
 }
 
+// maxSubstitutes bounds the instances through which one tries to reach a database whose
+// owners it does not reach. With half of the instances lost, six of them are all lost in
+// one of 64 cases.
+const maxSubstitutes = 6
+
+// Substitutes returns instances for which MayConnect is true, in the order in which the
+// instance self should ask them to run statements while it reaches no owner.
+func Substitutes(registered []Registration, self, id string, limit int) []ownership.Instance {
+	var others []ownership.Instance
+	for _, reg := range registered {
+		if reg.Address != "" {
+			others = append(others, ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre})
+		}
+	}
+	allowed := ownership.Order("direct "+id, others)
+	allowed = allowed[:min(len(allowed), max(1, limit/directShare))]
+	allowed = slices.DeleteFunc(allowed, func(i ownership.Instance) bool { return i.Name == self })
+	order := ownership.Order(self+" "+id, allowed)
+	return order[:min(len(order), maxSubstitutes)]
+}
+
+// Substitutes calls the function Substitutes for this instance and the instances that it
+// knows.
+func (r *Runner) Substitutes(id string, limit int) []ownership.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Substitutes(r.knownInstances, r.cfg.Instance, id, limit)
+}
+
 // cachedOwners holds the arguments and the result of a call of Owners.
 type cachedOwners struct {
 	dataCentre string
@@ -142,7 +193,7 @@
 	defer r.mu.Unlock()
 	o, ok := r.ownersCache[id]
 	if !ok || o.dataCentre != dataCentre || o.limit != limit {
-		owners, self := Owners(r.knownInstances, r.cfg.Instance, id, dataCentre, limit)
+		owners, self := ownersIn(r.cfg.Regions, r.knownInstances, r.cfg.Instance, id, dataCentre, limit)
 		o = cachedOwners{dataCentre, limit, owners, self, MayConnect(r.knownInstances, r.cfg.Instance, id, limit), r.rankAt(id)}
 		r.ownersCache[id] = o
 	}
--- a/internal/primacy/runner.go
+++ b/internal/primacy/runner.go
@@ -8,9 +8,10 @@
 	"github.com/rs/zerolog"
 
 	"geraniumbeam/internal/contain"
+	"geraniumbeam/internal/distance"
 )
 
-// Config holds the dependencies of a Runner. All fields are required.
+// Config holds the dependencies of a Runner. All fields but Regions are required.
 type Config struct {
 	Instance    string
 	DataCentre  string
@@ -25,6 +26,7 @@
 	Now         func() time.Duration // includes time spent suspended
 	Log         zerolog.Logger
 	Listings    Listings
+	Regions     distance.Regions // nil in a deployment of one region
 	// OnStoreUnavailable is called when a renewal request to the store fails.
 	OnStoreUnavailable func()
 }
@@ -45,11 +47,15 @@
 	countDelays     map[string]time.Duration // by service; since the latest vote without a quorum
 	checking        map[string]bool          // services whose check or replacement is in progress
 	recordSeenAt    map[string]time.Duration // by service; when the current record was first seen
+	lossReports     map[string]time.Duration // by service; when the loss of the primary was last logged
+	reachQueries    map[string]bool          // services whose primary another instance asked about
+	probedAt        map[string]time.Duration // by service; when its primary was last probed for that reason
 	instanceCount   int
 	// failedRounds is the number of consecutive renewal rounds that confirmed
 	// nothing.
 	failedRounds   int
 	upstreams      upstreams
+	substitution   substitution
 	roleKnown      bool                    // the upstreams are known
 	roleChanged    chan struct{}           // closed when the upstreams change
 	knownInstances []Registration          // from the latest list
@@ -91,6 +97,9 @@
 		countDelays:   make(map[string]time.Duration),
 		checking:      make(map[string]bool),
 		recordSeenAt:  make(map[string]time.Duration),
+		lossReports:   make(map[string]time.Duration),
+		reachQueries:  make(map[string]bool),
+		probedAt:      make(map[string]time.Duration),
 		ownersCache:   make(map[string]cachedOwners),
 		roleChanged:   make(chan struct{}),
 		unestablished: make(map[string]bool),
--- a/internal/primacy/upstream.go
+++ b/internal/primacy/upstream.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"geraniumbeam/internal/distance"
 	"geraniumbeam/internal/ownership"
 )
 
@@ -21,30 +22,28 @@
 // store, in the order in which it should try them. It returns nil if the instance
 // must query the store itself.
 func Upstreams(registered []Registration, self, dataCentre string) []ownership.Instance {
-	byDataCentre := make(map[string][]ownership.Instance)
-	for _, reg := range registered {
-		if reg.Address != "" {
-			i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
-			byDataCentre[reg.DataCentre] = append(byDataCentre[reg.DataCentre], i)
-		}
-	}
-	var heads []ownership.Instance
-	for name, members := range byDataCentre {
-		heads = append(heads, treeOrder(name, members)[0])
-	}
-	heads = ownership.Order("upstream", heads)
-	local := treeOrder(dataCentre, byDataCentre[dataCentre])
+	return upstreamsIn(nil, registered, self, dataCentre)
+}
+
+// upstreamsIn is Upstreams for data centres in regions. One instance of each region, the
+// first of those that stand first in their data centres, gets the state from another
+// region; it passes once over each link between regions. regions may be nil.
+func upstreamsIn(regions distance.Regions, registered []Registration, self, dataCentre string) []ownership.Instance {
+	members := byDataCentre(registered)
+	heads := headsOf(members)
+	local := treeOrder(dataCentre, members[dataCentre])
 	position := slices.IndexFunc(local, func(i ownership.Instance) bool { return i.Name == self })
 	var upstreams []ownership.Instance
 	switch {
 	case position < 0 && len(local) == 0: // not listed yet
-		upstreams = heads
+		upstreams = nearestFirst(regions, heads, dataCentre)
 	case position < 0:
 		upstreams = []ownership.Instance{parentOf(local, len(local)), local[0]}
 	case position == 0:
-		upstreams = heads[:slices.IndexFunc(heads, func(i ownership.Instance) bool { return i.Name == self })]
+		before := heads[:slices.IndexFunc(heads, func(i ownership.Instance) bool { return i.Name == self })]
+		upstreams = nearestFirst(regions, before, dataCentre)
 	case position == 1:
-		upstreams = []ownership.Instance{local[0], heads[0]}
+		upstreams = []ownership.Instance{local[0], secondSource(regions, heads, local[0])}
 	default:
 		parent := parentOf(local, position)
 		backup := local[0]
@@ -56,6 +55,53 @@
 	return withoutRepeats(upstreams)
 }
 
+// nearestFirst returns the instances with those of the data centre's region first, and
+// otherwise in the given order.
+func nearestFirst(regions distance.Regions, instances []ownership.Instance, dataCentre string) []ownership.Instance {
+	var near, other []ownership.Instance
+	for _, i := range instances {
+		if regions.Tier(i.DataCentre, dataCentre) == distance.OtherRegion {
+			other = append(other, i)
+		} else {
+			near = append(near, i)
+		}
+	}
+	return append(near, other...)
+}
+
+// secondSource returns where an instance gets the state if head, the first of its data
+// centre, fails: from another head of its region if there is one, otherwise from the top
+// of the tree.
+func secondSource(regions distance.Regions, heads []ownership.Instance, head ownership.Instance) ownership.Instance {
+	for _, i := range heads {
+		if regions.Tier(i.DataCentre, head.DataCentre) == distance.SameRegion {
+			return i
+		}
+	}
+	return heads[0]
+}
+
+// byDataCentre returns the instances that can be reached, by data centre.
+func byDataCentre(registered []Registration) map[string][]ownership.Instance {
+	members := make(map[string][]ownership.Instance)
+	for _, reg := range registered {
+		if reg.Address != "" {
+			i := ownership.Instance{Name: reg.Instance, Address: reg.Address, DataCentre: reg.DataCentre}
+			members[reg.DataCentre] = append(members[reg.DataCentre], i)
+		}
+	}
+	return members
+}
+
+// headsOf returns the first instance of each data centre, the top of the tree first.
+func headsOf(members map[string][]ownership.Instance) []ownership.Instance {
+	var heads []ownership.Instance
+	for dataCentre, local := range members {
+		heads = append(heads, treeOrder(dataCentre, local)[0])
+	}
+	return ownership.Order("upstream", heads)
+}
+
 // treeOrder returns the instances of a data centre in the order in which they stand
 // in the tree, the first one at its top.
 func treeOrder(dataCentre string, members []ownership.Instance) []ownership.Instance {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -187,7 +187,10 @@
 		s.endUnused(lease, begun)
 		return failure(result.Errorf(result.NoPrimary, "the primary of service %s is being replaced", req.route.Service), "", t), true
 	}
-	s.endWait()
+	withdrawable := t.pool.Owner() != "" && !begun // the owner has a queue of its own
+	if !withdrawable {
+		s.endWait()
+	}
 	if req.ctx.Err() != nil {
 		return s.giveUp(t, lease, begun)
 	}
@@ -199,14 +202,22 @@
 	}
 	sentBefore := req.charge.setSent(true)
 	sentAt := s.srv.cfg.Now()
-	a, err := lease.Run(dbpool.Exchange{
+	x := dbpool.Exchange{
 		Variables: s.variables, Prepared: req.preparedStmt, Begin: begin, Statement: req.st, WaitFor: t.waitFor, Deadline: deadline,
-	})
+	}
+	if withdrawable {
+		x.Context = req.ctx
+	}
+	a, err := lease.Run(x)
+	s.endWait()
 	if notSent := (*dbpool.NotSentError)(nil); errors.As(err, &notSent) {
 		lease.ReleaseNotSent(notSent)
 		if result.From(notSent.Cause).Code != result.DatabaseDown {
 			req.charge.setSent(sentBefore) // the owner refused the request before it had a connection
 		}
+		if req.ctx.Err() != nil {
+			return callerGone(t), false
+		}
 		return s.handleNotSent(req, t, notSent)
 	}
 	if err != nil {
@@ -269,6 +280,10 @@
 		req.attemptsByDatabase[t.pool.Database().ID]++
 		return o, true
 	}
+	if s.hasOtherPath(req, t) {
+		req.acquireFailures++
+		return o, true
+	}
 	if req.needsPrimary() || req.acquireFailures > 0 {
 		waitNoDatabaseDelay(s.srv.cfg.Records.Changed(), req.deadline)
 	}
@@ -384,7 +399,9 @@
 		req.attemptsByDatabase[id] = maxAttemptsPerDatabase
 		return o, true
 	case result.Overloaded:
-		time.Sleep(min(overloadedDelay, time.Until(req.deadline)))
+		if s.srv.cfg.Distances == nil || req.needsPrimary() || req.attemptsByDatabase[id] > 1 {
+			time.Sleep(min(overloadedDelay, time.Until(req.deadline)))
+		}
 		return o, req.attemptsByDatabase[id] < maxAttemptsPerDatabase || !req.needsPrimary()
 	case result.NotPrimary:
 		waitUntil(s.srv.cfg.Records.Changed(), earlier(req.deadline, time.Now().Add(notPrimaryDelay)))
