--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -90,10 +90,10 @@
 	wake  chan struct{}
 	stats stats
 
-	mu      sync.Mutex
-	replied chan struct{} // closed after the next reply or failed request
-	alloc   *quota.Allocator
-	office  office
+	mu         sync.Mutex
+	replied    chan struct{} // closed after the next reply or failed request
+	alloc      *quota.Allocator
+	succession succession
 }
 
 // table holds the limits of a version of the configuration.
@@ -335,7 +335,7 @@
 func (l *Limiter) Stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.office.stopping = true
+	l.succession.stopping = true
 	if l.alloc != nil {
 		l.alloc.Stop()
 	}
--- a/internal/limits/office.go
+++ b/internal/limits/succession.go
@@ -36,8 +36,8 @@
 	firstEra = 1
 )
 
-// office is what an instance knows of the coordinator. Limiter.mu guards it.
-type office struct {
+// succession is what an instance knows of the coordinator. Limiter.mu guards it.
+type succession struct {
 	stopping    bool          // this instance shuts down
 	token       uint64        // of the coordinator
 	silentSince time.Duration // the first request without a reply; 0: all were answered
@@ -51,8 +51,8 @@
 func (l *Limiter) noteRequest(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.office.silentSince == 0 {
-		l.office.silentSince = now
+	if l.succession.silentSince == 0 {
+		l.succession.silentSince = now
 	}
 }
 
@@ -60,24 +60,24 @@
 func (l *Limiter) noteReply(r quota.Reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.office.silentSince = 0
-	l.office.ended = r.Stopping && r.Token >= l.office.token
+	l.succession.silentSince = 0
+	l.succession.ended = r.Stopping && r.Token >= l.succession.token
 }
 
 // coordinate takes the record over if it is this instance's turn, and gives the allocator
 // what it needs.
 func (l *Limiter) coordinate(ctx context.Context, now time.Duration, era uint64, rec primacy.Record, known bool) {
 	l.mu.Lock()
-	if rec.Token > l.office.token {
-		l.office.token, l.office.silentSince, l.office.ended, l.office.vacantSince = rec.Token, 0, false, 0
+	if rec.Token > l.succession.token {
+		l.succession.token, l.succession.silentSince, l.succession.ended, l.succession.vacantSince = rec.Token, 0, false, 0
 	}
 	alloc, due := l.alloc, l.isTurn(now, era, rec, known)
 	if due {
-		l.office.attemptedAt = now
+		l.succession.attemptedAt = now
 	}
-	list := alloc != nil && alloc.NeedsList(now) && now-l.office.listingAt >= retryTime
+	list := alloc != nil && alloc.NeedsList(now) && now-l.succession.listingAt >= retryTime
 	if list {
-		l.office.listingAt = now
+		l.succession.listingAt = now
 	}
 	l.mu.Unlock()
 	if list {
@@ -90,8 +90,8 @@
 
 // isTurn reports whether this instance should take the record over now. l.mu is held.
 func (l *Limiter) isTurn(now time.Duration, era uint64, rec primacy.Record, known bool) bool {
-	o := &l.office
-	if o.stopping || (o.attemptedAt != 0 && now-o.attemptedAt < retryTime) {
+	s := &l.succession
+	if s.stopping || (s.attemptedAt != 0 && now-s.attemptedAt < retryTime) {
 		return false
 	}
 	own := known && rec.Promoter == l.cfg.Incarnation
@@ -102,14 +102,14 @@
 		return true // the store lost the record, or a former process of this instance wrote it
 	}
 	rank := time.Duration(min(l.rank(rec.Primary), maxRank))
-	if !known || rec.Revision.Era != era || o.ended || l.hasEnded(rec) {
-		if o.vacantSince == 0 {
-			o.vacantSince = now
+	if !known || rec.Revision.Era != era || s.ended || l.hasEnded(rec) {
+		if s.vacantSince == 0 {
+			s.vacantSince = now
 		}
-		return now-o.vacantSince >= rank*turnTime+l.jitter()
+		return now-s.vacantSince >= rank*turnTime+l.jitter()
 	}
-	o.vacantSince = 0
-	return o.silentSince != 0 && now-o.silentSince >= silenceTime+rank*silenceRankTime+l.jitter()
+	s.vacantSince = 0
+	return s.silentSince != 0 && now-s.silentSince >= silenceTime+rank*silenceRankTime+l.jitter()
 }
 
 // hasEnded reports whether the process that a record names has ended: its instance is
@@ -177,7 +177,7 @@
 		}
 		return
 	}
-	l.enter(written, rec.Primary, asked)
+	l.startCoordinating(written, rec.Primary, asked)
 }
 
 // storedRecord returns the record in the store, or the zero value if there is none.
@@ -205,8 +205,8 @@
 	return rec.Unsettled && l.cfg.Registry.EraAge() < settledTime
 }
 
-// enter starts the coordination under a record that the store has accepted.
-func (l *Limiter) enter(rec primacy.Record, predecessor string, asked time.Duration) {
+// startCoordinating starts the coordination under a record that the store has accepted.
+func (l *Limiter) startCoordinating(rec primacy.Record, predecessor string, asked time.Duration) {
 	now := l.cfg.Now()
 	l.mu.Lock()
 	if l.alloc != nil {
@@ -217,7 +217,7 @@
 	l.alloc = quota.NewAllocator(quota.AllocatorConfig{
 		Instance: l.cfg.Instance, Token: rec.Token, Asked: asked, Started: now, Predecessor: predecessor, Incomplete: rec.Unsettled,
 	})
-	if l.office.stopping {
+	if l.succession.stopping {
 		l.alloc.Stop()
 	}
 	l.mu.Unlock()
