--- a/internal/limits/fake_test.go
+++ b/internal/limits/fake_test.go
@@ -169,22 +169,33 @@
 	x.starts++
 	x.era, x.known = 0, nil
 	x.cache = primacy.NewRecordCache(x.incarnation(), primacy.InitialValidity, x.c.now)
-	x.limiter = New(Config{
+	limiter := New(Config{
 		Instance: x.name, Incarnation: x.incarnation(), Address: x.name, Window: x.c.window, Store: x, Records: x.cache, Registry: x,
 		Peers: x, Topology: x.c.topology, Now: x.c.now, Log: zerolog.Nop(),
 	})
 	var ctx context.Context
 	ctx, x.cancel = context.WithCancel(context.Background())
-	x.done = make(chan struct{})
+	done := make(chan struct{})
+	x.mu.Lock()
+	x.limiter, x.done = limiter, done
+	x.mu.Unlock()
 	go func() {
-		defer close(x.done)
+		defer close(done)
 		var wg sync.WaitGroup
-		wg.Go(func() { _ = x.limiter.Run(ctx) }) // returns when ctx ends
+		wg.Go(func() { _ = limiter.Run(ctx) }) // returns when ctx ends
 		wg.Go(func() { x.renew(ctx) })
 		wg.Wait()
 	}()
 }
 
+// process returns the present process of the instance. Requests of other instances may be
+// under way while it is started again.
+func (x *node) process() (limiter *Limiter, done chan struct{}) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.limiter, x.done
+}
+
 // stop ends the process without a word.
 func (x *node) stop() {
 	x.cancel()
@@ -289,8 +300,9 @@
 	x.mu.Unlock()
 	i := slices.IndexFunc(x.c.nodes, func(n *node) bool { return n.name == address })
 	to := x.c.nodes[i]
+	limiter, done := to.process()
 	select {
-	case <-to.done:
+	case <-done:
 		return quota.Reply{}, errDown
 	case <-time.After(5 * time.Millisecond):
 	}
@@ -298,7 +310,7 @@
 		<-ctx.Done()
 		return quota.Reply{}, ctx.Err()
 	}
-	reply := to.limiter.Exchange(r)
+	reply := limiter.Exchange(r)
 	time.Sleep(5 * time.Millisecond)
 	return reply, nil
 }
