--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -82,13 +82,14 @@
 		}
 		word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
 		switch word {
-		case "DATAROW":
-			a.rows = append(a.rows, rest)
+		case "COMPLETE":
 		case "ERROR":
 			a.code, _, _ = strings.Cut(rest, " ")
 		case "READY":
 			a.state, _, _ = strings.Cut(rest, " ")
 			return a, nil
+		default:
+			a.rows = append(a.rows, rest)
 		}
 	}
 }
--- a/review/lab2/cluster.go
+++ b/review/lab2/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	_ "embed" // settings-variable.txt
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -40,6 +41,11 @@
 	boundedAge     = 1500 * time.Millisecond
 )
 
+// settingsVariable is the environment variable that holds the path of the settings file.
+//
+//go:embed settings-variable.txt
+var settingsVariable string
+
 var zones = []string{"z0", "z1", "z2", "z3"}
 
 // recorder writes what was sent, answered and run to record.txt.
@@ -266,7 +272,7 @@
 		return err
 	}
 	cmd := exec.Command(i.c.binary, "run")
-	cmd.Env = append(os.Environ(), "GERANIUMBEAM_BOOT="+path)
+	cmd.Env = append(os.Environ(), strings.TrimSpace(settingsVariable)+"="+path)
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	if err := cmd.Start(); err != nil {
 		return err
