--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -20,8 +20,9 @@
 // cases are the cases by name. Each reports whether the rule was broken. trouble is false
 // if the disruption is left out.
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
-	"frozen-promoter": frozenPromoter,
-	"replaced-fleet":  replacedFleet,
+	"frozen-promoter":  frozenPromoter,
+	"draining-primary": drainingPrimary,
+	"replaced-fleet":   replacedFleet,
 }
 
 func main() {
