topology: count the time of a leaving database from its report

Cause: each instance counted the time for which a leaving primary may still get requests from when it saw the report itself.

Ruled out: a late listing (it arrived within a second), requests that had waited in a queue (all were sent after the bound).

Change: an instance keeps an upper bound of the age of the report.

Calls of Replace in older tests name the time of the change, as the method now asks for it; what they check is unchanged.

--- a/internal/hop/fleet_test.go
+++ b/internal/hop/fleet_test.go
@@ -47,7 +47,7 @@
 		top.Apply(topology.Configuration{
 			Version: 1, Organisations: []organisation.Organisation{{Name: "any"}}, Services: map[string]topology.Service{"ledger": {MaxConnections: fleetLimit}},
 		})
-		top.Replace([]topology.Database{{ID: "db-1", Service: "ledger", Address: "db:1", Primary: true}}, clock.SinceBoot())
+		top.Replace([]topology.Database{{ID: "db-1", Service: "ledger", Address: "db:1", Primary: true}}, clock.SinceBoot(), clock.SinceBoot())
 		name := fmt.Sprint("instance-", i)
 		set := dbpool.NewSet(dbpool.SetConfig{
 			Instance: name, Dial: f.db.dial, Topology: top, Clock: clock.Real{}, Now: clock.SinceBoot,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -136,6 +136,11 @@
 	if s.Age < 0 || s.Held < 0 || s.ListingAge < 0 {
 		return primacy.StoreSnapshot{}, fmt.Errorf("fetch snapshot from peer %s: age %v, hold time %v or listing age %v is negative", address, s.Age, s.Held, s.ListingAge)
 	}
+	for _, l := range s.Leaving {
+		if l.AtMost < 0 {
+			return primacy.StoreSnapshot{}, fmt.Errorf("fetch snapshot from peer %s: age %v of leaving database %.64q is negative", address, l.AtMost, l.ID)
+		}
+	}
 	return s, nil
 }
 
--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -24,6 +24,10 @@
 	currentAt time.Duration
 	adopted   []*topology.Listing
 	relayed   bool
+	leaving   []topology.LeavingAge
+
+	adoptedAges   []topology.LeavingAge
+	adoptedAgesAt time.Duration
 }
 
 func (f *fakeListings) Listing() (*topology.Listing, time.Duration) {
@@ -44,6 +48,14 @@
 	f.relayed = relayed
 }
 
+func (f *fakeListings) LeavingAges() []topology.LeavingAge { return f.leaving }
+
+func (f *fakeListings) AdoptLeavingAges(ages []topology.LeavingAge, at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.adoptedAges, f.adoptedAgesAt = ages, at
+}
+
 func (f *fakeListings) ObserveRevision(revision.Revision, time.Duration) {}
 
 // network passes requests between the instances of a test. Their names serve as
--- a/internal/primacy/listing.go
+++ b/internal/primacy/listing.go
@@ -51,7 +51,9 @@
 // adoptListing takes over the listing of a snapshot. If it is not part of the snapshot, it
 // is fetched in the background. asked is when the store was asked for the snapshot.
 func (r *Runner) adoptListing(ctx context.Context, address string, s StoreSnapshot, asked time.Duration) {
-	current := asked + s.Age - s.ListingAge
+	sent := asked + s.Age // at the earliest
+	defer r.cfg.Listings.AdoptLeavingAges(s.Leaving, sent)
+	current := sent - s.ListingAge
 	switch {
 	case s.Listing == nil && s.ConfigurationVersion != 0:
 		r.fetchListing(ctx, address)
@@ -91,7 +93,9 @@
 				r.log.Debug().Str("address", address).Err(err).Msg("An instance did not provide its listing.")
 				return
 			}
-			r.cfg.Listings.Adopt(s.Listing, askedAt(s, sent, r.cfg.Now())+s.Age-s.ListingAge)
+			answered := askedAt(s, sent, r.cfg.Now()) + s.Age // at the earliest
+			r.cfg.Listings.Adopt(s.Listing, answered-s.ListingAge)
+			r.cfg.Listings.AdoptLeavingAges(s.Leaving, answered)
 		})
 	}()
 }
--- a/internal/primacy/relay.go
+++ b/internal/primacy/relay.go
@@ -72,6 +72,9 @@
 	// left out if the requester has them already.
 	Listing    *topology.Listing
 	ListingAge time.Duration // since the listing was last known to be current
+	// Leaving has the databases that are leaving, as far as the instance knows for how
+	// long, when the response was sent.
+	Leaving []topology.LeavingAge `json:",omitempty"`
 	// ConfigurationVersion is not 0 if the configuration of the listing, or all of the
 	// listing, is left out because the configuration has organisations.
 	ConfigurationVersion uint64 `json:",omitempty"`
@@ -94,6 +97,11 @@
 	Listing() (*topology.Listing, time.Duration)
 	// Adopt takes over the listing of another instance.
 	Adopt(l *topology.Listing, currentAt time.Duration)
+	// LeavingAges returns how long the databases that are leaving have been so at most.
+	LeavingAges() []topology.LeavingAge
+	// AdoptLeavingAges takes over the bounds of another instance. at is the earliest
+	// time at which they were determined.
+	AdoptLeavingAges(ages []topology.LeavingAge, at time.Duration)
 	// SetRelayed tells whether listings come from another instance.
 	SetRelayed(relayed bool)
 	// ObserveRevision records the revision that the store returned to a request that
@@ -154,6 +162,7 @@
 	if listing != nil {
 		s.ListingAge = now - current
 		s.Listing, s.ConfigurationVersion = listingFor(listing, q)
+		s.Leaving = r.cfg.Listings.LeavingAges()
 	}
 	return s, true
 }
--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -291,6 +292,28 @@
 	}
 }
 
+// Guards against an instance that does not learn from the others how long a database has
+// been leaving, or takes it for shorter than it is because the answer was on its way.
+func TestSnapshotBoundsAgeOfLeavingDatabases(t *testing.T) {
+	const age, held = 3 * time.Second, 40 * ms
+	want := []topology.LeavingAge{{ID: "db-1", StartMillis: 7, AtMost: age}}
+	r := startInstances(t, newFakeStore(), newFakeGroup(), "a")["a"].runner
+	r.cfg.Listings = &fakeListings{listing: &topology.Listing{Content: 3}, leaving: want}
+	if s, ok := r.Snapshot(t.Context(), SnapshotQuery{Content: 3}); !ok || !slices.Equal(s.Leaving, want) {
+		t.Errorf("%+v, %v: want the ages also if the listing is known", s, ok)
+	}
+	peers := &fakePeers{snapshots: map[string]StoreSnapshot{"x:1": {Age: 100 * ms, Held: held, Leaving: want}}}
+	listings := &fakeListings{}
+	other := NewRunner(Config{Instance: "self", Peers: peers, Cache: NewRecordCache("self", validity, clock.SinceBoot), Listings: listings, Now: clock.SinceBoot, Log: zerolog.Nop()})
+	before := other.cfg.Now()
+	if !other.fetchUpstream(t.Context(), ownership.Instance{Name: "x", Address: "x:1"}, SnapshotQuery{}) {
+		t.Fatal("the upstream did not respond")
+	}
+	if at := listings.adoptedAgesAt; !slices.Equal(listings.adoptedAges, want) || at < before || at > other.cfg.Now() {
+		t.Errorf("adopted %+v as determined at %v; want those of the upstream, between %v and now", listings.adoptedAges, at, before)
+	}
+}
+
 // Guards against a database that has no owners or whose owners together exceed
 // half of its connection limit, and against instances that compute different
 // owners.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -72,7 +72,7 @@
 	for _, id := range []string{"db-1", "db-2", "db-3"} {
 		all = append(all, topology.Database{ID: id, Service: testService, Address: "10.0.0.1:1", DataCentre: "a", Primary: id == "db-1"})
 	}
-	h.topology.Replace(all, clock.SinceBoot())
+	h.topology.Replace(all, clock.SinceBoot(), clock.SinceBoot())
 	cfg := dbpool.SetConfig{
 		Dial:     func(_ context.Context, _, _, id, _ string) (dbpool.Conn, error) { return &harnessConn{h, id}, nil },
 		Topology: h.topology, Clock: clock.Real{}, Now: clock.SinceBoot, Instances: func() int { return 2 },
--- a/internal/standin/hosted/database.go
+++ b/internal/standin/hosted/database.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// Leave reports that the database leaves. It goes on serving.
+func (d *Database) Leave() { d.register("draining") }
+
 // registerRoleChange updates the registration in the background. d.group.mu is held.
 func (d *Database) registerRoleChange() {
 	spec := d.registration("ready")
--- a/internal/topology/listing.go
+++ b/internal/topology/listing.go
@@ -90,7 +90,7 @@
 	confirmed.ConfigurationRevision = revision.Max(confirmed.ConfigurationRevision, l.ConfigurationRevision)
 	confirmed.DatabasesRevision = revision.Max(confirmed.DatabasesRevision, l.DatabasesRevision)
 	s.listing = &confirmed
-	s.currentAt = max(s.currentAt, at)
+	s.observeCurrent(at)
 	switch {
 	case s.Now()-s.currentAt > maxRelayedAge:
 		s.requestList()
@@ -104,9 +104,11 @@
 	s.applyConfiguration(l.Configuration)
 	l = s.withConfigurationInForce(l)
 	databases := usable(l.Databases)
-	s.reportChanges(databases, l.DatabasesRevision)
-	s.Topology.Replace(databases, s.Now())
-	s.listing, s.currentAt = l, max(s.currentAt, currentAt)
+	before := s.Topology.Snapshot()
+	s.Topology.Replace(databases, s.Now(), s.stability.changedAfter())
+	s.reportChanges(before, l.DatabasesRevision)
+	s.listing = l
+	s.observeCurrent(currentAt)
 	s.needed, s.ignoring = false, false
 	s.signal()
 	if s.OnListing != nil {
@@ -114,6 +116,24 @@
 	}
 }
 
+// observeCurrent notes that the listing in use was current at the given time. s.mu is held.
+func (s *Syncer) observeCurrent(at time.Duration) {
+	s.currentAt = max(s.currentAt, at)
+	s.stability.observe(s.listing.DatabasesRevision.Era, at)
+}
+
+// LeavingAges returns how long the databases that are leaving have been so at most.
+func (s *Syncer) LeavingAges() []LeavingAge { return s.Topology.LeavingAges(s.Now()) }
+
+// AdoptLeavingAges takes over the bounds of another instance. at is the earliest time at
+// which they were determined.
+func (s *Syncer) AdoptLeavingAges(ages []LeavingAge, at time.Duration) {
+	for _, d := range s.Topology.AdoptLeavingAges(ages, at) {
+		s.Log.Info().Str("database", d.ID).Str("service", d.Service).Dur("leaving_at_most_ms", d.LeavingFor(s.Now())).
+			Msg("Another instance knows for how long a database has been leaving.")
+	}
+}
+
 // withConfigurationInForce returns the listing with the configuration in force if that is
 // newer and has organisations. The databases of a listing may be newer than those in use
 // while its configuration is older; an instance that has just started would accept the
@@ -151,7 +171,7 @@
 	switch {
 	case s.listing == nil: // Run makes the first one
 	case !s.listing.Revision().Before(at):
-		s.currentAt = max(s.currentAt, asked)
+		s.observeCurrent(asked)
 	case !s.relayed || s.Now()-s.currentAt > maxRelayedAge:
 		s.requestList()
 	}
--- a/internal/topology/organisations_test.go
+++ b/internal/topology/organisations_test.go
@@ -34,7 +34,7 @@
 		t.Errorf("the key is that of %+v", o)
 	}
 	top.Register(db("db-1"), 0)
-	top.Replace(nil, 1)
+	top.Replace(nil, 1, 1)
 	top.Expire(RemovalDelay + 2)
 	if top.Snapshot().Directory != first {
 		t.Error("the directory was built again")
--- a/internal/topology/syncer.go
+++ b/internal/topology/syncer.go
@@ -64,6 +64,7 @@
 	mu        sync.Mutex
 	listing   *Listing      // nil before the first one
 	currentAt time.Duration // time of the latest request that showed that the listing was current
+	stability stability     // of the registrations
 	needed    bool          // the store must be listed
 	relayed   bool          // another instance provides the listings
 	ignoring  bool          // an older listing was ignored since the one in use
@@ -200,17 +201,22 @@
 	return nil
 }
 
-// reportChanges logs each registration that differs from the known one.
-func (s *Syncer) reportChanges(all []Database, at revision.Revision) {
-	snap := s.Topology.Snapshot()
-	for _, d := range all {
-		old, known := snap.Find(d.Service, d.ID)
-		old.leavingSince, old.knownSince = 0, 0
-		if known && old == d {
-			continue
+// reportChanges logs each registration that differs from the one in a former snapshot.
+func (s *Syncer) reportChanges(before *Snapshot, at revision.Revision) {
+	now := s.Now()
+	for _, databases := range s.Topology.Snapshot().Databases {
+		for _, d := range databases {
+			old, known := before.Find(d.Service, d.ID)
+			old.leavingSince, old.knownSince = d.leavingSince, d.knownSince
+			if known && old == d {
+				continue
+			}
+			e := s.Log.Info().Str("database", d.ID).Str("service", d.Service).Str("address", d.Address).Bool("leaving", d.Leaving)
+			if d.Leaving && d.leavingSince != leavingSinceUnknown {
+				e = e.Dur("leaving_at_most_ms", d.LeavingFor(now))
+			}
+			e.Bool("primary", d.Primary).Int64("born_ms", d.StartMillis).Stringer("revision", at).Msg("A registration changed.")
 		}
-		s.Log.Info().Str("database", d.ID).Str("service", d.Service).Str("address", d.Address).Bool("leaving", d.Leaving).
-			Bool("primary", d.Primary).Int64("born_ms", d.StartMillis).Stringer("revision", at).Msg("A registration changed.")
 	}
 }
 
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -70,6 +70,8 @@
 	Primary     bool  // as the database reports it
 	StartMillis int64 // start time in Unix milliseconds, as the database reports it
 
+	// leavingSince is the earliest time at which the database may have reported that it
+	// leaves, or leavingSinceUnknown.
 	leavingSince time.Duration
 	// knownSince is when the registration was first seen, or 0 if it was in the
 	// first list after this instance started.
@@ -80,8 +82,12 @@
 // in the first list counts as known since boot.
 func (d Database) KnownFor(now time.Duration) time.Duration { return now - d.knownSince }
 
-// LeavingFor returns how long the database has been known to leave, or 0 if it
-// stays.
+// leavingSinceUnknown stands for a report that may have been made at any time before this
+// instance first saw it.
+const leavingSinceUnknown = -24 * time.Hour
+
+// LeavingFor returns how long the database has been leaving at most, counted from its
+// report to the store, or 0 if it stays.
 func (d Database) LeavingFor(now time.Duration) time.Duration {
 	if !d.Leaving {
 		return 0
@@ -178,17 +184,18 @@
 	return true
 }
 
-// Register adds or updates one registration.
+// Register adds or updates one registration, which has changed now.
 func (t *Topology) Register(d Database, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.register(d, now)
+	t.register(d, now, now)
 	t.publishDatabases()
 }
 
-// register is Register without publishing a snapshot. t.mu is held.
-func (t *Topology) register(d Database, now time.Duration) {
-	d.leavingSince = now
+// register is Register without publishing a snapshot, for a registration that has not
+// changed before changedAfter. t.mu is held.
+func (t *Topology) register(d Database, now, changedAfter time.Duration) {
+	d.leavingSince = changedAfter
 	old, known := t.entries[d.ID]
 	switch {
 	case known && old.StartMillis == d.StartMillis:
@@ -203,8 +210,8 @@
 	delete(t.lapsed, d.ID)
 }
 
-// leavingSince returns since when a database is known to leave, and whether it is,
-// whatever its registration says. t.mu is held.
+// leavingSince returns since when a database may have been leaving, and whether it is
+// known to leave, whatever its registration says. t.mu is held.
 func (t *Topology) leavingSince(d Database) (time.Duration, bool) {
 	if old, known := t.entries[d.ID]; known && old.Leaving && old.StartMillis == d.StartMillis {
 		return old.leavingSince, true
@@ -237,14 +244,16 @@
 	t.entries[id] = e
 }
 
-// Replace applies a complete list of registrations.
-func (t *Topology) Replace(all []Database, now time.Duration) {
+// Replace applies a complete list of registrations. What differs from the list before it
+// has changed after changedAfter, which is earlier than now if this instance was suspended
+// or out of contact with the store.
+func (t *Topology) Replace(all []Database, now, changedAfter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	listed := make(map[string]bool, len(all))
 	for _, d := range all {
 		listed[d.ID] = true
-		t.register(d, now)
+		t.register(d, now, changedAfter)
 	}
 	for id := range t.entries {
 		if !listed[id] {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -26,7 +26,7 @@
 func TestMissingRegistrationIsRemovedAfterTheDelay(t *testing.T) {
 	tp := New()
 	tp.Register(db("a"), 0)
-	tp.Replace(nil, time.Second)
+	tp.Replace(nil, time.Second, time.Second)
 	if removed := tp.Expire(time.Second + RemovalDelay - 1); len(removed) != 0 {
 		t.Fatalf("%v expired early", removed)
 	}
@@ -34,7 +34,7 @@
 	if removed := tp.Expire(time.Hour); len(removed) != 0 {
 		t.Fatalf("%v expired although registered", removed)
 	}
-	tp.Replace(nil, 2*time.Hour)
+	tp.Replace(nil, 2*time.Hour, 2*time.Hour)
 	tp.StoreUnavailable(2*time.Hour + time.Second)
 	if removed := tp.Expire(2*time.Hour + RemovalDelay); len(removed) != 0 {
 		t.Fatalf("%v expired while the store was unavailable", removed)
@@ -72,11 +72,11 @@
 	leaving := db("a")
 	leaving.Leaving = true
 	tp.Register(leaving, 0)
-	tp.Replace(nil, time.Second)
+	tp.Replace(nil, time.Second, time.Second)
 	removed := time.Second + RemovalDelay
 	tp.Expire(removed)
 	now := removed + time.Second
-	tp.Replace([]Database{db("a")}, now)
+	tp.Replace([]Database{db("a")}, now, now)
 	if got, ok := tp.Snapshot().Find("ledger", "a"); !ok || !got.Leaving || got.LeavingFor(now) != now {
 		t.Errorf("a database that left is %+v, leaving for %v; want leaving for %v", got, got.LeavingFor(now), now)
 	}
@@ -85,13 +85,13 @@
 	}
 	restarted := db("a")
 	restarted.StartMillis = 2
-	tp.Replace([]Database{restarted}, now)
+	tp.Replace([]Database{restarted}, now, now)
 	if got, _ := tp.Snapshot().Find("ledger", "a"); got.Leaving {
 		t.Error("a database that started again is still listed as leaving")
 	}
-	tp.Replace(nil, now)
+	tp.Replace(nil, now, now)
 	tp.Expire(now + RemovalDelay + departedRetention)
-	tp.Replace([]Database{db("a")}, now+RemovalDelay+departedRetention)
+	tp.Replace([]Database{db("a")}, now+RemovalDelay+departedRetention, now+RemovalDelay+departedRetention)
 	if len(tp.departed) != 0 {
 		t.Errorf("departures are remembered for ever: %v", tp.departed)
 	}
@@ -102,8 +102,8 @@
 func TestLapsedDatabaseIsRemembered(t *testing.T) {
 	topo := New()
 	crashed, left := Database{ID: "db-1", Service: "ledger"}, Database{ID: "db-2", Service: "ledger", Leaving: true}
-	topo.Replace([]Database{crashed, left}, time.Second)
-	topo.Replace(nil, 2*time.Second)
+	topo.Replace([]Database{crashed, left}, time.Second, time.Second)
+	topo.Replace(nil, 2*time.Second, 2*time.Second)
 	at := 2*time.Second + RemovalDelay
 	topo.Expire(at)
 	if got := topo.Lapsed("ledger"); !slices.Equal(got, []string{"db-1"}) {
@@ -117,8 +117,8 @@
 	if got := topo.Lapsed("ledger"); len(got) != 0 {
 		t.Errorf("lapsed after the retention: %v", got)
 	}
-	topo.Replace([]Database{crashed}, at)
-	topo.Replace(nil, at)
+	topo.Replace([]Database{crashed}, at, at)
+	topo.Replace(nil, at, at)
 	topo.Expire(at + RemovalDelay)
 	topo.Register(crashed, at+RemovalDelay)
 	if got := topo.Lapsed("ledger"); len(got) != 0 {
