primacy: judge the validity of a record when the databases have answered

What callers could see: for up to 1.3 s, writes that are acknowledged at a primary that has been replaced.

Cause: an instance that is out of contact confirms its record by the databases. While the record is valid, half of the replicas suffice, because a promoter keeps its fences until the validity has passed. Whether it was valid was decided before the databases were asked. They have 400 ms to answer. If the record lapses in between, the promotion may have cleared the fence of the replica that answers last.

Change: the decision is one method of the cache, which looks at the validity after all answers. The state machine of the tests calls the same method instead of repeating its steps.

--- a/internal/primacy/model_test.go
+++ b/internal/primacy/model_test.go
@@ -260,14 +260,7 @@
 			if x.frozen || !ok || r.Phase != Serving {
 				return
 			}
-			answered := m.statuses()
-			if Superseded(r, answered) {
-				x.cache.Invalidate("ledger", r.Token)
-			}
-			_, valid := x.cache.Primary("ledger")
-			if ConfirmsPrimary(r, answered, 2, valid) {
-				x.cache.Extend("ledger", r.Token, m.now)
-			}
+			x.cache.ExtendFromDatabases(r, m.statuses(), 2, m.now)
 		},
 		"freeze": func(*rapid.T) { x := m.pickInstance(); x.frozen = !x.frozen },
 		"cut":    func(*rapid.T) { x := m.pickInstance(); x.reachesStore = !x.reachesStore },
--- a/internal/primacy/record_cache.go
+++ b/internal/primacy/record_cache.go
@@ -112,6 +112,24 @@
 	}
 }
 
+// ExtendFromDatabases confirms a record from the status of its databases, which were asked
+// at the given time, or invalidates it if they show that its primary is being replaced.
+// others is the number of databases without the primary. Whether the record is valid counts
+// when all answers are there: if it lapsed meanwhile, a promotion may have cleared the
+// fences of those that answered last.
+func (c *RecordCache) ExtendFromDatabases(rec Record, answered []MemberStatus, others int, asked time.Duration) (extended, superseded bool) {
+	_, valid := c.Primary(rec.Service)
+	if Superseded(rec, answered) {
+		c.Invalidate(rec.Service, rec.Token)
+		return false, true
+	}
+	if !ConfirmsPrimary(rec, answered, others, valid) {
+		return false, false
+	}
+	c.Extend(rec.Service, rec.Token, asked)
+	return true, false
+}
+
 // Invalidate stops the use of the primary under the token, because a database
 // showed that it is being replaced. After that only the store can confirm the
 // record: a promotion resets the state by which databases show a replacement, so
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -165,21 +165,15 @@
 func (r *Runner) extendFromDatabases(ctx context.Context, rec Record) bool {
 	asked := r.cfg.Now()
 	others := r.countOthers(rec)
-	_, valid := r.cfg.Cache.Primary(rec.Service)
 	answered := r.broadcast(ctx, rec, func(Member) (statement.Command, bool) {
 		return statement.Command{Op: statement.OpStatus}, true
 	})
-	if Superseded(rec, answered) {
+	extended, superseded := r.cfg.Cache.ExtendFromDatabases(rec, answered, others, asked)
+	if superseded {
 		r.log.Info().Str("service", rec.Service).Uint64("token", rec.Token).
 			Msg("A database reported a newer term or another primary. The primary is no longer used.")
-		r.cfg.Cache.Invalidate(rec.Service, rec.Token)
-		return false
 	}
-	if !ConfirmsPrimary(rec, answered, others, valid) {
-		return false
-	}
-	r.cfg.Cache.Extend(rec.Service, rec.Token, asked)
-	return true
+	return extended
 }
 
 // countOthers returns the number of databases of a service without the recorded
