primacy: don't count the fence of a new database

What callers could see: writes that are acknowledged at a replaced primary, as long as the former primary leads its term.

Cause: a promoter continues without an instance that is out of contact once it has fenced so many replicas that the instance can't confirm its record without asking one of them. Both sides counted the databases that they know. In a release, a database is registered that the instance does not know: of three replicas, one of them new, the promoter needed two, took the new one and one that the instance did not reach, and the instance went on with the third.

TestFenceQuorumHoldsForAllViews goes through all views of up to four old and three new databases.

--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -121,6 +121,8 @@
 	lapsed          []string       // members whose registrations have lapsed
 	unanswered      map[string]int // further PAUSE commands that a database does not answer
 	unresumed       int            // further RESUME commands that no database answers
+	unknownTo       string         // instance that does not know the new members
+	onPromote       func()         // called before a promotion takes effect; may be nil
 }
 
 func newFakeGroup() *fakeGroup {
@@ -174,6 +176,9 @@
 	if g.notRunning[id] {
 		return ErrNotRunning
 	}
+	if g.onPromote != nil {
+		g.onPromote()
+	}
 	g.promoted = append(g.promoted, id)
 	g.tokens = append(g.tokens, token)
 	if g.promotionFails {
@@ -259,7 +264,7 @@
 func (v databaseView) Members(string) []Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return slices.Clone(v.members)
+	return slices.DeleteFunc(slices.Clone(v.members), func(m Member) bool { return m.New && v.unknownTo == v.instance })
 }
 
 func (v databaseView) Lapsed(string) []string {
--- a/internal/primacy/old_primary_test.go
+++ b/internal/primacy/old_primary_test.go
@@ -12,6 +12,87 @@
 	"geraniumbeam/internal/statement"
 )
 
+// Guards against an instance that is out of contact and goes on with the former primary
+// after a promotion, because the databases that the promoter fenced include a new one that
+// the instance does not ask.
+func TestNewDatabaseDoesNotCountAsFence(t *testing.T) {
+	store, g := newFakeStore(), newFakeGroup()
+	all := startInstances(t, store, g, "a", "b", "c")
+	cut := all["c"]
+	cut.network.mu.Lock()
+	cut.network.partitioned = true
+	cut.network.mu.Unlock()
+	cut.storeRefuses.Store(true)
+	var used atomic.Bool
+	g.mu.Lock()
+	g.onPromote = func() {
+		if p, ok := cut.cache.Primary("ledger"); ok && p.ID == "db-1" {
+			used.Store(true)
+		}
+	}
+	g.members = append(g.members, Member{ID: "db-4", New: true})
+	g.unknownTo = "c"
+	g.cut[[2]string{"c", "db-2"}] = true
+	g.status["db-4"] = g.status["db-2"]
+	g.unanswered["db-3"] = 30
+	g.members[0].Leaving = true
+	g.mu.Unlock()
+	eventually(t, "db-2 is promoted", func() bool { promoted, _ := g.promotions(); return len(promoted) > 0 })
+	if used.Load() {
+		t.Error("an instance may use the former primary when the promotion is requested")
+	}
+}
+
+// Guards against a fence quorum that does not intersect the databases which an instance
+// asks, for any new databases that it may know of.
+func TestFenceQuorumHoldsForAllViews(t *testing.T) {
+	for old := range 5 {
+		for fresh := range 4 {
+			for fenced := range 1 << (old + fresh) {
+				members := make([]Member, 0, old+fresh)
+				var answered []MemberStatus
+				for i := range old + fresh {
+					m := Member{ID: dbName(i), New: i >= old}
+					members = append(members, m)
+					if fenced&(1<<i) != 0 {
+						answered = append(answered, MemberStatus{Member: m})
+					}
+				}
+				if fencesSuffice(members, answered) {
+					checkFenced(t, members, old, fenced)
+				}
+			}
+		}
+	}
+	if all := []Member{{ID: "x"}, {ID: "y"}}; !fencesSuffice(all, []MemberStatus{{Member: all[0]}, {Member: all[1]}}) {
+		t.Error("the fences of all databases don't suffice")
+	}
+}
+
+// checkFenced checks that no instance finds enough unfenced databases. fenced has a bit for
+// each member; each instance knows the first old ones and any of the others.
+func checkFenced(t *testing.T, members []Member, old, fenced int) {
+	t.Helper()
+	for known := range 1 << len(members) {
+		if known&(1<<old-1) != 1<<old-1 {
+			continue
+		}
+		others, unfenced := 0, 0
+		for i := range members {
+			if known&(1<<i) == 0 {
+				continue
+			}
+			others++
+			if fenced&(1<<i) == 0 {
+				unfenced++
+			}
+		}
+		if others > 0 && unfenced >= extendQuorumSize(others, true) {
+			t.Fatalf("%d old and %d new databases, fenced %b: an instance that knows %b finds %d of %d unfenced", old, len(members)-old, fenced, known, unfenced, others)
+		}
+	}
+}
+
 // lateDatabases delays the answer of db-3 until the test lets it pass.
 type lateDatabases struct {
 	databaseView
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -195,7 +195,7 @@
 	for {
 		fenced := r.fenceReplicas(ctx, rec, controlTimeout, nil)
 		missing, err := r.awaitStopped(ctx, rec, direct, func(time.Duration) time.Duration { return fenceRetryDelay })
-		if err != nil || (len(missing) == 0 && !rec.Unsettled) || len(fenced) >= fenceQuorumSize(r.countOthers(rec)) {
+		if err != nil || (len(missing) == 0 && !rec.Unsettled) || fencesSuffice(r.others(rec), fenced) {
 			return missing, err
 		}
 		r.log.Warn().Str("service", rec.Service).Uint64("token", rec.Token).Int("raised", len(fenced)).Strs("missing", missing).
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -85,6 +85,22 @@
 // fenceQuorumSize returns how many of the others a promoter must fence.
 func fenceQuorumSize(others int) int { return others - extendQuorumSize(others, true) + 1 }
 
+// fencesSuffice reports whether the databases that a promoter has fenced, of the members
+// without the primary, include one of any quorum that confirms an instance's valid record.
+// An instance may not know the new members, so a fence of one of these proves nothing, and
+// one that is not fenced may be among those that it asks.
+func fencesSuffice(others []Member, fenced []MemberStatus) bool {
+	count, effective := len(others), 0
+	for _, o := range fenced {
+		if o.New {
+			count--
+		} else {
+			effective++
+		}
+	}
+	return effective >= fenceQuorumSize(count)
+}
+
 // ConfirmsPrimary reports whether the status of databases shows that no
 // replacement of the record's primary has begun: the primary still leads the
 // record's term, enough of the others answered, and no answer shows a newer term
--- a/internal/primacy/renew.go
+++ b/internal/primacy/renew.go
@@ -176,17 +176,14 @@
 	return extended
 }
 
+// others returns the databases of a service without the recorded primary.
+func (r *Runner) others(rec Record) []Member {
+	return slices.DeleteFunc(r.cfg.Databases.Members(rec.Service), func(m Member) bool { return m.ID == rec.Primary })
+}
+
 // countOthers returns the number of databases of a service without the recorded
 // primary.
-func (r *Runner) countOthers(rec Record) int {
-	n := 0
-	for _, m := range r.cfg.Databases.Members(rec.Service) {
-		if m.ID != rec.Primary {
-			n++
-		}
-	}
-	return n
-}
+func (r *Runner) countOthers(rec Record) int { return len(r.others(rec)) }
 
 // recordRound records whether a renewal round confirmed any record.
 func (r *Runner) recordRound(confirmed bool) {
