primacy: let the databases confirm only what the store has confirmed

What callers could see: writes that are acknowledged at a replaced primary through an instance that has just been started.

Cause: a planned replacement fences the replicas only after all registered instances have stopped. An instance that registers after the promoter's list is safe if the store, asked after the registration, confirms the record.

Change: Extend has no effect until the store, directly or through a peer, has confirmed a record of the service since the registration.

Test: TestDatabasesDoNotConfirmWhatTheStoreHasNot failed before, for a new process and for one that registers again.

--- a/internal/primacy/old_primary_test.go
+++ b/internal/primacy/old_primary_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"geraniumbeam/internal/clock"
 	"geraniumbeam/internal/revision"
 	"geraniumbeam/internal/statement"
 )
@@ -133,3 +134,32 @@
 		t.Error("the record of a replaced primary was confirmed")
 	}
 }
+
+// Guards against an instance that has just registered, of which a promoter may not know,
+// and that confirms a record from before its registration by the databases alone: a planned
+// replacement fences them only after all known instances have stopped.
+func TestDatabasesDoNotConfirmWhatTheStoreHasNot(t *testing.T) {
+	cache := NewRecordCache("a", recordValidity, clock.SinceBoot)
+	rec := Record{Service: "ledger", Revision: revision.Revision{Number: 1}, Token: 1, Phase: Serving, Primary: dbName(0), Term: 1}
+	unfenced := []MemberStatus{
+		{Member{ID: dbName(0)}, statement.Status{Term: 1, Primary: true}}, {Member{ID: dbName(1)}, statement.Status{Term: 1}},
+		{Member{ID: dbName(2)}, statement.Status{Term: 1}},
+	}
+	extend := func() bool {
+		ok, _ := cache.ExtendFromDatabases(rec, unfenced, 2, clock.SinceBoot())
+		_, usable := cache.Primary("ledger")
+		return ok && usable
+	}
+	for _, incarnation := range []string{"a", "a+1"} {
+		asked := clock.SinceBoot()
+		cache.SetIncarnation(incarnation)
+		cache.Confirm([]Record{rec}, 0, asked) // from a peer that asked the store before the registration
+		if extend() {
+			t.Errorf("%s: the databases confirmed a record that the store has not confirmed since the registration", incarnation)
+		}
+		cache.Confirm([]Record{rec}, 0, clock.SinceBoot())
+		if !extend() {
+			t.Errorf("%s: the databases don't confirm a record that the store has confirmed", incarnation)
+		}
+	}
+}
--- a/internal/primacy/record_cache.go
+++ b/internal/primacy/record_cache.go
@@ -24,6 +24,7 @@
 	record       Record
 	confirmedAt  time.Duration // send time of the latest request that confirmed the record
 	invalidToken uint64        // token that a database reported as superseded
+	listed       bool          // the store has confirmed a record since the instance registered
 }
 
 // RecordCache holds the service records that an instance has seen. A cached
@@ -94,7 +95,7 @@
 			newer = append(newer, r)
 		}
 		if s := c.entries[r.Service]; r.Revision.Era == era && s.record.Revision.Era == era && era == c.era {
-			c.confirm(s, asked)
+			s.listed = c.confirm(s, asked) || s.listed
 		}
 	}
 	c.notify()
@@ -102,14 +103,20 @@
 }
 
 // Extend confirms the record of one service without the store, from the status
-// of its databases. It has no effect unless the token is still current.
-func (c *RecordCache) Extend(service string, token uint64, asked time.Duration) {
+// of its databases, and reports whether it did. It has no effect unless the token is still
+// current and the store has confirmed a record of the service since the instance
+// registered: a promoter that does not know the instance may not have fenced the databases
+// yet.
+func (c *RecordCache) Extend(service string, token uint64, asked time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s, ok := c.entries[service]; ok && s.record.Token == token && s.invalidToken != token {
-		c.confirm(s, asked)
-		c.notify()
+	s, ok := c.entries[service]
+	if !ok || s.record.Token != token || s.invalidToken == token || !s.listed {
+		return false
 	}
+	c.confirm(s, asked)
+	c.notify()
+	return true
 }
 
 // ExtendFromDatabases confirms a record from the status of its databases, which were asked
@@ -126,8 +133,7 @@
 	if !ConfirmsPrimary(rec, answered, others, valid) {
 		return false, false
 	}
-	c.Extend(rec.Service, rec.Token, asked)
-	return true, false
+	return c.Extend(rec.Service, rec.Token, asked), false
 }
 
 // Invalidate stops the use of the primary under the token, because a database
@@ -144,11 +150,14 @@
 }
 
 // confirm ignores requests that were sent before the instance registered: a
-// promoter may have listed the registrations before that and not know of it.
-func (c *RecordCache) confirm(s *cachedRecord, asked time.Duration) {
-	if asked >= c.registeredAt {
-		s.confirmedAt = max(s.confirmedAt, asked)
+// promoter may have listed the registrations before that and not know of it. It reports
+// whether the request counts.
+func (c *RecordCache) confirm(s *cachedRecord, asked time.Duration) bool {
+	if asked < c.registeredAt {
+		return false
 	}
+	s.confirmedAt = max(s.confirmedAt, asked)
+	return true
 }
 
 // Primary returns the database that may be used as primary now.
@@ -215,7 +224,7 @@
 	defer c.mu.Unlock()
 	c.incarnation, c.registeredAt = incarnation, now
 	for _, s := range c.entries {
-		s.confirmedAt = 0
+		s.confirmedAt, s.listed = 0, false
 	}
 	c.notify()
 }
@@ -227,7 +236,7 @@
 	defer c.mu.Unlock()
 	c.registeredAt = math.MaxInt64
 	for _, s := range c.entries {
-		s.confirmedAt = 0
+		s.confirmedAt, s.listed = 0, false
 	}
 	c.notify()
 }
