primacy: send no promotion call after a successor may have taken over

The database that the record names loses its lead without anybody noticing: writes that it goes on to commit and acknowledge for up to a second are lost, and then the service takes no writes.

Cause: the platform checks no fencing token, so the order of the calls decides. A promoter sent calls for 4 s, each for up to 1.5 s, and only looked whether it knew of a later record. A successor takes over after 4.4 s. A promoter that is suspended, or cut off from the store and then from the platform, knows of no later record. A call that was given up was closed in the usual way, so that the kernel could still deliver it after a partition.

Ruled out: comparing the token at the time of the call; the promoter's own write is the latest that it can know.

Change: calls are sent for takeoverTimeout - promoteTimeout after the promoter began to write the candidate, by a clock that includes suspensions.

--- a/internal/primacy/fake_test.go
+++ b/internal/primacy/fake_test.go
@@ -170,7 +170,8 @@
 	delete(g.stopped, id)
 }
 
-func (g *fakeGroup) Promote(_ context.Context, _, id, _ string, token uint64) error {
+func (g *fakeGroup) Promote(_ context.Context, p Promotion) error {
+	id, token := p.Database, p.Token
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.notRunning[id] {
--- a/internal/primacy/fleet_test.go
+++ b/internal/primacy/fleet_test.go
@@ -120,9 +120,9 @@
 // slowPromotions takes as long for a promotion as the platform.
 type slowPromotions struct{ *fakeGroup }
 
-func (p slowPromotions) Promote(ctx context.Context, service, id, holder string, token uint64) error {
+func (p slowPromotions) Promote(ctx context.Context, promotion Promotion) error {
 	time.Sleep(600 * ms)
-	return p.fakeGroup.Promote(ctx, service, id, holder, token)
+	return p.fakeGroup.Promote(ctx, promotion)
 }
 
 // fleetView is the service as seen by one instance. A database that is cut off does not
--- a/internal/primacy/promoter.go
+++ b/internal/primacy/promoter.go
@@ -129,10 +129,11 @@
 	}
 	for _, c := range OrderCandidates(logs.candidates, avoidNew) {
 		rec.Candidate, rec.Attempted = c.ID, true
+		notAfter := r.cfg.Now() + promotionWindow
 		if rec, err = r.writeRecord(ctx, rec.Revision.Era, rec); err != nil {
 			return err
 		}
-		leader, err := r.promote(ctx, rec)
+		leader, err := r.promote(ctx, rec, notAfter)
 		if errors.Is(err, ErrNotRunning) {
 			continue
 		}
@@ -340,11 +341,11 @@
 	term uint64
 }
 
-// promote asks the platform to promote the record's candidate and waits until
-// the candidate reports that it is primary.
-func (r *Runner) promote(ctx context.Context, rec Record) (_ leader, err error) {
+// promote asks the platform to promote the record's candidate, again until notAfter, and
+// waits until the candidate reports that it is primary.
+func (r *Runner) promote(ctx context.Context, rec Record, notAfter time.Duration) (_ leader, err error) {
 	until := r.cfg.Now() + leadTimeout
-	unanswered := false
+	requested, unanswered := false, false
 	defer func() {
 		if err != nil && unanswered {
 			err = fmt.Errorf("%w: %w", errPromotionUnanswered, err)
@@ -354,14 +355,19 @@
 		if !r.holds(rec) {
 			return leader{}, errRecordTaken
 		}
-		err := r.callPromote(ctx, rec)
-		if errors.Is(err, ErrNotRunning) {
+		err := r.callPromote(ctx, rec, notAfter)
+		switch {
+		case errors.Is(err, ErrNotRunning):
 			return leader{}, err
-		}
-		if err != nil {
+		case errors.Is(err, ErrPromotionLate):
+			if !requested {
+				return leader{}, fmt.Errorf("promote database %s of service %s: %w", rec.Candidate, rec.Service, err)
+			}
+		case err != nil:
 			unanswered = true
 			r.log.Warn().Str("service", rec.Service).Str("database", rec.Candidate).Err(err).Msg("The promotion call failed. It may still take effect.")
 		}
+		requested = true
 		if l, ok := r.awaitLeadership(ctx, rec, err == nil, until); ok {
 			return l, nil
 		}
@@ -372,10 +378,15 @@
 	return leader{}, fmt.Errorf("promote database %s of service %s: it did not become primary in time", rec.Candidate, rec.Service)
 }
 
-func (r *Runner) callPromote(ctx context.Context, rec Record) error {
+func (r *Runner) callPromote(ctx context.Context, rec Record, notAfter time.Duration) error {
+	if r.cfg.Now() >= notAfter {
+		return ErrPromotionLate
+	}
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	return r.cfg.Promotions.Promote(ctx, rec.Service, rec.Candidate, r.cfg.Instance, rec.Token)
+	return r.cfg.Promotions.Promote(ctx, Promotion{
+		Service: rec.Service, Database: rec.Candidate, Holder: r.cfg.Instance, Token: rec.Token, NotAfter: notAfter,
+	})
 }
 
 // awaitLeadership polls the candidate's status until it is primary in a new
--- a/internal/primacy/record.go
+++ b/internal/primacy/record.go
@@ -162,9 +162,25 @@
 
 // Promotions asks the platform to make a database the primary.
 type Promotions interface {
-	// Promote fails with ErrNotRunning if the platform refuses the database.
-	Promote(ctx context.Context, service, id, holder string, token uint64) error
+	// Promote fails with ErrNotRunning if the platform refuses the database, and with
+	// ErrPromotionLate if nothing was sent because the time of the promotion has passed. What
+	// has not reached the platform when Promote returns must not reach it later.
+	Promote(ctx context.Context, p Promotion) error
+}
+
+// Promotion is a call that makes a database the primary of a service.
+type Promotion struct {
+	Service  string
+	Database string
+	Holder   string // instance that holds the service's record
+	Token    uint64
+	// NotAfter is when the call must not be sent any more, as clock.SinceBoot counts.
+	NotAfter time.Duration
 }
 
 // ErrNotRunning means that the database to promote does not run.
 var ErrNotRunning = errors.New("the database is not running")
+
+// ErrPromotionLate means that a promotion was not requested because a successor of the
+// promoter may have requested another one.
+var ErrPromotionLate = errors.New("the time in which this instance may promote a database has passed")
--- a/internal/primacy/timing.go
+++ b/internal/primacy/timing.go
@@ -62,6 +62,11 @@
 	// validity of cached records: control commands, the promotion and the wait for
 	// the promoted database to report that it is primary.
 	replacementTime = 3 * time.Second
+	// promotionWindow is how long after a promoter began to write the candidate into the
+	// record it may send promotion calls. A successor takes the record over after
+	// takeoverTimeout, and nothing else keeps a call of the former promoter from undoing
+	// the promotion by the successor.
+	promotionWindow = takeoverTimeout - promoteTimeout
 	// ownRetryDelay is the delay before an instance retries its own failed
 	// replacement.
 	ownRetryDelay = 700 * time.Millisecond
