--- a/internal/platformd/instance.go
+++ b/internal/platformd/instance.go
@@ -149,8 +149,8 @@
 }
 
 // leavingPrimaryPercent is the share of the drain time, in percent, during which a
-// leaving primary still gets work. The rest covers the delay until the instance
-// learns from the store that the database is leaving.
+// leaving primary still gets work, counted from its report. The rest covers requests that
+// wait for a connection or are on their way.
 const leavingPrimaryPercent = 70
 
 func (i *Instance) services() []string {
