--- a/internal/primacy/old_primary_test.go
+++ b/internal/primacy/old_primary_test.go
@@ -144,7 +144,8 @@
 	cache := NewRecordCache("a", recordValidity, clock.SinceBoot)
 	rec := Record{Service: "ledger", Revision: revision.Revision{Number: 1}, Token: 1, Phase: Serving, Primary: dbName(0), Term: 1}
 	unfenced := []MemberStatus{
-		{Member{ID: dbName(0)}, statement.Status{Term: 1, Primary: true}}, {Member{ID: dbName(1)}, statement.Status{Term: 1}},
+		{Member{ID: dbName(0)}, statement.Status{Term: 1, Primary: true}},
+		{Member{ID: dbName(1)}, statement.Status{Term: 1}},
 		{Member{ID: dbName(2)}, statement.Status{Term: 1}},
 	}
 	extend := func() bool {
