primacy: no data race in the test of the ages of leaving databases

Cause: TestSnapshotBoundsAgeOfLeavingDatabases replaced the listings of a runner whose loops were running. The product is not concerned.

Change: the test builds a runner that does not run. It checks the same.

--- a/internal/primacy/relay_test.go
+++ b/internal/primacy/relay_test.go
@@ -297,8 +297,11 @@
 func TestSnapshotBoundsAgeOfLeavingDatabases(t *testing.T) {
 	const age, held = 3 * time.Second, 40 * ms
 	want := []topology.LeavingAge{{ID: "db-1", StartMillis: 7, AtMost: age}}
-	r := startInstances(t, newFakeStore(), newFakeGroup(), "a")["a"].runner
-	r.cfg.Listings = &fakeListings{listing: &topology.Listing{Content: 3}, leaving: want}
+	r := NewRunner(Config{
+		Instance: "x", Cache: NewRecordCache("x", validity, clock.SinceBoot), Now: clock.SinceBoot, Log: zerolog.Nop(),
+		Listings: &fakeListings{listing: &topology.Listing{Content: 3}, leaving: want},
+	})
+	r.state.asked = r.cfg.Now()
 	if s, ok := r.Snapshot(t.Context(), SnapshotQuery{Content: 3}); !ok || !slices.Equal(s.Leaving, want) {
 		t.Errorf("%+v, %v: want the ages also if the listing is known", s, ok)
 	}
